--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,286 @@
+// Package api holds the messages of the users' and the workers' interfaces and
+// the checks on what comes in from them.
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"opaldale/internal/ident"
+)
+
+// MaxBody is the largest request body that is read.
+const MaxBody = 64 << 10
+
+// MaxPieces is the largest number of tasks in a job.
+const MaxPieces = 100_000
+
+// Shape tells arrays from services.
+type Shape string
+
+// The shapes of a job.
+const (
+	Batch   Shape = "batch"
+	Service Shape = "service"
+)
+
+// Rank is a job's priority.
+type Rank string
+
+// The ranks, highest first.
+const (
+	Critical   Rank = "critical"
+	High       Rank = "high"
+	Standard   Rank = "standard"
+	BestEffort Rank = "best_effort"
+)
+
+// Level orders ranks: a lower level goes first.
+func (r Rank) Level() int {
+	switch r {
+	case Critical:
+		return 0
+	case High:
+		return 1
+	case Standard:
+		return 2
+	}
+	return 3
+}
+
+// Spec is a job as its user submitted it.
+type Spec struct {
+	ID             ident.JobID `json:"id"`
+	Lane           string      `json:"lane"`
+	Desk           string      `json:"desk"`
+	Shape          Shape       `json:"shape"`
+	Rank           Rank        `json:"rank"`
+	Pieces         int         `json:"pieces"`
+	VCPUs          float64     `json:"vcpus"`
+	Cards          float64     `json:"cards"`
+	MemoryGB       float64     `json:"memory_gb"`
+	Bundle         string      `json:"bundle"`
+	ImageGB        float64     `json:"image_gb"`
+	Models         []string    `json:"models"`
+	Site           *string     `json:"site"`
+	OneZone        bool        `json:"one_zone"`
+	Apart          bool        `json:"apart"`
+	Standby        bool        `json:"standby"`
+	RuntimeS       float64     `json:"runtime_s"`
+	SnapshotEveryS float64     `json:"snapshot_every_s"`
+	SnapshotS      float64     `json:"snapshot_s"`
+	DueS           *float64    `json:"due_s"`
+}
+
+// FieldError names the field that made a message malformed.
+type FieldError struct {
+	Field, Problem string
+}
+
+func (e *FieldError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Problem) }
+
+// required lists the fields of a submission that may not be null or absent.
+var required = []string{"id", "lane", "desk", "shape", "rank", "pieces", "vcpus", "cards", "memory_gb",
+	"bundle", "image_gb", "one_zone", "apart", "standby", "runtime_s", "snapshot_every_s", "snapshot_s"}
+
+// ParseSpec reads and checks a submission. Its errors are for the user's 400.
+func ParseSpec(body []byte) (*Spec, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
+		return nil, &FieldError{"body", "not a JSON object"}
+	}
+	for _, f := range required {
+		if raw, ok := fields[f]; !ok || bytes.Equal(raw, []byte("null")) {
+			return nil, &FieldError{f, "missing"}
+		}
+	}
+	var s Spec
+	if err := json.Unmarshal(body, &s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) && te.Field != "" {
+			return nil, &FieldError{te.Field, "wrong type or out of range"}
+		}
+		return nil, &FieldError{"body", "malformed"}
+	}
+	return &s, s.check()
+}
+
+func (s *Spec) check() error {
+	if _, err := ident.ParseJobID(string(s.ID)); err != nil {
+		return &FieldError{"id", "not in the form j-000412"}
+	}
+	if s.Shape != Batch && s.Shape != Service {
+		return &FieldError{"shape", "unknown"}
+	}
+	switch s.Rank {
+	case Critical, High, Standard, BestEffort:
+	default:
+		return &FieldError{"rank", "unknown"}
+	}
+	if s.Pieces < 1 || s.Pieces > MaxPieces {
+		return &FieldError{"pieces", "must be from 1 to 100000"}
+	}
+	for _, t := range []struct {
+		name, v string
+	}{{"lane", s.Lane}, {"desk", s.Desk}, {"bundle", s.Bundle}} {
+		if t.v == "" || len(t.v) > 200 {
+			return &FieldError{t.name, "must have 1 to 200 bytes"}
+		}
+	}
+	amounts := []struct {
+		name string
+		v    float64
+	}{{"vcpus", s.VCPUs}, {"cards", s.Cards}, {"memory_gb", s.MemoryGB}, {"image_gb", s.ImageGB},
+		{"runtime_s", s.RuntimeS}, {"snapshot_every_s", s.SnapshotEveryS}, {"snapshot_s", s.SnapshotS}}
+	if s.DueS != nil {
+		amounts = append(amounts, struct {
+			name string
+			v    float64
+		}{"due_s", *s.DueS})
+	}
+	for _, a := range amounts {
+		if a.v < 0 || a.v > 1e9 || math.IsNaN(a.v) {
+			return &FieldError{a.name, "negative or out of range"}
+		}
+	}
+	return nil
+}
+
+// Saves says whether a task of the job can keep its progress when stopped.
+func (s *Spec) Saves() bool { return s.SnapshotEveryS > 0 && s.Shape == Batch }
+
+// View is the answer to a user about a job.
+type View struct {
+	ID      ident.JobID `json:"id"`
+	Status  string      `json:"status"`
+	Done    int         `json:"done"`
+	Running int         `json:"running"`
+}
+
+// Ack is the short answer to a submission or a cancellation.
+type Ack struct {
+	ID     ident.JobID `json:"id"`
+	Status string      `json:"status"`
+}
+
+// Problem is the body of every refusal.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// PieceStatus is a task's state on its machine.
+type PieceStatus string
+
+// The states that workers report.
+const (
+	Pulling  PieceStatus = "pulling"
+	Running  PieceStatus = "running"
+	Flushing PieceStatus = "flushing"
+	Ended    PieceStatus = "ended"
+)
+
+// Cause says why a task ended.
+type Cause string
+
+// The causes that workers report.
+const (
+	CauseDone    Cause = "done"
+	CauseStopped Cause = "stopped"
+	CauseError   Cause = "error"
+	CauseFull    Cause = "full"
+	CauseBusy    Cause = "busy"
+	CauseUnknown Cause = "unknown"
+)
+
+// PieceReport is one task in a worker's report.
+type PieceReport struct {
+	Piece  ident.Piece `json:"piece"`
+	Try    ident.Try   `json:"try"`
+	Status PieceStatus `json:"status"`
+	Cause  Cause       `json:"cause,omitempty"`
+	Stored bool        `json:"stored,omitempty"`
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	Host     ident.HostID  `json:"host"`
+	Addr     string        `json:"addr"`
+	Model    string        `json:"model"`
+	Site     string        `json:"site"`
+	Standby  bool          `json:"standby"`
+	Tenure   ident.Tenure  `json:"tenure"`
+	Serial   ident.Serial  `json:"serial"`
+	Epoch    ident.Epoch   `json:"epoch"`
+	WarningS *float64      `json:"warning_s"`
+	Pieces   []PieceReport `json:"pieces"`
+}
+
+// ParseReport reads and checks a worker's report.
+func ParseReport(body []byte) (*Report, error) {
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, err
+	}
+	switch {
+	case r.Host == "":
+		return nil, &FieldError{"host", "missing"}
+	case r.Addr == "":
+		return nil, &FieldError{"addr", "missing"}
+	case r.Tenure == 0:
+		return nil, &FieldError{"tenure", "missing"}
+	case r.Model == "" || r.Site == "":
+		return nil, &FieldError{"model", "model or site missing"}
+	}
+	for _, p := range r.Pieces {
+		switch p.Status {
+		case Pulling, Running, Flushing, Ended:
+		default:
+			// An unknown state may be one in which the task holds its room.
+			return nil, &FieldError{"pieces", "unknown status"}
+		}
+	}
+	return &r, nil
+}
+
+// Verb is what an order asks of a worker.
+type Verb string
+
+// The verbs that workers know.
+const (
+	Launch Verb = "launch"
+	Kill   Verb = "kill"
+	Clear  Verb = "clear"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb      Verb        `json:"verb"`
+	Piece     ident.Piece `json:"piece"`
+	Try       ident.Try   `json:"try"`
+	WindDownS *float64    `json:"wind_down_s,omitempty"`
+}
+
+// Orders answers a report.
+type Orders struct {
+	Epoch  ident.Epoch `json:"epoch"`
+	Orders []Order     `json:"orders"`
+}
+
+// Commands is the body of POST /commands.
+type Commands struct {
+	Epoch  ident.Epoch  `json:"epoch"`
+	Tenure ident.Tenure `json:"tenure"`
+	Orders []Order      `json:"orders"`
+}
+
+// JSON encodes a message of this package, none of which can fail to encode.
+func JSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,194 @@
+// Package cloud speaks to the cloud that rents machines.
+package cloud
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"opaldale/internal/ident"
+)
+
+// Op is what a request asks for.
+type Op uint8
+
+// The operations of the cloud.
+const (
+	Catalog Op = iota
+	Rent
+	Return
+	List
+)
+
+// Model is a machine type.
+type Model struct {
+	SKU         string   `json:"sku"`
+	VCPUs       float64  `json:"vcpus"`
+	Cards       float64  `json:"cards"`
+	MemoryGB    float64  `json:"memory_gb"`
+	LocalGB     float64  `json:"local_gb"`
+	PullGBPerS  float64  `json:"pull_gb_per_s"`
+	Hourly      float64  `json:"hourly"`
+	MarketPrice float64  `json:"market_price"`
+	StartupS    float64  `json:"startup_s"`
+	Sites       []string `json:"sites"`
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	ID      ident.HostID `json:"id"`
+	Addr    string       `json:"addr"`
+	Model   string       `json:"model"`
+	Site    string       `json:"site"`
+	Standby bool         `json:"standby"`
+	Status  string       `json:"status"`
+	AgeS    float64      `json:"age_s"`
+}
+
+// Request is one call; only the fields of its Op are used.
+type Request struct {
+	Op      Op             `json:"-"`
+	Hire    string         `json:"hire"`
+	Model   string         `json:"model"`
+	Site    string         `json:"site"`
+	Standby bool           `json:"standby"`
+	Number  int            `json:"number"`
+	Hosts   []ident.HostID `json:"-"`
+	Since   ident.HostID   `json:"-"`
+}
+
+// Outcome is what is known after a call.
+type Outcome uint8
+
+// The outcomes. Only after Lost may the request still be carried out.
+const (
+	Lost       Outcome = iota // no answer, or one that the protocol does not name
+	OK                        // 200
+	NoCapacity                // 503 "no capacity"
+	Refused                   // 429, or 503 of an outage
+	Bad                       // 400
+)
+
+// Reply is the answer to any request.
+type Reply struct {
+	Outcome   Outcome
+	Error     string
+	Models    []Model
+	Rented    []ident.HostID
+	Listed    []Listed
+	Truncated bool
+}
+
+const (
+	timeout  = 4 * time.Second
+	maxReply = 4 << 20
+	listMost = "500"
+)
+
+// Client is the HTTP client of the cloud.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient makes a client for the cloud at addr.
+func NewClient(addr string, transport http.RoundTripper) *Client {
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: transport}}
+}
+
+// Do carries out a request.
+func (c *Client) Do(r Request) Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	method, path := http.MethodGet, ""
+	var body any
+	switch r.Op {
+	case Catalog:
+		path = "/catalog"
+	case Rent:
+		method, path, body = http.MethodPost, "/machines", r
+	case Return:
+		method, path = http.MethodPost, "/machines/return"
+		body = struct {
+			Hosts []ident.HostID `json:"hosts"`
+		}{r.Hosts}
+	case List:
+		path = "/machines?" + url.Values{"since": {string(r.Since)}, "most": {listMost}}.Encode()
+	}
+	var rd io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return Reply{Outcome: Bad, Error: err.Error()}
+		}
+		rd = bytes.NewReader(b)
+	}
+	hr, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return Reply{Outcome: Bad, Error: err.Error()}
+	}
+	if rd != nil {
+		hr.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(hr)
+	if err != nil {
+		return Reply{Outcome: Lost, Error: err.Error()}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return Reply{Outcome: Lost, Error: err.Error()}
+	}
+	return decode(r.Op, resp.StatusCode, b)
+}
+
+func decode(op Op, status int, body []byte) Reply {
+	var problem struct {
+		Error string `json:"error"`
+	}
+	switch status {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable:
+		if json.Unmarshal(body, &problem) == nil && problem.Error == "no capacity" {
+			return Reply{Outcome: NoCapacity, Error: problem.Error}
+		}
+		return Reply{Outcome: Refused, Error: "503 " + problem.Error}
+	case http.StatusTooManyRequests:
+		return Reply{Outcome: Refused, Error: "429"}
+	case http.StatusBadRequest:
+		return Reply{Outcome: Bad, Error: string(body)}
+	default:
+		return Reply{Outcome: Lost, Error: http.StatusText(status)}
+	}
+	out := Reply{Outcome: OK}
+	var err error
+	switch op {
+	case Catalog:
+		var v struct {
+			Models []Model `json:"models"`
+		}
+		err = json.Unmarshal(body, &v)
+		out.Models = v.Models
+	case Rent:
+		var v struct {
+			Hosts []ident.HostID `json:"hosts"`
+		}
+		err = json.Unmarshal(body, &v)
+		out.Rented = v.Hosts
+	case List:
+		var v struct {
+			Hosts     []Listed `json:"hosts"`
+			Truncated bool     `json:"truncated"`
+		}
+		err = json.Unmarshal(body, &v)
+		out.Listed, out.Truncated = v.Hosts, v.Truncated
+	}
+	if err != nil {
+		return Reply{Outcome: Lost, Error: err.Error()}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,454 @@
+// Package controller joins the duties into one node: it takes requests of users
+// and workers, passes them to the leader, and leads when elected. It does no
+// I/O: events and time come in, and what is to be done goes out by Env.
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/election"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/mesh"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+// Env is the world around a controller. Its callbacks come one at a time, each
+// followed by Settle.
+type Env interface {
+	Now() ident.Mono
+	WallMS() int64
+	After(time.Duration, func())
+	State(statesvc.Request, func(statesvc.Reply))
+	Cloud(cloud.Request, func(cloud.Reply))
+	Worker(addr string, c api.Commands, f func(workers.Answer))
+	Mesh(to ident.NodeID, f *mesh.Frame)
+}
+
+// Reply answers a request of a user or a worker.
+type Reply struct {
+	Status int
+	Retry  int // Retry-After in seconds, 0 for none
+	Body   []byte
+}
+
+func answer(status int, v any) Reply { return Reply{Status: status, Body: api.JSON(v)} }
+
+func problem(status int, text string) Reply { return answer(status, api.Problem{Error: text}) }
+
+// retryAfter tells a client when to come back: about the time of a failover.
+const retryAfter = 1
+
+func unavailable(text string) Reply {
+	r := problem(http.StatusServiceUnavailable, text)
+	r.Retry = retryAfter
+	return r
+}
+
+// peer is a sibling as seen from here.
+type peer struct {
+	heard ident.Mono
+	ever  bool
+}
+
+// Controller is one node.
+type Controller struct {
+	env   Env
+	set   *settings.Settings
+	rng   *rand.Rand
+	elect *election.Machine
+	lead  *lead // nil while not leading
+	grace time.Duration
+
+	peers map[ident.NodeID]*peer
+	asks  map[uint64]func(Reply)
+	askID uint64
+	reads bucket
+
+	// Counters for the metrics.
+	Forwarded, Refused, Elections uint64
+}
+
+// bucket bounds the state service requests that polls cause.
+type bucket struct {
+	tokens, perSecond float64
+	filled            ident.Mono
+}
+
+func (b *bucket) take(now ident.Mono, n float64) bool {
+	b.tokens = min(b.perSecond, b.tokens+b.perSecond*now.Sub(b.filled).Seconds())
+	b.filled = now
+	if b.tokens < n {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
+
+const (
+	beatEvery   = 700 * time.Millisecond
+	peerSilent  = 2500 * time.Millisecond
+	forwardTime = 1500 * time.Millisecond
+	pollTime    = 700 * time.Millisecond
+	commitTime  = time.Second
+	graceMargin = 2 * time.Second
+	// readShare is the part of the state service's rate that one node's polls
+	// may use.
+	readShare = 0.25
+)
+
+// New makes a node.
+func New(env Env, set *settings.Settings, rng *rand.Rand) *Controller {
+	w := set.Cluster.Workers
+	c := &Controller{env: env, set: set, rng: rng, peers: map[ident.NodeID]*peer{}, asks: map[uint64]func(Reply){},
+		askID: rng.Uint64()}
+	// An earlier leader may answer checkins for so long past its validity; a
+	// worker that heard it last still loses its tasks before cancel_s is over.
+	c.grace = max(0, settings.Seconds(w.CancelS-w.LeaseS*1.002)-set.Tuning.LeaderLease-graceMargin)
+	for _, s := range set.Siblings {
+		c.peers[s.Node] = &peer{}
+	}
+	rate := readShare * set.Cluster.State.RPS
+	c.reads = bucket{tokens: rate, perSecond: rate, filled: env.Now()}
+	c.elect = election.New(env, c, set.Node, set.Tuning.LeaderLease, rng)
+	return c
+}
+
+// Start begins.
+func (c *Controller) Start() {
+	c.elect.Start()
+	c.beat()
+}
+
+// Settle is called after every event, when all its consequences are in the
+// tables: places what can be placed and writes what has changed.
+func (c *Controller) Settle() {
+	if c.lead != nil {
+		c.lead.settle()
+	}
+}
+
+// Election returns the node's part in the elections.
+func (c *Controller) Election() *election.Machine { return c.elect }
+
+// beat tells the siblings that we live, and whether we lead.
+func (c *Controller) beat() {
+	f := &mesh.Frame{Kind: mesh.Beat}
+	if c.elect.Valid() {
+		f.Node, f.Term = c.set.Node, c.elect.Term()
+	}
+	for _, s := range c.set.Siblings {
+		c.env.Mesh(s.Node, f)
+	}
+	c.env.After(beatEvery, c.beat)
+}
+
+// Lead begins a term.
+func (c *Controller) Lead(t ident.Term, key statesvc.Cond) {
+	c.Elections++
+	c.lead = newLead(c, t, key)
+	c.lead.load()
+}
+
+// Follow ends it: nothing of its memory is used again.
+func (c *Controller) Follow(why string) {
+	if c.lead != nil {
+		c.lead.close()
+		c.lead = nil
+	}
+}
+
+// Healthy says whether the node can take requests: it leads, or hears whom it
+// can pass them to, or at least nobody else is known to do better.
+func (c *Controller) Healthy() bool {
+	if c.elect.State() == election.Leading {
+		return true
+	}
+	now := c.env.Now()
+	heard := false
+	for _, p := range c.peers {
+		heard = heard || p.ever && now.Sub(p.heard) < peerSilent
+	}
+	_, known := c.elect.Leader()
+	return heard || known || len(c.peers) == 0
+}
+
+// reachable says whether frames to a sibling probably arrive.
+func (c *Controller) reachable(n ident.NodeID) bool {
+	p := c.peers[n]
+	return p != nil && p.ever && c.env.Now().Sub(p.heard) < peerSilent
+}
+
+// Frame takes a sibling's message.
+func (c *Controller) Frame(from ident.NodeID, f *mesh.Frame) {
+	p := c.peers[from]
+	if p == nil {
+		return
+	}
+	p.heard, p.ever = c.env.Now(), true
+	switch f.Kind {
+	case mesh.Beat:
+		if f.Node != "" {
+			c.elect.Heard(f.Node, f.Term)
+		}
+	case mesh.Ask:
+		id := f.ID
+		c.serve(f.Verb, f.Job, f.Body, func(r Reply) {
+			c.env.Mesh(from, &mesh.Frame{Kind: mesh.Tell, ID: id, Status: uint16(r.Status), Retry: uint16(r.Retry), Body: r.Body})
+		})
+	case mesh.Tell:
+		if g := c.asks[f.ID]; g != nil {
+			delete(c.asks, f.ID)
+			g(Reply{Status: int(f.Status), Retry: int(f.Retry), Body: f.Body})
+		}
+	}
+}
+
+// forward asks a sibling; without an answer in time, lost is called.
+func (c *Controller) forward(to ident.NodeID, v mesh.Verb, job string, body []byte, limit time.Duration, reply func(Reply), lost func()) {
+	c.Forwarded++
+	c.askID++
+	id := c.askID
+	c.asks[id] = reply
+	c.env.Mesh(to, &mesh.Frame{Kind: mesh.Ask, ID: id, Verb: v, Job: job, Body: body})
+	c.env.After(limit, func() {
+		if c.asks[id] != nil {
+			delete(c.asks, id)
+			lost()
+		}
+	})
+}
+
+// Request takes a request from a user or a worker of this node.
+func (c *Controller) Request(v mesh.Verb, job string, body []byte, reply func(Reply)) {
+	if c.lead != nil {
+		c.serve(v, job, body, reply)
+		return
+	}
+	to, known := c.elect.Leader()
+	up := known && c.reachable(to)
+	switch v {
+	case mesh.Submit:
+		if _, err := api.ParseSpec(body); err != nil {
+			reply(problem(http.StatusBadRequest, err.Error()))
+			return
+		}
+	case mesh.Poll:
+		if !up {
+			c.read(job, reply)
+			return
+		}
+		c.forward(to, v, job, nil, pollTime, func(r Reply) {
+			if r.Status >= 500 {
+				c.read(job, reply)
+				return
+			}
+			reply(r)
+		}, func() { c.read(job, reply) })
+		return
+	case mesh.Checkin:
+		if _, err := api.ParseReport(body); err != nil {
+			reply(problem(http.StatusBadRequest, err.Error()))
+			return
+		}
+		if known && !up {
+			reply(answer(http.StatusMisdirectedRequest, struct {
+				Home ident.NodeID `json:"home"`
+			}{to}))
+			return
+		}
+	}
+	if !up {
+		c.Refused++
+		reply(unavailable("no leader at present"))
+		return
+	}
+	c.forward(to, v, job, body, forwardTime, reply, func() {
+		c.Refused++
+		reply(unavailable("the leader did not answer"))
+	})
+}
+
+// serve answers as the leader, or refuses.
+func (c *Controller) serve(v mesh.Verb, job string, body []byte, reply func(Reply)) {
+	l := c.lead
+	switch {
+	case v == mesh.Checkin:
+		c.checkin(body, reply)
+	case l == nil || !l.ready || !c.elect.Valid():
+		// Past the surely valid time memory may be behind a successor's.
+		if v == mesh.Poll {
+			c.read(job, reply)
+			return
+		}
+		c.Refused++
+		reply(unavailable("no leader at present"))
+	case v == mesh.Submit:
+		spec, err := api.ParseSpec(body)
+		if err != nil {
+			reply(problem(http.StatusBadRequest, err.Error()))
+			return
+		}
+		l.submit(spec, reply)
+	case v == mesh.Poll:
+		l.poll(ident.JobID(job), reply)
+	case v == mesh.Cancel:
+		l.cancel(ident.JobID(job), reply)
+	}
+}
+
+// checkin answers a worker's report.
+func (c *Controller) checkin(body []byte, reply func(Reply)) {
+	r, err := api.ParseReport(body)
+	if err != nil {
+		reply(problem(http.StatusBadRequest, err.Error()))
+		return
+	}
+	var o *api.Orders
+	if l := c.lead; l != nil && l.ready {
+		if c.elect.Valid() {
+			o = l.workers.Checkin(r)
+		} else if c.elect.Within(c.grace) {
+			o = l.workers.Renew(r)
+		}
+	}
+	if o == nil {
+		reply(unavailable("not entitled to answer"))
+		return
+	}
+	reply(answer(http.StatusOK, o))
+}
+
+// read answers a poll from the state service. A job only ever moves from live to
+// over, so reading in this order can't miss it.
+func (c *Controller) read(job string, reply func(Reply)) {
+	id := ident.JobID(job)
+	if !c.reads.take(c.env.Now(), 2) {
+		c.Refused++
+		reply(unavailable("too many polls at present"))
+		return
+	}
+	c.get(jobs.LiveKey(id), reply, func(r statesvc.Reply) {
+		v, err := jobs.ReadLive(r.Value)
+		if err != nil {
+			slog.Error("unreadable job", "id", job, "err", err)
+			reply(unavailable("unreadable job"))
+			return
+		}
+		reply(answer(http.StatusOK, v))
+	}, func() { c.readOver(id, reply) })
+}
+
+// readOver answers a poll for a job that is not live.
+func (c *Controller) readOver(id ident.JobID, reply func(Reply)) {
+	c.over(id, func(e jobs.Ended, found bool, err error) {
+		switch {
+		case err != nil:
+			reply(unavailable("state service unavailable"))
+		case !found:
+			reply(problem(http.StatusNotFound, "no such job"))
+		default:
+			reply(answer(http.StatusOK, e.View(id)))
+		}
+	})
+}
+
+// errState says that the state service gave no clear answer.
+var errState = errors.New("state service unavailable")
+
+// over looks a job up among those that are over.
+func (c *Controller) over(id ident.JobID, f func(e jobs.Ended, found bool, err error)) {
+	c.env.State(statesvc.Request{Op: statesvc.Get, Path: jobs.OverKey(id), Timeout: commitTime}, func(r statesvc.Reply) {
+		var e jobs.Ended
+		switch r.Outcome {
+		case statesvc.OK:
+			if err := json.Unmarshal(r.Value, &e); err != nil {
+				slog.Error("unreadable job", "id", string(id), "err", err)
+				f(e, false, err)
+				return
+			}
+			f(e, true, nil)
+		case statesvc.NotFound:
+			f(e, false, nil)
+		default:
+			f(e, false, errState)
+		}
+	})
+}
+
+func (c *Controller) get(path string, reply func(Reply), found func(statesvc.Reply), missing func()) {
+	c.env.State(statesvc.Request{Op: statesvc.Get, Path: path, Timeout: commitTime}, func(r statesvc.Reply) {
+		switch r.Outcome {
+		case statesvc.OK:
+			found(r)
+		case statesvc.NotFound:
+			missing()
+		default:
+			c.Refused++
+			reply(unavailable("state service unavailable"))
+		}
+	})
+}
+
+// Snapshot is what the metrics show of a node.
+type Snapshot struct {
+	Leading, Valid              bool
+	Term                        uint64
+	Jobs, Held, Waiting         int
+	Machines                    map[string]int
+	Planned, Local, New, Stolen uint64
+	Services, Preempted         uint64
+	Rounds, ExtraRounds         uint64
+	FetchedGB, PlanSeconds      float64
+	Rented, Returned, Fenced    uint64
+	Txns, Puts, Repeats         uint64
+	Relocated, Fences, Stale    uint64
+	Forwarded, Refused, Elected uint64
+}
+
+// Snapshot reads the node's counters.
+func (c *Controller) Snapshot() Snapshot {
+	s := Snapshot{Leading: c.lead != nil, Valid: c.elect.Valid(), Term: uint64(c.elect.Term()), Machines: map[string]int{},
+		Forwarded: c.Forwarded, Refused: c.Refused, Elected: c.Elections}
+	l := c.lead
+	if l == nil || !l.ready {
+		return s
+	}
+	s.Jobs = len(l.jobs.Jobs)
+	for _, j := range l.jobs.Jobs {
+		s.Held += j.Held
+		s.Waiting += j.Waits()
+	}
+	for _, w := range l.workers.Workers {
+		s.Machines[w.State.String()]++
+	}
+	p := l.planner.Stats
+	s.Planned, s.Local, s.New, s.Stolen = p.Planned, p.Local, p.New, p.Stolen
+	s.Services, s.Preempted, s.Rounds, s.ExtraRounds = p.Services, p.Preempted, p.Rounds, p.Extra
+	s.FetchedGB, s.PlanSeconds = p.FetchedGB, p.Took.Seconds()
+	s.Rented, s.Returned, s.Fenced = l.fleet.Rented, l.fleet.Returned, l.fleet.Fenced
+	s.Txns, s.Puts, s.Repeats = l.commits.Txns, l.commits.Puts, l.commits.Repeats
+	s.Relocated, s.Fences, s.Stale = l.workers.Relocated, l.workers.Fences, l.workers.Stale
+	return s
+}
+
+// sortedJobs returns the jobs in the order of arrival, so that seeded runs
+// repeat.
+func sortedJobs(t *jobs.Table) []*jobs.Job {
+	out := make([]*jobs.Job, 0, len(t.Jobs))
+	for _, j := range t.Jobs {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Seq < out[k].Seq })
+	return out
+}
--- /dev/null
+++ b/internal/controller/lead.go
@@ -0,0 +1,607 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/fleet"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/placement"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+// lead is all that a leader remembers, for one term only.
+type lead struct {
+	c       *Controller
+	term    ident.Term
+	commits *commit.Committer
+	jobs    *jobs.Table
+	workers *workers.Table
+	teams   *placement.Teams
+	planner *placement.Planner
+	fleet   *fleet.Manager
+
+	models  []cloud.Model
+	kinds   map[string]*cloud.Model
+	catalog *commit.Doc
+
+	ready   bool
+	loading bool
+	// onLoaded takes in what was read, once all of it has been.
+	onLoaded func()
+	dead     bool
+	dirty    bool // something may be placed
+	pending  map[*pending]bool
+}
+
+// pending is a user whose answer waits for the state service.
+type pending struct {
+	reply func(Reply)
+}
+
+const (
+	fleetPrefix = "fleet/"
+	catalogKey  = "catalog"
+	// writeShare and opsShare leave room for lease renewals and elections.
+	writeShare   = 0.85
+	maxBacklog   = 400
+	tickEvery    = 500 * time.Millisecond
+	catalogEvery = 30 * time.Second
+	loadTime     = 3 * time.Second
+	restAfter    = 12 * time.Second
+)
+
+func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
+	l := &lead{c: c, term: t, kinds: map[string]*cloud.Model{}, pending: map[*pending]bool{}}
+	st := c.set.Cluster.State
+	valueBytes := int(st.ValueKB * 1024)
+	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS},
+		key, func(why string) { c.elect.Deposed(why) })
+	l.commits.OnDown = l.refusePending
+	l.jobs = jobs.NewTable(l.commits, valueBytes, c.env.Now)
+	l.teams = placement.NewTeams(c.set.Cluster.Teams)
+	w := c.set.Cluster.Workers
+	l.workers = workers.NewTable(c.env, l.jobs, workers.Config{
+		Term: t, LeaseS: settings.Seconds(w.LeaseS), Report: settings.Seconds(w.ReportS), Grace: c.grace,
+		Catalog: func(m string) *cloud.Model { return l.kinds[m] },
+		Deposed: func() { c.elect.Deposed("a worker has seen a later term") },
+		Changed: func() { l.dirty = true },
+		Failed:  l.failed,
+		Commit:  l.commitWorker,
+	})
+	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1")
+	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
+		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
+		Catalog: func() []cloud.Model { return l.models },
+		Suspect: l.suspect,
+		Drain:   l.drain,
+		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
+	})
+	l.jobs.OnMove = l.move
+	l.jobs.OnWaiting = func(*jobs.Task) { l.dirty = true }
+	return l
+}
+
+func (l *lead) close() {
+	l.dead = true
+	l.commits.Stop()
+	l.workers.Close()
+	l.fleet.Close()
+	l.refusePending()
+}
+
+// refusePending answers those who wait for a state service that doesn't answer:
+// they are not kept waiting for it.
+func (l *lead) refusePending() {
+	for p := range l.pending {
+		delete(l.pending, p)
+		l.c.Refused++
+		p.reply(unavailable("state service unavailable"))
+	}
+}
+
+// wait makes a reply that is refused when the state service doesn't answer in
+// time; the returned function answers unless that has happened.
+func (l *lead) wait(reply func(Reply)) func(Reply) {
+	p := &pending{reply}
+	l.pending[p] = true
+	l.c.env.After(commitTime, func() {
+		if l.pending[p] {
+			delete(l.pending, p)
+			l.c.Refused++
+			reply(unavailable("state service is slow"))
+		}
+	})
+	return func(r Reply) {
+		if l.pending[p] {
+			delete(l.pending, p)
+			reply(r)
+		}
+	}
+}
+
+// load reads what earlier terms left; only then does the leader act.
+func (l *lead) load() {
+	began := l.c.env.Now()
+	left := 3
+	done := func() {
+		if left--; left == 0 {
+			slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
+				"took_ms", l.c.env.Now().Sub(began).Milliseconds())
+			l.begin()
+		}
+	}
+	var live, machines []statesvc.Pair
+	l.readAll(jobs.LivePrefix, "", &live, done)
+	l.readAll(fleetPrefix, "", &machines, done)
+	l.readCatalog(done)
+	l.onLoaded = func() {
+		for _, p := range machines {
+			l.restoreWorker(p)
+		}
+		for _, p := range live {
+			if err := l.jobs.Load(p.Path, p.Value, p.Stamp); err != nil {
+				slog.Error("unreadable record", "err", err)
+			}
+		}
+	}
+}
+
+func (l *lead) readAll(prefix, since string, into *[]statesvc.Pair, done func()) {
+	l.c.env.State(statesvc.Request{Op: statesvc.List, Starts: prefix, Since: since, Timeout: loadTime}, func(r statesvc.Reply) {
+		if l.dead {
+			return
+		}
+		if r.Outcome != statesvc.OK {
+			l.c.env.After(200*time.Millisecond, func() {
+				if !l.dead {
+					l.readAll(prefix, since, into, done)
+				}
+			})
+			return
+		}
+		*into = append(*into, r.Pairs...)
+		if r.Truncated && len(r.Pairs) > 0 {
+			l.readAll(prefix, r.Pairs[len(r.Pairs)-1].Path, into, done)
+			return
+		}
+		done()
+	})
+}
+
+// readCatalog takes the machine types from the state service, and failing that
+// from the cloud.
+func (l *lead) readCatalog(done func()) {
+	l.catalog = &commit.Doc{Path: catalogKey}
+	l.catalog.Render = func() json.RawMessage { return api.JSON(l.models) }
+	l.c.env.State(statesvc.Request{Op: statesvc.Get, Path: catalogKey, Timeout: commitTime}, func(r statesvc.Reply) {
+		if l.dead {
+			return
+		}
+		switch r.Outcome {
+		case statesvc.OK:
+			l.catalog.Stamp = r.Stamp
+			var models []cloud.Model
+			if err := json.Unmarshal(r.Value, &models); err == nil && len(models) > 0 {
+				l.setModels(models)
+				done()
+				l.askCatalog(nil)
+				return
+			}
+			l.askCatalog(done)
+		case statesvc.NotFound:
+			l.askCatalog(done)
+		default:
+			l.c.env.After(200*time.Millisecond, func() {
+				if !l.dead {
+					l.readCatalog(done)
+				}
+			})
+		}
+	})
+}
+
+func (l *lead) setModels(models []cloud.Model) {
+	l.models = models
+	for i := range models {
+		k := models[i]
+		if old := l.kinds[k.SKU]; old != nil {
+			*old = k // machines point to it
+		} else {
+			l.kinds[k.SKU] = &k
+		}
+	}
+}
+
+// askCatalog reads the cloud's catalog; first is called once it is known, or
+// nil: it is then read again in a while, since prices move.
+func (l *lead) askCatalog(first func()) {
+	l.c.env.Cloud(cloud.Request{Op: cloud.Catalog}, func(r cloud.Reply) {
+		if l.dead {
+			return
+		}
+		wait := catalogEvery
+		if r.Outcome == cloud.OK && len(r.Models) > 0 {
+			same := len(r.Models) == len(l.models)
+			for i := 0; same && i < len(r.Models); i++ {
+				a, b := r.Models[i], l.models[i]
+				a.MarketPrice, b.MarketPrice = 0, 0
+				same = string(api.JSON(a)) == string(api.JSON(b))
+			}
+			l.setModels(r.Models)
+			if !same {
+				l.commits.Mark(l.catalog, nil)
+			}
+			if first != nil {
+				first()
+				first = nil
+			}
+		} else {
+			slog.Info("catalog unavailable", "err", r.Error)
+			wait = time.Second
+		}
+		l.c.env.After(wait, func() {
+			if !l.dead {
+				l.askCatalog(first)
+			}
+		})
+	})
+}
+
+// machineRecord is the value of a machine's key.
+type machineRecord struct {
+	Model   string `json:"model"`
+	Site    string `json:"site"`
+	Standby bool   `json:"standby,omitempty"`
+	Addr    string `json:"addr,omitempty"`
+	BornMS  int64  `json:"born_ms"`
+}
+
+func (l *lead) commitWorker(w *workers.Worker) {
+	if w.Doc == nil {
+		born := l.c.env.WallMS() - l.c.env.Now().Sub(w.Born).Milliseconds()
+		w.Doc = &commit.Doc{Path: fleetPrefix + string(w.Host)}
+		w.Doc.Render = func() json.RawMessage {
+			if w.State == workers.Gone {
+				return nil
+			}
+			return api.JSON(machineRecord{w.Model, w.Site, w.Standby, w.Addr, born})
+		}
+	}
+	if !l.loading {
+		l.commits.Mark(w.Doc, nil)
+	}
+}
+
+func (l *lead) restoreWorker(p statesvc.Pair) {
+	var m machineRecord
+	if err := json.Unmarshal(p.Value, &m); err != nil {
+		slog.Error("unreadable record", "path", p.Path, "err", err)
+		return
+	}
+	now := l.c.env.Now()
+	age := time.Duration(l.c.env.WallMS()-m.BornMS) * time.Millisecond
+	l.loading = true
+	w := l.workers.Add(ident.HostID(p.Path[len(fleetPrefix):]), m.Model, m.Site, m.Standby, now.Add(-max(0, age)))
+	l.loading = false
+	w.Doc.Stamp = p.Stamp
+	if m.Addr != "" {
+		l.workers.Restore(w, m.Addr)
+	}
+}
+
+// begin takes over from the term before.
+func (l *lead) begin() {
+	l.onLoaded()
+	for _, j := range sortedJobs(l.jobs) {
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if !t.State.Held() {
+				continue
+			}
+			w := l.workers.Workers[t.Host]
+			if w == nil {
+				// Its machine's record was deleted: it is surely gone, which its
+				// return proves.
+				w = l.workers.Add(t.Host, "", "", false, l.c.env.Now())
+				l.fleet.Return(w, "not on record")
+			}
+			l.count(t, w, 1)
+		}
+	}
+	l.jobs.Loaded()
+	for _, j := range sortedJobs(l.jobs) {
+		if j.Phase == jobs.Cancelled {
+			l.stopAll(j)
+		}
+	}
+	l.ready, l.dirty = true, true
+	for _, w := range l.workers.Sorted() {
+		if w.State == workers.Up {
+			l.workers.Probe(w)
+		}
+	}
+	l.tick()
+	l.roundLater()
+}
+
+func (l *lead) tick() {
+	if l.dead {
+		return
+	}
+	if l.c.elect.Valid() {
+		l.fleet.Tick()
+		l.dirty = true
+	}
+	l.c.env.After(tickEvery, l.tick)
+}
+
+func (l *lead) roundLater() {
+	l.c.env.After(l.c.set.Tuning.Round, func() {
+		if l.dead {
+			return
+		}
+		if l.c.elect.Valid() {
+			l.planner.Round()
+			l.dirty = true
+		}
+		l.roundLater()
+	})
+}
+
+func (l *lead) settle() {
+	if l.dead {
+		return
+	}
+	if l.ready && l.dirty && l.c.elect.Valid() {
+		l.dirty = false
+		l.planner.Dispatch()
+	}
+	l.commits.Flush()
+}
+
+// count keeps machines, teams and zones in step with a task that counts, or
+// doesn't any more.
+func (l *lead) count(t *jobs.Task, w *workers.Worker, sign int) {
+	j := t.Job
+	l.teams.Count(j.Spec, float64(sign))
+	if w == nil {
+		return
+	}
+	if j.Spec.OneZone || j.Spec.Apart {
+		if j.Zones == nil {
+			j.Zones = map[string]int{}
+		}
+		j.Zones[w.Site] += sign
+	}
+	if sign > 0 {
+		l.workers.Hold(w, t)
+	} else {
+		l.workers.Release(w, t)
+	}
+}
+
+func (l *lead) move(t *jobs.Task, from, to jobs.State) {
+	w := l.workers.Workers[t.Host]
+	if !from.Held() && to.Held() {
+		l.count(t, w, 1)
+	}
+	if from.Held() && !to.Held() {
+		l.count(t, w, -1)
+	}
+}
+
+// Place carries out a decision: it is launched once it is durable.
+func (l *lead) Place(t *jobs.Task, w *workers.Worker) {
+	slog.Debug("place", "piece", t.Piece().String(), "host", string(w.Host))
+	l.jobs.Place(t, w.Host, w.Tenure, func() {
+		if l.dead || !l.c.elect.Valid() {
+			return // the answer to its worker's next report launches it
+		}
+		if w.State == workers.Returning || w.State == workers.Gone {
+			return
+		}
+		l.workers.Launch(w, t)
+	})
+}
+
+// Preempt stops a task so that another finds room.
+func (l *lead) Preempt(t *jobs.Task, w *workers.Worker, windDown time.Duration) {
+	slog.Info("preempting", "piece", t.Piece().String(), "host", string(w.Host))
+	l.workers.StopTask(w, t, windDown)
+}
+
+func (l *lead) stopAll(j *jobs.Job) {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.State.Held() {
+			l.workers.StopTask(l.workers.Workers[t.Host], t, 0)
+		}
+	}
+}
+
+// drain moves the tasks of a machine that will be taken, unless they will
+// probably complete before.
+func (l *lead) drain(w *workers.Worker) {
+	now := l.c.env.Now()
+	left := w.Doomed.Sub(now)
+	for _, t := range l.workers.TasksOf(w) {
+		s := t.Job.Spec
+		if t.State != jobs.Assigned {
+			continue
+		}
+		need := settings.Seconds(s.RuntimeS)
+		if t.RunsAt > 0 {
+			need -= now.Sub(t.RunsAt)
+		}
+		save := settings.Seconds(s.SnapshotS)
+		switch {
+		case s.Saves():
+			// As late as it can still save, with a report's time to spare.
+			if left < save+2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) {
+				l.workers.StopTask(w, t, save+time.Millisecond)
+			}
+		case s.Shape == api.Service || need > left:
+			l.workers.StopTask(w, t, 0)
+		}
+	}
+}
+
+// suspect is called when most machines are silent: if a sibling lives, it may
+// hear them.
+func (l *lead) suspect() {
+	for n := range l.c.peers {
+		if l.c.reachable(n) {
+			l.c.elect.Resign(restAfter, "most machines are silent")
+			return
+		}
+	}
+}
+
+// failed decides when and where a task that ended early is tried again.
+func (l *lead) failed(t *jobs.Task, w *workers.Worker, c api.Cause) {
+	now := l.c.env.Now()
+	j := t.Job
+	switch c {
+	case api.CauseError:
+		slog.Info("task failed", "piece", t.Piece().String(), "host", string(w.Host))
+		t.Fails++
+		if j.Shunned == nil {
+			j.Shunned = map[ident.HostID]bool{}
+		}
+		j.Shunned[w.Host] = true
+		if len(j.Shunned) >= 3 {
+			// Rather the job's fault than that of so many machines.
+			clear(j.Shunned)
+			j.Backoff = min(max(2*j.Backoff, 4*time.Second), 2*time.Minute)
+			j.RetryAt = now.Add(j.Backoff)
+		}
+	case api.CauseFull:
+		slog.Info("refused: full", "piece", t.Piece().String(), "host", string(w.Host))
+		w.Shun = now.Add(time.Second)
+	case api.CauseBusy, api.CauseUnknown:
+		slog.Info("refused", "piece", t.Piece().String(), "host", string(w.Host), "cause", string(c))
+		t.Fails++
+		t.RetryAt = now.Add(min(time.Duration(t.Fails)*time.Second, 10*time.Second))
+	}
+}
+
+// submit takes a job in.
+func (l *lead) submit(s *api.Spec, reply func(Reply)) {
+	known := func(v api.View) { reply(answer(http.StatusOK, api.Ack{ID: v.ID, Status: v.Status})) }
+	if j := l.jobs.Jobs[s.ID]; j != nil {
+		reply := l.wait(reply)
+		j.WhenKnown(func() {
+			v := j.View()
+			reply(answer(http.StatusOK, api.Ack{ID: v.ID, Status: v.Status}))
+		})
+		return
+	}
+	if e, ok := l.jobs.Ended(s.ID); ok {
+		known(e.View(s.ID))
+		return
+	}
+	if why := l.refusal(s); why != "" {
+		// Unless it was accepted, by other rules, and is over.
+		l.ended(s.ID, reply, known, func() { reply(problem(http.StatusUnprocessableEntity, why)) })
+		return
+	}
+	if l.commits.Down() || l.commits.Backlog() > maxBacklog {
+		l.c.Refused++
+		reply(unavailable("state service unavailable"))
+		return
+	}
+	reply = l.wait(reply)
+	l.jobs.Add(s, func() {
+		l.fleet.Arrived(s)
+		reply(answer(http.StatusCreated, api.Ack{ID: s.ID, Status: "queued"}))
+	}, func() {
+		l.ended(s.ID, reply, known, func() { reply(unavailable("try again")) })
+	})
+}
+
+// refusal says why a job can never run.
+func (l *lead) refusal(s *api.Spec) string {
+	if why := l.teams.Refusal(s); why != "" {
+		return why
+	}
+	for i := range l.models {
+		k := &l.models[i]
+		if !workers.AllowsModel(s, k.SKU) || !workers.Could(k, s) {
+			continue
+		}
+		for _, z := range k.Sites {
+			if s.Site == nil || *s.Site == z {
+				return ""
+			}
+		}
+	}
+	return "models: no machine type fits"
+}
+
+// ended looks for a job that went over in an earlier term.
+func (l *lead) ended(id ident.JobID, reply func(Reply), found func(api.View), missing func()) {
+	l.c.over(id, func(e jobs.Ended, ok bool, err error) {
+		switch {
+		case err != nil:
+			reply(unavailable("state service unavailable"))
+		case ok:
+			l.jobs.Remember(id, e)
+			found(e.View(id))
+		default:
+			missing()
+		}
+	})
+}
+
+// poll answers from memory.
+func (l *lead) poll(id ident.JobID, reply func(Reply)) {
+	if j := l.jobs.Jobs[id]; j != nil {
+		if j.Known {
+			reply(answer(http.StatusOK, j.View()))
+			return
+		}
+		reply = l.wait(reply)
+		j.WhenKnown(func() { reply(answer(http.StatusOK, j.View())) })
+		return
+	}
+	if e, ok := l.jobs.Ended(id); ok {
+		reply(answer(http.StatusOK, e.View(id)))
+		return
+	}
+	if !l.c.reads.take(l.c.env.Now(), 1) {
+		l.c.Refused++
+		reply(unavailable("too many polls at present"))
+		return
+	}
+	l.ended(id, reply, func(v api.View) { reply(answer(http.StatusOK, v)) },
+		func() { reply(problem(http.StatusNotFound, "no such job")) })
+}
+
+// cancel ends a job. Its tasks are stopped at once; nobody has any use for them.
+func (l *lead) cancel(id ident.JobID, reply func(Reply)) {
+	if j := l.jobs.Jobs[id]; j != nil {
+		reply = l.wait(reply)
+		l.jobs.Cancel(j, func() {
+			v := j.View()
+			reply(answer(http.StatusOK, api.Ack{ID: id, Status: v.Status}))
+		})
+		if j.Phase == jobs.Cancelled {
+			l.stopAll(j)
+		}
+		return
+	}
+	say := func(v api.View) { reply(answer(http.StatusOK, api.Ack{ID: id, Status: v.Status})) }
+	if e, ok := l.jobs.Ended(id); ok {
+		say(e.View(id))
+		return
+	}
+	l.ended(id, reply, say, func() { reply(problem(http.StatusNotFound, "no such job")) })
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,696 @@
+// Package fleet rents and returns machines: for the work that waits, for the
+// services to come, and to fence off machines that went silent.
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/placement"
+	"opaldale/internal/settings"
+	"opaldale/internal/workers"
+)
+
+// Port is what the fleet needs of the world.
+type Port interface {
+	Now() ident.Mono
+	After(time.Duration, func())
+	Cloud(cloud.Request, func(cloud.Reply))
+}
+
+// pool is what can be rented in one request.
+type pool struct {
+	model, site string
+	standby     bool
+}
+
+// market is what is known of a pool.
+type market struct {
+	pending int        // asked for, not yet answered
+	closed  ident.Mono // no capacity until then
+	backoff time.Duration
+}
+
+// Config is what a term's manager is made of.
+type Config struct {
+	Term    ident.Term
+	Tuning  settings.Tuning
+	Cloud   settings.Cloud
+	Workers settings.Workers
+	Catalog func() []cloud.Model
+	// Suspect is called when so much of the fleet is silent that the fault is
+	// more likely ours.
+	Suspect func()
+	// Drain is called for machines that will be taken.
+	Drain func(w *workers.Worker)
+	// Room is called when it changed how much arrays must leave free.
+	Reserve func(site string, cpus float64)
+}
+
+// Manager holds one term's dealings with the cloud.
+type Manager struct {
+	cfg     Config
+	port    Port
+	machine *workers.Table
+	jobs    *jobs.Table
+	teams   *placement.Teams
+	rng     *rand.Rand
+	dead    bool
+
+	hires   uint64
+	markets map[pool]*market
+	tokens  float64
+	filled  ident.Mono
+	leaving []*workers.Worker // to be returned with the next request
+	listing bool
+	listed  ident.Mono
+	began   ident.Mono
+
+	services arrivals
+	arrays   arrivals
+
+	Rented, Returned, Fenced, NoCapacity uint64
+}
+
+// New makes the manager of a term.
+func New(port Port, m *workers.Table, j *jobs.Table, t *placement.Teams, rng *rand.Rand, cfg Config) *Manager {
+	now := port.Now()
+	return &Manager{cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
+		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now}
+}
+
+// Close ends the manager with its term.
+func (m *Manager) Close() { m.dead = true }
+
+// arrivals remembers the jobs of the last while, to expect the next ones.
+type arrivals struct {
+	at   []ident.Mono
+	cpus []float64
+}
+
+const (
+	window = 90 * time.Second
+	// settling is how long after the first job arrivals count as a backlog and
+	// not as a rate.
+	settling = 15 * time.Second
+	maxSeen  = 2000
+)
+
+func (a *arrivals) add(now ident.Mono, cpus float64) {
+	a.at = append(a.at, now)
+	a.cpus = append(a.cpus, cpus)
+	a.trim(now)
+}
+
+func (a *arrivals) trim(now ident.Mono) {
+	n := 0
+	for n < len(a.at) && (now.Sub(a.at[n]) > window || len(a.at)-n > maxSeen) {
+		n++
+	}
+	a.at, a.cpus = a.at[n:], a.cpus[n:]
+}
+
+// rate returns CPUs a second, and the mean and the largest job.
+func (a *arrivals) rate(now, began ident.Mono) (perSecond, mean, most float64) {
+	a.trim(now)
+	sum, all := 0.0, 0.0
+	for i, c := range a.cpus {
+		all += c
+		most = max(most, c)
+		if a.at[i].Sub(began) > settling {
+			sum += c
+		}
+	}
+	if len(a.cpus) > 0 {
+		mean = all / float64(len(a.cpus))
+	}
+	if span := min(now.Sub(began)-settling, window); span > 10*time.Second {
+		perSecond = sum / span.Seconds()
+	}
+	return
+}
+
+// Arrived notes a new job.
+func (m *Manager) Arrived(s *api.Spec) {
+	cpus := s.VCPUs * float64(s.Pieces)
+	if s.Shape == api.Service {
+		m.services.add(m.port.Now(), cpus)
+	} else {
+		m.arrays.add(m.port.Now(), min(cpus, max(m.teams.Largest(), s.VCPUs)))
+	}
+}
+
+// Tick looks after the fleet.
+func (m *Manager) Tick() {
+	m.watch()
+	m.list()
+	m.size()
+	m.flush()
+}
+
+// take spends a request of the cloud's rate.
+func (m *Manager) take() bool {
+	now := m.port.Now()
+	m.tokens = min(m.cfg.Cloud.RPS, m.tokens+0.8*m.cfg.Cloud.RPS*now.Sub(m.filled).Seconds())
+	m.filled = now
+	if m.tokens < 1 {
+		return false
+	}
+	m.tokens--
+	return true
+}
+
+// watch finds machines that are silent, doomed, faulty or never came up.
+func (m *Manager) watch() {
+	now := m.port.Now()
+	t := m.cfg.Tuning
+	var silent []*workers.Worker
+	up := 0
+	for _, w := range m.machine.Sorted() {
+		quiet := m.machine.Silence(w)
+		switch w.State {
+		case workers.Booting:
+			startup := m.startup(w)
+			if now.Sub(w.Born) > time.Duration(t.BootFactor*float64(startup)) && now.Sub(w.Since) > startup {
+				m.Return(w, "never came up")
+			}
+		case workers.Up, workers.Silent:
+			up++
+			if quiet > t.Silent*55/100 {
+				m.machine.Quiet(w)
+				m.machine.Probe(w)
+			}
+			switch {
+			case w.Doomed > 0 && now > w.Doomed && quiet > t.Silent/2:
+				m.Return(w, "taken")
+			case quiet > t.Silent:
+				silent = append(silent, w)
+			case w.Errors >= 2:
+				m.Return(w, "faulty")
+			case w.Doomed > 0:
+				m.cfg.Drain(w)
+			}
+			if m.machine.Expired(w) {
+				m.machine.Expire(w)
+				m.Return(w, "lease over")
+			}
+		case workers.Gone:
+			if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && w.Doc.Idle() {
+				m.machine.Forget(w)
+			}
+		}
+	}
+	if len(silent) > 2 && 2*len(silent) > up {
+		// Most machines silent at once: rather we are cut off than they.
+		m.cfg.Suspect()
+		return
+	}
+	for _, w := range silent {
+		m.Fenced++
+		m.Return(w, "silent")
+	}
+}
+
+func (m *Manager) startup(w *workers.Worker) time.Duration {
+	if w.Kind == nil || w.Kind.StartupS <= 0 {
+		return 30 * time.Second
+	}
+	return settings.Seconds(w.Kind.StartupS)
+}
+
+// Return gives a machine back. Its tasks count on it until the cloud has
+// answered.
+func (m *Manager) Return(w *workers.Worker, why string) {
+	if w.State == workers.Returning || w.State == workers.Gone {
+		return
+	}
+	slog.Info("returning machine", "host", string(w.Host), "why", why, "tasks", len(w.Tasks))
+	m.machine.Away(w, why)
+	m.leaving = append(m.leaving, w)
+}
+
+const maxReturn = 100
+
+// flush sends the returns that are due.
+func (m *Manager) flush() {
+	for len(m.leaving) > 0 && m.take() {
+		n := min(len(m.leaving), maxReturn)
+		batch := m.leaving[:n:n]
+		m.leaving = m.leaving[n:]
+		m.giveBack(batch, 300*time.Millisecond)
+	}
+}
+
+func (m *Manager) giveBack(batch []*workers.Worker, wait time.Duration) {
+	r := cloud.Request{Op: cloud.Return}
+	for _, w := range batch {
+		r.Hosts = append(r.Hosts, w.Host)
+	}
+	m.port.Cloud(r, func(a cloud.Reply) {
+		if m.dead {
+			return
+		}
+		if a.Outcome != cloud.OK {
+			slog.Info("return failed", "machines", len(batch), "err", a.Error)
+			m.port.After(m.jitter(wait), func() {
+				if !m.dead {
+					m.giveBack(batch, min(2*wait, 5*time.Second))
+				}
+			})
+			return
+		}
+		for _, w := range batch {
+			m.Returned++
+			m.machine.Drop(w, "returned")
+		}
+	})
+}
+
+func (m *Manager) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(m.rng.Int64N(int64(d)))
+}
+
+// list reads the cloud's list now and then, and adopts what nobody expected.
+func (m *Manager) list() {
+	now := m.port.Now()
+	every := max(5*time.Second, settings.Seconds(m.cfg.Cloud.ListLagS))
+	if m.listing || now.Sub(m.listed) < every || !m.take() {
+		return
+	}
+	m.listing = true
+	m.page("")
+}
+
+func (m *Manager) page(since ident.HostID) {
+	m.port.Cloud(cloud.Request{Op: cloud.List, Since: since}, func(a cloud.Reply) {
+		if m.dead {
+			return
+		}
+		if a.Outcome != cloud.OK {
+			m.listing, m.listed = false, m.port.Now()
+			return
+		}
+		last := since
+		for _, l := range a.Listed {
+			last = l.ID
+			m.adopt(l)
+		}
+		if a.Truncated && last > since {
+			m.page(last)
+			return
+		}
+		m.listing, m.listed = false, m.port.Now()
+	})
+}
+
+func (m *Manager) adopt(l cloud.Listed) {
+	w := m.machine.Workers[l.ID]
+	if w == nil {
+		slog.Info("adopting machine", "host", string(l.ID), "status", l.Status, "age_s", l.AgeS)
+		w = m.machine.Add(l.ID, l.Model, l.Site, l.Standby, m.port.Now().Add(-settings.Seconds(l.AgeS)))
+		if w.Addr == "" {
+			w.Addr = l.Addr
+		}
+	}
+	// A failed machine has stopped, and nothing runs on it; but what proves it
+	// is the answer to its return.
+	if l.Status == "failed" {
+		m.Return(w, "failed")
+	}
+}
+
+// bin is a machine, there or to come, while demand is laid out.
+type bin struct {
+	w       *workers.Worker
+	kind    *cloud.Model
+	pool    pool
+	v, c, g float64 // free CPUs, cards, memory
+	rent    bool
+}
+
+func (b *bin) fit(s *api.Spec) int {
+	n := math.MaxInt32
+	for _, x := range [][2]float64{{b.v, s.VCPUs}, {b.c, s.Cards}, {b.g, s.MemoryGB}} {
+		if x[1] > 0 {
+			n = min(n, int((x[0]+1e-6)/x[1]))
+		}
+	}
+	return n
+}
+
+func (b *bin) take(s *api.Spec, n int) {
+	f := float64(n)
+	b.v -= f * s.VCPUs
+	b.c -= f * s.Cards
+	b.g -= f * s.MemoryGB
+}
+
+func (b *bin) allows(s *api.Spec) bool {
+	return (s.Site == nil || *s.Site == b.pool.site) && (!b.pool.standby || s.Standby) &&
+		workers.AllowsModel(s, b.pool.model) && workers.Could(b.kind, s)
+}
+
+// maxRent bounds the machines asked for in one request.
+const maxRent = 50
+
+// size lays the waiting work out over what is there and what is coming, rents
+// what is missing, and returns what stays idle.
+func (m *Manager) size() {
+	catalog := m.cfg.Catalog()
+	if len(catalog) == 0 {
+		return
+	}
+	now := m.port.Now()
+	bins := m.bins(catalog, now)
+	rent := map[pool]int{}
+	open := func(s *api.Spec, site string) *bin {
+		b := m.newBin(catalog, bins, s, site, now)
+		if b != nil {
+			rent[b.pool]++
+			bins = append(bins, b)
+		}
+		return b
+	}
+	lay := func(s *api.Spec, n int, sites map[string]int) {
+		limit := s.Pieces
+		if s.Apart {
+			limit = (s.Pieces + 1) / 2
+		}
+		put := func(b *bin) {
+			if n <= 0 || !b.allows(s) {
+				return
+			}
+			k := min(n, b.fit(s))
+			if s.Apart {
+				k = min(k, limit-sites[b.pool.site])
+			}
+			if k > 0 {
+				b.take(s, k)
+				sites[b.pool.site] += k
+				n -= k
+			}
+		}
+		for _, b := range bins {
+			put(b)
+		}
+		for n > 0 {
+			site := ""
+			if s.Apart {
+				for z, k := range sites {
+					if k >= limit {
+						site = "!" + z // not this one
+					}
+				}
+			}
+			b := open(s, site)
+			if b == nil {
+				return
+			}
+			before := n
+			if put(b); n == before {
+				return
+			}
+		}
+	}
+	for _, services := range []bool{true, false} {
+		for _, j := range m.waiting(services) {
+			n := min(j.Waits(), m.teams.Room(j.Spec))
+			if n <= 0 {
+				continue
+			}
+			sites := map[string]int{}
+			for z, k := range j.Zones {
+				sites[z] = k
+			}
+			lay(j.Spec, n, sites)
+		}
+	}
+	m.headroom(catalog, bins, open, now)
+	for p, n := range rent {
+		m.rent(p, n)
+	}
+	m.shrink(bins, now)
+}
+
+func (m *Manager) waiting(services bool) []*jobs.Job {
+	var out []*jobs.Job
+	for _, j := range m.jobs.Jobs {
+		if j.Known && j.Waits() > 0 && (j.Spec.Shape == api.Service) == services && j.Backoff < time.Minute {
+			out = append(out, j)
+		}
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Seq < out[k].Seq })
+	return out
+}
+
+// bins lists the machines that can take work now or soon, standby ones first
+// as the planner has them.
+func (m *Manager) bins(catalog []cloud.Model, now ident.Mono) []*bin {
+	var out []*bin
+	for _, w := range m.machine.Sorted() {
+		if w.Kind == nil || w.Doomed > 0 || w.Shun > now {
+			continue
+		}
+		b := &bin{w: w, kind: w.Kind, pool: pool{w.Model, w.Site, w.Standby},
+			v: w.Kind.VCPUs, c: w.Kind.Cards, g: w.Kind.MemoryGB}
+		switch w.State {
+		case workers.Booting:
+			if now.Sub(w.Born) > 2*m.startup(w) {
+				continue // late: don't count on it
+			}
+		case workers.Up, workers.Silent:
+			b.v -= w.VCPUs
+			b.c -= w.Cards
+			b.g -= w.MemoryGB
+		default:
+			continue
+		}
+		out = append(out, b)
+	}
+	for i := range catalog {
+		for _, site := range catalog[i].Sites {
+			for _, standby := range []bool{true, false} {
+				p := pool{catalog[i].SKU, site, standby}
+				if mk := m.markets[p]; mk != nil {
+					for range mk.pending {
+						out = append(out, &bin{kind: &catalog[i], pool: p, v: catalog[i].VCPUs,
+							c: catalog[i].Cards, g: catalog[i].MemoryGB})
+					}
+				}
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].pool.standby && !out[k].pool.standby })
+	return out
+}
+
+// newBin opens a machine of the cheapest pool that allows the job, in the zone
+// that has the fewest of its kind. A site "!z" rules z out.
+func (m *Manager) newBin(catalog []cloud.Model, bins []*bin, s *api.Spec, site string, now ident.Mono) *bin {
+	count := map[pool]int{}
+	for _, b := range bins {
+		count[b.pool]++
+	}
+	var best *bin
+	cheapest, fewest := math.Inf(1), 0
+	for i := range catalog {
+		k := &catalog[i]
+		for _, z := range k.Sites {
+			if site != "" && site != z && (site[0] != '!' || site == "!"+z) {
+				continue
+			}
+			for _, standby := range []bool{true, false} {
+				p := pool{k.SKU, z, standby}
+				b := &bin{kind: k, pool: p, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, rent: true}
+				if !b.allows(s) || m.market(p).closed > now {
+					continue
+				}
+				price := k.Hourly
+				if standby {
+					price = k.MarketPrice
+				}
+				price /= float64(max(b.fit(s), 1))
+				n := count[p]
+				if best == nil || price < cheapest-1e-9 || price < cheapest+1e-9 && n < fewest {
+					best, cheapest, fewest = b, price, n
+				}
+			}
+		}
+	}
+	return best
+}
+
+func (m *Manager) market(p pool) *market {
+	mk := m.markets[p]
+	if mk == nil {
+		mk = &market{}
+		m.markets[p] = mk
+	}
+	return mk
+}
+
+// headroom keeps room for the jobs to be expected while a machine boots.
+func (m *Manager) headroom(catalog []cloud.Model, bins []*bin, open func(*api.Spec, string) *bin, now ident.Mono) {
+	boot := 0.0
+	sites := map[string]bool{}
+	for _, k := range catalog {
+		boot = max(boot, k.StartupS)
+		for _, z := range k.Sites {
+			sites[z] = true
+		}
+	}
+	f := m.cfg.Tuning.Headroom
+	rate, _, most := m.services.rate(now, m.began)
+	want := f * (rate*boot*1.3 + most)
+	free := map[string]float64{}
+	total, spot := 0.0, 0.0
+	for _, b := range bins {
+		if b.pool.standby {
+			spot += b.v
+		} else {
+			free[b.pool.site] += b.v
+			total += b.v
+		}
+	}
+	names := make([]string, 0, len(sites))
+	for z := range sites {
+		names = append(names, z)
+	}
+	sort.Strings(names)
+	for _, z := range names {
+		share := want / float64(len(names))
+		m.cfg.Reserve(z, share)
+		if len(m.services.at) > 0 && free[z] < share {
+			open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, z)
+		}
+	}
+	if len(m.arrays.at) > 0 {
+		_, mean, _ := m.arrays.rate(now, m.began)
+		spot += max(0, total-want)
+		for n := 0; n < 4 && spot < f*mean; n++ {
+			b := open(&api.Spec{Shape: api.Batch, Pieces: 1, Standby: true}, "")
+			if b == nil || !b.pool.standby {
+				// Ordinary machines are not rented just in case.
+				if b != nil {
+					b.rent = false
+				}
+				return
+			}
+			spot += b.v
+		}
+	}
+}
+
+// rent asks for n machines of a pool.
+func (m *Manager) rent(p pool, n int) {
+	n = min(n, maxRent)
+	if n <= 0 || !m.take() {
+		return
+	}
+	// The term makes the name ours alone; names are never used again.
+	m.hires++
+	r := cloud.Request{Op: cloud.Rent, Hire: fmt.Sprintf("opaldale-%d-%d", m.cfg.Term, m.hires),
+		Model: p.model, Site: p.site, Standby: p.standby, Number: n}
+	slog.Info("renting", "model", p.model, "site", p.site, "standby", p.standby, "number", n)
+	m.market(p).pending += n
+	m.hire(p, r, 500*time.Millisecond, 0)
+}
+
+func (m *Manager) hire(p pool, r cloud.Request, wait time.Duration, tries int) {
+	began := m.port.Now()
+	m.port.Cloud(r, func(a cloud.Reply) {
+		if m.dead {
+			return
+		}
+		mk := m.market(p)
+		switch a.Outcome {
+		case cloud.OK:
+			mk.pending -= r.Number
+			for _, h := range a.Rented {
+				m.Rented++
+				m.machine.Add(h, p.model, p.site, p.standby, began)
+			}
+			mk.backoff = 0
+			if len(a.Rented) < r.Number {
+				m.close(mk)
+			}
+		case cloud.NoCapacity:
+			mk.pending -= r.Number
+			m.NoCapacity++
+			m.close(mk)
+		case cloud.Bad:
+			slog.Error("rental refused", "err", a.Error)
+			mk.pending -= r.Number
+			m.close(mk)
+		default:
+			// The same name again: what a lost request rented is answered then.
+			if tries > 20 {
+				mk.pending -= r.Number
+				m.close(mk)
+				return
+			}
+			m.port.After(m.jitter(wait), func() {
+				if !m.dead {
+					m.hire(p, r, min(2*wait, 4*time.Second), tries+1)
+				}
+			})
+		}
+	})
+}
+
+// close stops renting from a pool for a while.
+func (m *Manager) close(mk *market) {
+	mk.backoff = min(max(2*mk.backoff, 4*time.Second), 16*time.Second)
+	mk.closed = m.port.Now().Add(m.jitter(mk.backoff))
+}
+
+// shrink returns machines that have been idle for a while and that neither the
+// waiting work nor the headroom needs.
+func (m *Manager) shrink(bins []*bin, now ident.Mono) {
+	f := m.cfg.Tuning.Headroom
+	_, mean, _ := m.arrays.rate(now, m.began)
+	spot, free := 0.0, map[string]float64{}
+	for _, b := range bins {
+		if b.rent {
+			continue
+		}
+		if b.pool.standby {
+			spot += b.v
+		} else {
+			free[b.pool.site] += b.v
+		}
+	}
+	boot := 0.0
+	for _, k := range m.cfg.Catalog() {
+		boot = max(boot, k.StartupS)
+	}
+	rate, _, most := m.services.rate(now, m.began)
+	want := f * (rate*boot*1.3 + most) / float64(max(len(free), 1))
+	for i := len(bins) - 1; i >= 0; i-- {
+		b := bins[i]
+		if b.w == nil || b.w.State != workers.Up || len(b.w.Tasks) > 0 || b.v < b.kind.VCPUs-1e-6 ||
+			now.Sub(b.w.IdleFrom) < m.cfg.Tuning.IdleKeep {
+			continue
+		}
+		if b.pool.standby {
+			if spot-b.v < f*mean {
+				continue
+			}
+			spot -= b.v
+		} else {
+			if free[b.pool.site]-b.v < want {
+				continue
+			}
+			free[b.pool.site] -= b.v
+		}
+		m.Return(b.w, "idle")
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,565 @@
+// Package jobs owns the jobs and their tasks: what users asked for, what is
+// durable of it, and every change of a task's state.
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// Phase is a job's course as its user sees it.
+type Phase uint8
+
+// The phases of a job. Done and Cancelled are final.
+const (
+	Open Phase = iota
+	Cancelled
+	Done
+)
+
+var phaseNames = [...]string{"open", "cancelled", "done"}
+
+func (p Phase) String() string { return phaseNames[p] }
+
+// MarshalText writes the phase's name.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText reads a phase's name.
+func (p *Phase) UnmarshalText(b []byte) error {
+	for i, n := range phaseNames {
+		if n == string(b) {
+			*p = Phase(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown phase %q", b)
+}
+
+// State is where a task stands.
+type State uint8
+
+// The states of a task. From Placing to Stopping it counts on its machine.
+const (
+	Waiting  State = iota // to be placed
+	Placing               // a machine was chosen, not yet durable
+	Assigned              // durable: may be on its machine
+	Stopping              // told to stop, may be on its machine
+	Finished              // completed
+)
+
+func (s State) String() string {
+	return [...]string{"waiting", "placing", "assigned", "stopping", "finished"}[s]
+}
+
+// Held says whether a task in this state counts on its machine.
+func (s State) Held() bool { return s == Placing || s == Assigned || s == Stopping }
+
+// Task is one piece of a job.
+type Task struct {
+	Job    *Job
+	Index  int
+	State  State
+	Try    ident.Try
+	Host   ident.HostID
+	Tenure ident.Tenure
+
+	// What follows is not durable.
+	Seen     api.PieceStatus // newest report of this try, "" if none
+	Since    ident.Mono      // when it entered its state
+	RunsAt   ident.Mono      // when it was first seen running
+	RetryAt  ident.Mono      // not placed earlier
+	Fails    int             // errors in a row
+	WindDown time.Duration   // with which it was told to stop
+	Planned  ident.HostID    // machine of the current plan
+}
+
+// Piece names the task.
+func (t *Task) Piece() ident.Piece { return ident.Piece{Job: t.Job.Spec.ID, Index: t.Index} }
+
+// Job is an accepted job that is not yet over.
+type Job struct {
+	Spec    *api.Spec
+	Seq     uint64 // order of arrival
+	Phase   Phase  // in memory
+	Durable Phase  // known to be in the state service
+	Known   bool   // the submission is durable
+	Tasks   []Task
+
+	Held, Done, Runs int // tasks that count on a machine, that completed, that were seen running
+
+	// Zones counts the held tasks by zone, for jobs that care.
+	Zones map[string]int
+
+	// Shunned holds machines where a task of the job ended with an error.
+	Shunned map[ident.HostID]bool
+	RetryAt ident.Mono // the job backs off until then
+	Backoff time.Duration
+
+	head  *commit.Doc
+	segs  []*commit.Doc // of larger jobs; nil for tasks kept in the header
+	over  bool
+	wants []func() // called once the submission is durable
+}
+
+// Waits returns how many tasks wait to be placed.
+func (j *Job) Waits() int {
+	if j.Phase != Open {
+		return 0
+	}
+	return len(j.Tasks) - j.Held - j.Done
+}
+
+// View is the user's view; only durable phases are told.
+func (j *Job) View() api.View {
+	v := api.View{ID: j.Spec.ID, Status: "queued", Done: j.Done, Running: j.Runs}
+	switch {
+	case j.Durable == Done:
+		v.Status, v.Done, v.Running = "done", len(j.Tasks), 0
+	case j.Durable == Cancelled:
+		v.Status, v.Running = "cancelled", 0
+	case j.Runs > 0:
+		v.Status = "running"
+	}
+	return v
+}
+
+// Ended is what is kept for ever of a job that is over.
+type Ended struct {
+	Phase  Phase `json:"phase"`
+	Pieces int   `json:"pieces"`
+	Done   int   `json:"done"`
+}
+
+// View is the user's view of a job that is over.
+func (e Ended) View(id ident.JobID) api.View {
+	return api.View{ID: id, Status: e.Phase.String(), Done: e.Done}
+}
+
+// The keys of jobs.
+const (
+	LivePrefix = "live/"
+	OverPrefix = "over/"
+)
+
+// LiveKey is the key of an unfinished job's header.
+func LiveKey(id ident.JobID) string { return LivePrefix + string(id) }
+
+// OverKey is the key of a job that is over.
+func OverKey(id ident.JobID) string { return OverPrefix + string(id) }
+
+// header is the value of a live key.
+type header struct {
+	Spec  *api.Spec `json:"spec"`
+	Seq   uint64    `json:"seq"`
+	Phase Phase     `json:"phase"`
+	Tasks []record  `json:"tasks,omitempty"`
+}
+
+// record is a task in the state service. A task that was never placed is empty.
+type record struct {
+	Try    ident.Try    `json:"t,omitempty"`
+	Host   ident.HostID `json:"h,omitempty"`
+	Tenure ident.Tenure `json:"n,omitempty"`
+	Done   bool         `json:"d,omitempty"`
+}
+
+// recordBytes bounds a record's size in JSON, commas included.
+const recordBytes = 110
+
+// headerBytes is the room left for the specification in a header with tasks.
+const headerBytes = 4 << 10
+
+// Table holds all jobs that are not over. It lives for one term.
+type Table struct {
+	Jobs map[ident.JobID]*Job
+	Seq  uint64 // of the newest job
+
+	// Ended remembers jobs that went over in this term, for as long as it has
+	// room; the state service has them all.
+	ended   map[ident.JobID]Ended
+	endedID []ident.JobID
+
+	commits *commit.Committer
+	now     func() ident.Mono
+	perSeg  int
+	inline  int
+
+	// OnWaiting is called when a task begins to wait for a machine.
+	OnWaiting func(*Task)
+	// OnMove is called before every change of a task's state, so that machines
+	// and teams are kept in step.
+	OnMove func(t *Task, from, to State)
+}
+
+// maxEnded bounds the memory kept for jobs that are over.
+const maxEnded = 20_000
+
+// NewTable makes an empty table.
+func NewTable(commits *commit.Committer, valueBytes int, now func() ident.Mono) *Table {
+	return &Table{Jobs: map[ident.JobID]*Job{}, ended: map[ident.JobID]Ended{}, commits: commits, now: now,
+		perSeg: max(1, (valueBytes-64)/recordBytes), inline: max(0, (valueBytes-headerBytes)/recordBytes),
+		OnMove: func(*Task, State, State) {}, OnWaiting: func(*Task) {}}
+}
+
+// Add takes in a new job; then is called once it is durable, taken if a job of
+// that name turns out to be over already.
+func (tb *Table) Add(s *api.Spec, then, taken func()) *Job {
+	tb.Seq++
+	j := &Job{Spec: s, Seq: tb.Seq}
+	tb.shape(j)
+	j.head.Absent = []string{OverKey(s.ID)}
+	j.head.Exists = func() {
+		delete(tb.Jobs, s.ID)
+		taken()
+	}
+	j.wants = append(j.wants, then)
+	tb.Jobs[s.ID] = j
+	tb.commits.Mark(j.head, func() {
+		j.Known = true
+		for _, f := range j.wants {
+			f()
+		}
+		j.wants = nil
+		for i := range j.Tasks {
+			tb.OnWaiting(&j.Tasks[i])
+		}
+	})
+	return j
+}
+
+// WhenKnown calls f once the job's submission is durable.
+func (j *Job) WhenKnown(f func()) {
+	if j.Known {
+		f()
+	} else {
+		j.wants = append(j.wants, f)
+	}
+}
+
+// shape makes the job's tasks and documents.
+func (tb *Table) shape(j *Job) {
+	id := j.Spec.ID
+	now := tb.now()
+	j.Tasks = make([]Task, j.Spec.Pieces)
+	for i := range j.Tasks {
+		j.Tasks[i] = Task{Job: j, Index: i, Since: now}
+	}
+	j.head = &commit.Doc{Path: LiveKey(id)}
+	j.head.Render = func() json.RawMessage {
+		if j.over {
+			return nil
+		}
+		h := header{Spec: j.Spec, Seq: j.Seq, Phase: j.Phase}
+		if len(j.segs) == 0 {
+			h.Tasks = records(j.Tasks)
+		}
+		return api.JSON(h)
+	}
+	if len(j.Tasks) <= tb.inline {
+		return
+	}
+	for at := 0; at < len(j.Tasks); at += tb.perSeg {
+		part := j.Tasks[at:min(at+tb.perSeg, len(j.Tasks))]
+		d := &commit.Doc{Path: segKey(id, at/tb.perSeg)}
+		d.Render = func() json.RawMessage {
+			if j.over {
+				return nil
+			}
+			return api.JSON(records(part))
+		}
+		j.segs = append(j.segs, d)
+	}
+}
+
+func segKey(id ident.JobID, n int) string { return fmt.Sprintf("%s/%05d", LiveKey(id), n) }
+
+func records(tasks []Task) []record {
+	out := make([]record, len(tasks))
+	for i := range tasks {
+		t := &tasks[i]
+		out[i] = record{Try: t.Try, Done: t.State == Finished}
+		if t.State.Held() {
+			out[i].Host, out[i].Tenure = t.Host, t.Tenure
+		}
+	}
+	return out
+}
+
+// doc returns the document that holds a task.
+func (tb *Table) doc(t *Task) *commit.Doc {
+	if len(t.Job.segs) == 0 {
+		return t.Job.head
+	}
+	return t.Job.segs[t.Index/tb.perSeg]
+}
+
+// save queues a task's document.
+func (tb *Table) save(t *Task, then func()) { tb.commits.Mark(tb.doc(t), then) }
+
+// Save queues a task as it is; then is called once it is durable.
+func (tb *Table) Save(t *Task, then func()) { tb.save(t, then) }
+
+// to is the one place where a task changes its state.
+func (tb *Table) to(t *Task, s State) {
+	from := t.State
+	if from == s {
+		return
+	}
+	j := t.Job
+	if from.Held() && !s.Held() {
+		j.Held--
+	}
+	if !from.Held() && s.Held() {
+		j.Held++
+	}
+	if s == Finished {
+		j.Done++
+	}
+	if from == Finished {
+		panic("a finished task is final")
+	}
+	tb.OnMove(t, from, s)
+	t.State, t.Since = s, tb.now()
+	if !s.Held() {
+		t.see(tb, "")
+	}
+	if s == Waiting && j.Phase == Open {
+		tb.OnWaiting(t)
+	}
+}
+
+// see notes the newest reported status.
+func (t *Task) see(tb *Table, s api.PieceStatus) {
+	runs := func(s api.PieceStatus) bool { return s == api.Running || s == api.Flushing }
+	if runs(t.Seen) {
+		t.Job.Runs--
+	}
+	if runs(s) {
+		t.Job.Runs++
+		if !runs(t.Seen) {
+			t.RunsAt = tb.now()
+		}
+	}
+	t.Seen = s
+}
+
+// Observe notes what a worker reports of a task that is on it.
+func (tb *Table) Observe(t *Task, s api.PieceStatus) {
+	if t.State.Held() && t.Seen != s {
+		t.see(tb, s)
+	}
+}
+
+// Place chooses a machine for a waiting task; then is called once that is
+// durable, if it still holds. Only then may the task be launched: a successor
+// must find every task that may be on a machine.
+func (tb *Table) Place(t *Task, h ident.HostID, tenure ident.Tenure, then func()) {
+	t.Try++
+	t.Host, t.Tenure = h, tenure
+	tb.to(t, Placing)
+	try := t.Try
+	tb.save(t, func() {
+		if t.Try != try || t.State != Placing {
+			return
+		}
+		tb.to(t, Assigned)
+		then()
+	})
+}
+
+// Stop notes that a task was told to stop.
+func (tb *Table) Stop(t *Task, windDown time.Duration) {
+	t.WindDown = windDown
+	tb.to(t, Stopping)
+}
+
+// Gone notes that a task that counted on its machine is proven not to be there.
+// then is called once that is durable.
+func (tb *Table) Gone(t *Task, then func()) {
+	if !t.State.Held() {
+		return
+	}
+	tb.to(t, Waiting)
+	tb.save(t, then)
+	tb.settle(t.Job)
+}
+
+// Complete notes that a task has completed; then is called once it is durable.
+func (tb *Table) Complete(t *Task, then func()) {
+	t.Fails = 0
+	tb.to(t, Finished)
+	j := t.Job
+	if j.Phase == Open && j.Done == len(j.Tasks) && j.Spec.Shape == api.Batch {
+		j.Phase = Done
+		// The job goes over as a whole, and its segments go with it.
+		if then != nil {
+			j.wants = append(j.wants, then)
+		}
+	} else {
+		tb.save(t, then)
+	}
+	tb.settle(j)
+}
+
+// Cancel ends a job at its user's wish; then is called once that is durable.
+func (tb *Table) Cancel(j *Job, then func()) {
+	if j.Phase == Open {
+		j.Phase = Cancelled
+	}
+	tb.commits.Mark(j.head, func() {
+		if j.Durable == Open {
+			j.Durable = j.Phase
+		}
+		then()
+	})
+	tb.settle(j)
+}
+
+// settle moves a job that needs no machine any more to the jobs that are over:
+// in one transaction, so that it is always found in one of both places.
+func (tb *Table) settle(j *Job) {
+	if j.Phase == Open || j.Held > 0 || j.over {
+		return
+	}
+	j.over = true
+	end := Ended{Phase: j.Phase, Pieces: len(j.Tasks), Done: j.Done}
+	j.head.Also = func() []statesvc.Change {
+		return []statesvc.Change{{Put: OverKey(j.Spec.ID), Value: api.JSON(end)}}
+	}
+	wants := j.wants
+	j.wants = nil
+	tb.commits.Mark(j.head, func() {
+		j.Durable = j.Phase
+		tb.remember(j.Spec.ID, end)
+		delete(tb.Jobs, j.Spec.ID)
+		for _, f := range wants {
+			f()
+		}
+		// Segments without a header mean nothing; a successor drops them too.
+		for _, d := range j.segs {
+			tb.commits.Mark(d, nil)
+		}
+	})
+}
+
+func (tb *Table) remember(id ident.JobID, e Ended) {
+	if _, ok := tb.ended[id]; !ok {
+		tb.endedID = append(tb.endedID, id)
+		if len(tb.endedID) > maxEnded {
+			delete(tb.ended, tb.endedID[0])
+			tb.endedID = tb.endedID[1:]
+		}
+	}
+	tb.ended[id] = e
+}
+
+// Ended returns a job that is known to be over.
+func (tb *Table) Ended(id ident.JobID) (Ended, bool) {
+	e, ok := tb.ended[id]
+	return e, ok
+}
+
+// Remember notes a job that was read to be over.
+func (tb *Table) Remember(id ident.JobID, e Ended) { tb.remember(id, e) }
+
+// Load takes in what an earlier term left. Pairs come in the order of keys, so a
+// header comes before its segments.
+func (tb *Table) Load(path string, value json.RawMessage, stamp ident.Stamp) error {
+	name := strings.TrimPrefix(path, LivePrefix)
+	id, seg, isSeg := strings.Cut(name, "/")
+	if !isSeg {
+		var h header
+		if err := json.Unmarshal(value, &h); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		if h.Spec == nil || LiveKey(h.Spec.ID) != path {
+			return fmt.Errorf("%s: not a job", path)
+		}
+		j := &Job{Spec: h.Spec, Seq: h.Seq, Phase: h.Phase, Durable: h.Phase, Known: true}
+		tb.shape(j)
+		j.head.Stamp = stamp
+		tb.Jobs[h.Spec.ID] = j
+		tb.Seq = max(tb.Seq, h.Seq)
+		return tb.restore(j, 0, h.Tasks)
+	}
+	j := tb.Jobs[ident.JobID(id)]
+	if j == nil {
+		d := &commit.Doc{Path: path, Stamp: stamp, Render: func() json.RawMessage { return nil }}
+		tb.commits.Mark(d, nil)
+		return nil
+	}
+	var recs []record
+	if err := json.Unmarshal(value, &recs); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	for i, d := range j.segs {
+		if d.Path == path {
+			d.Stamp = stamp
+			return tb.restore(j, i*tb.perSeg, recs)
+		}
+	}
+	return fmt.Errorf("%s: no such segment %s", path, seg)
+}
+
+func (tb *Table) restore(j *Job, at int, recs []record) error {
+	if at+len(recs) > len(j.Tasks) {
+		return fmt.Errorf("%s: more tasks than pieces", j.Spec.ID)
+	}
+	for i, r := range recs {
+		t := &j.Tasks[at+i]
+		t.Try = r.Try
+		switch {
+		case r.Done:
+			t.State = Finished
+			j.Done++
+		case r.Host != "":
+			t.Host, t.Tenure = r.Host, r.Tenure
+			t.State = Assigned
+			j.Held++
+		}
+	}
+	return nil
+}
+
+// Loaded is called after the last Load: jobs that need nothing more go over.
+func (tb *Table) Loaded() {
+	for _, j := range tb.Jobs {
+		if j.Phase == Open && j.Spec.Shape == api.Batch && j.Done == len(j.Tasks) {
+			j.Phase = Done
+		}
+		tb.settle(j)
+	}
+}
+
+// ReadLive is the view of a job as a live key has it: for nodes that don't lead.
+func ReadLive(value json.RawMessage) (api.View, error) {
+	var h header
+	if err := json.Unmarshal(value, &h); err != nil {
+		return api.View{}, err
+	}
+	if h.Spec == nil {
+		return api.View{}, fmt.Errorf("not a job")
+	}
+	v := api.View{ID: h.Spec.ID, Status: "queued"}
+	for _, t := range h.Tasks {
+		if t.Done {
+			v.Done++
+		} else if t.Host != "" {
+			v.Running++
+		}
+	}
+	switch {
+	case h.Phase != Open:
+		v.Status, v.Running = h.Phase.String(), 0
+	case v.Running > 0:
+		v.Status = "running"
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/mesh/frame.go
@@ -0,0 +1,200 @@
+// Package mesh carries the nodes' own messages to one another, in a binary
+// format written by hand.
+//
+// A frame is its length in four bytes, then a version, a kind and the fields of
+// that kind. Integers are big-endian; strings have their length in two bytes,
+// bodies in four.
+package mesh
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"opaldale/internal/ident"
+)
+
+// Version is the format's version; frames of others are refused.
+const Version = 1
+
+// MaxFrame bounds a frame: a report or a submission of 64 KiB and its envelope.
+const MaxFrame = 64<<10 + 1024
+
+// Kind tells the messages apart.
+type Kind uint8
+
+// The messages.
+const (
+	Hello Kind = iota + 1 // first on a connection: who sends
+	Beat                  // who leads, as far as the sender knows
+	Ask                   // a request passed on to the leader
+	Tell                  // the answer to it
+)
+
+// Verb says what is asked.
+type Verb uint8
+
+// What can be asked.
+const (
+	Submit Verb = iota + 1
+	Poll
+	Cancel
+	Checkin
+)
+
+// Frame is one message; only the fields of its kind are carried.
+type Frame struct {
+	Kind   Kind
+	Node   ident.NodeID // Hello: sender; Beat: leader, may be empty
+	Term   ident.Term   // Beat
+	ID     uint64       // Ask, Tell
+	Verb   Verb         // Ask
+	Job    string       // Ask: the id in the path
+	Status uint16       // Tell
+	Retry  uint16       // Tell: Retry-After in seconds, 0 for none
+	Body   []byte       // Ask, Tell
+}
+
+// ErrFrame is returned for whatever is not a frame of this version.
+var ErrFrame = errors.New("malformed frame")
+
+// Append writes the frame behind b.
+func (f *Frame) Append(b []byte) []byte {
+	at := len(b)
+	b = append(b, 0, 0, 0, 0, Version, byte(f.Kind))
+	str := func(s string) {
+		b = binary.BigEndian.AppendUint16(b, uint16(len(s)))
+		b = append(b, s...)
+	}
+	body := func() {
+		b = binary.BigEndian.AppendUint32(b, uint32(len(f.Body)))
+		b = append(b, f.Body...)
+	}
+	switch f.Kind {
+	case Hello:
+		str(string(f.Node))
+	case Beat:
+		str(string(f.Node))
+		b = binary.BigEndian.AppendUint64(b, uint64(f.Term))
+	case Ask:
+		b = binary.BigEndian.AppendUint64(b, f.ID)
+		b = append(b, byte(f.Verb))
+		str(f.Job)
+		body()
+	case Tell:
+		b = binary.BigEndian.AppendUint64(b, f.ID)
+		b = binary.BigEndian.AppendUint16(b, f.Status)
+		b = binary.BigEndian.AppendUint16(b, f.Retry)
+		body()
+	}
+	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
+	return b
+}
+
+// Decode reads a frame without its length.
+func Decode(b []byte) (*Frame, error) {
+	if len(b) < 2 || len(b) > MaxFrame {
+		return nil, ErrFrame
+	}
+	if b[0] != Version {
+		return nil, fmt.Errorf("%w: version %d", ErrFrame, b[0])
+	}
+	f := &Frame{Kind: Kind(b[1])}
+	r := reader{b: b[2:]}
+	switch f.Kind {
+	case Hello:
+		f.Node = ident.NodeID(r.str())
+	case Beat:
+		f.Node = ident.NodeID(r.str())
+		f.Term = ident.Term(r.u64())
+	case Ask:
+		f.ID = r.u64()
+		f.Verb = Verb(r.u8())
+		f.Job = r.str()
+		f.Body = r.body()
+		if f.Verb < Submit || f.Verb > Checkin {
+			return nil, fmt.Errorf("%w: verb %d", ErrFrame, f.Verb)
+		}
+	case Tell:
+		f.ID = r.u64()
+		f.Status = r.u16()
+		f.Retry = r.u16()
+		f.Body = r.body()
+	default:
+		return nil, fmt.Errorf("%w: kind %d", ErrFrame, f.Kind)
+	}
+	if r.bad || len(r.b) != 0 {
+		return nil, ErrFrame
+	}
+	return f, nil
+}
+
+// reader takes fields off the front and remembers whether one was short.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) take(n int) []byte {
+	if r.bad || n > len(r.b) {
+		r.bad = true
+		return nil
+	}
+	out := r.b[:n:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) u8() uint8 {
+	if b := r.take(1); b != nil {
+		return b[0]
+	}
+	return 0
+}
+
+func (r *reader) u16() uint16 {
+	if b := r.take(2); b != nil {
+		return binary.BigEndian.Uint16(b)
+	}
+	return 0
+}
+
+func (r *reader) u64() uint64 {
+	if b := r.take(8); b != nil {
+		return binary.BigEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (r *reader) str() string { return string(r.take(int(r.u16()))) }
+
+func (r *reader) body() []byte {
+	b := r.take(4)
+	if b == nil {
+		return nil
+	}
+	n := binary.BigEndian.Uint32(b)
+	if n > MaxFrame {
+		r.bad = true
+		return nil
+	}
+	return r.take(int(n))
+}
+
+// Read reads one frame from a connection.
+func Read(rd io.Reader) (*Frame, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(rd, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MaxFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, n)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(rd, b); err != nil {
+		return nil, err
+	}
+	return Decode(b)
+}
--- /dev/null
+++ b/internal/placement/teams.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"sort"
+
+	"opaldale/internal/api"
+	"opaldale/internal/jobs"
+	"opaldale/internal/settings"
+)
+
+// Teams keeps what each team uses against its limit and its guarantee.
+type Teams struct {
+	byName map[string]*team
+}
+
+type team struct {
+	settings.Team
+	vcpus, cards float64 // of tasks that count on a machine
+}
+
+const slack = 1e-6
+
+// NewTeams makes the teams of the settings, none using anything.
+func NewTeams(list []settings.Team) *Teams {
+	ts := &Teams{byName: make(map[string]*team, len(list))}
+	for _, t := range list {
+		ts.byName[t.Name] = &team{Team: t}
+	}
+	return ts
+}
+
+// Refusal says why a job can never run within its team's limit, "" if it can.
+func (ts *Teams) Refusal(s *api.Spec) string {
+	t := ts.byName[s.Desk]
+	if t == nil {
+		return "desk: unknown team"
+	}
+	n := 1.0
+	if s.Shape == api.Service {
+		n = float64(s.Pieces)
+	}
+	if n*s.VCPUs > t.CPUsMax+slack || n*s.Cards > t.GPUsMax+slack {
+		return "desk: over the team's limit"
+	}
+	return ""
+}
+
+// Count adds or removes a task's use.
+func (ts *Teams) Count(s *api.Spec, sign float64) {
+	if t := ts.byName[s.Desk]; t != nil {
+		t.vcpus += sign * s.VCPUs
+		t.cards += sign * s.Cards
+	}
+}
+
+// Allows says whether a team may use n tasks' worth more.
+func (ts *Teams) Allows(s *api.Spec, n float64) bool {
+	t := ts.byName[s.Desk]
+	return t != nil && t.vcpus+n*s.VCPUs <= t.CPUsMax+slack && t.cards+n*s.Cards <= t.GPUsMax+slack
+}
+
+// Room returns how many more tasks like s a team's limit admits.
+func (ts *Teams) Room(s *api.Spec) int {
+	t := ts.byName[s.Desk]
+	if t == nil {
+		return 0
+	}
+	n := api.MaxPieces
+	if s.VCPUs > 0 {
+		n = min(n, int((t.CPUsMax-t.vcpus+slack)/s.VCPUs))
+	}
+	if s.Cards > 0 {
+		n = min(n, int((t.GPUsMax-t.cards+slack)/s.Cards))
+	}
+	return max(n, 0)
+}
+
+// Largest returns the largest guarantee in CPUs.
+func (ts *Teams) Largest() float64 {
+	most := 0.0
+	for _, t := range ts.byName {
+		most = max(most, t.CPUs)
+	}
+	return most
+}
+
+// Guaranteed returns the jobs that fit into their team's guarantee along with
+// the team's earlier unfinished jobs.
+func (ts *Teams) Guaranteed(all map[string][]*jobs.Job) map[*jobs.Job]bool {
+	in := map[*jobs.Job]bool{}
+	for name, list := range all {
+		t := ts.byName[name]
+		if t == nil {
+			continue
+		}
+		sort.Slice(list, func(i, k int) bool { return list[i].Seq < list[k].Seq })
+		cpus, gpus := 0.0, 0.0
+		for _, j := range list {
+			n := float64(j.Spec.Pieces)
+			cpus += n * j.Spec.VCPUs
+			gpus += n * j.Spec.Cards
+			if cpus <= t.CPUs+slack && gpus <= t.GPUs+slack {
+				in[j] = true
+			}
+		}
+	}
+	return in
+}
--- /dev/null
+++ b/internal/server/loop.go
@@ -0,0 +1,112 @@
+// Package server is the rim of a node: sockets, clocks and goroutines around the
+// controller, which knows of none of them.
+package server
+
+import (
+	"container/heap"
+	"sync/atomic"
+	"time"
+
+	"opaldale/internal/ident"
+)
+
+// event is something to be done by the loop, and when it was asked for.
+type event struct {
+	run func()
+	at  time.Time
+}
+
+// loop runs everything that touches the controller, one event at a time.
+type loop struct {
+	start  time.Time
+	events chan event
+	timers timerHeap
+	seq    uint64
+	settle func()
+	lag    atomic.Int64 // nanoseconds that the newest event waited
+}
+
+// maxEvents bounds what waits for the loop; beyond it, posting blocks.
+const maxEvents = 4096
+
+func newLoop() *loop {
+	return &loop{start: time.Now(), events: make(chan event, maxEvents)}
+}
+
+// now returns the steady clock's reading.
+func (l *loop) now() ident.Mono { return ident.Mono(time.Since(l.start)) }
+
+// post has f run by the loop; for other goroutines.
+func (l *loop) post(f func()) { l.events <- event{f, time.Now()} }
+
+// after has f run by the loop later; only for the loop itself.
+func (l *loop) after(d time.Duration, f func()) {
+	l.seq++
+	heap.Push(&l.timers, timer{l.now().Add(d), l.seq, f})
+}
+
+// Lag returns how long events wait at present.
+func (l *loop) Lag() time.Duration { return time.Duration(l.lag.Load()) }
+
+// batch bounds the events between two settlings.
+const batch = 32
+
+func (l *loop) run() {
+	t := time.NewTimer(time.Hour)
+	for {
+		wait := time.Hour
+		if len(l.timers) > 0 {
+			wait = max(0, l.timers[0].at.Sub(l.now()))
+		}
+		n := 0
+		if wait > 0 {
+			t.Reset(wait)
+			select {
+			case e := <-l.events:
+				l.do(e)
+				n++
+			case <-t.C:
+			}
+		}
+		for now := l.now(); len(l.timers) > 0 && l.timers[0].at <= now && n < batch; n++ {
+			heap.Pop(&l.timers).(timer).run()
+		}
+		for ; n < batch && len(l.events) > 0; n++ {
+			l.do(<-l.events)
+		}
+		if n > 0 {
+			l.settle()
+		}
+	}
+}
+
+func (l *loop) do(e event) {
+	l.lag.Store(int64(time.Since(e.at)))
+	e.run()
+}
+
+type timer struct {
+	at  ident.Mono
+	seq uint64
+	run func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, k int) bool {
+	if h[i].at != h[k].at {
+		return h[i].at < h[k].at
+	}
+	return h[i].seq < h[k].seq
+}
+func (h timerHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	x := old[n]
+	old[n] = timer{}
+	*h = old[:n]
+	return x
+}
--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"opaldale/internal/mesh"
+)
+
+// metrics are the node's counters, for GET /metrics.
+type metrics struct {
+	reg      *prometheus.Registry
+	requests *prometheus.HistogramVec
+	shed     prometheus.Counter
+}
+
+func newMetrics(s *Server) *metrics {
+	m := &metrics{
+		reg: prometheus.NewRegistry(),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "opaldale_request_seconds",
+			Help:    "Time to answer requests, by kind and status.",
+			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}}, []string{"kind", "status"}),
+		shed: prometheus.NewCounter(prometheus.CounterOpts{Name: "opaldale_shed_total", Help: "Requests refused for overload."}),
+	}
+	m.reg.MustRegister(m.requests, m.shed, snapshots{s})
+	return m
+}
+
+var verbNames = map[mesh.Verb]string{mesh.Submit: "submit", mesh.Poll: "poll", mesh.Cancel: "cancel", mesh.Checkin: "checkin"}
+
+func (m *metrics) observe(v mesh.Verb, status int, d time.Duration) {
+	m.requests.WithLabelValues(verbNames[v], strconv.Itoa(status)).Observe(d.Seconds())
+}
+
+func (m *metrics) handler() http.Handler { return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{}) }
+
+// snapshots shows the controller's own counters when asked.
+type snapshots struct{ s *Server }
+
+// Describe sends nothing: the collector is unchecked.
+func (snapshots) Describe(chan<- *prometheus.Desc) {}
+
+// Collect reads the counters.
+func (c snapshots) Collect(ch chan<- prometheus.Metric) {
+	n := c.s.snapshot()
+	bit := map[bool]float64{true: 1}
+	gauge := func(name, help string, v float64) {
+		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("opaldale_"+name, help, nil, nil), prometheus.GaugeValue, v)
+	}
+	count := func(name, help string, v float64) {
+		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("opaldale_"+name+"_total", help, nil, nil), prometheus.CounterValue, v)
+	}
+	gauge("leading", "1 on the leader.", bit[n.Leading])
+	gauge("leadership_valid", "1 while leadership is sure.", bit[n.Valid])
+	gauge("term", "Newest term led.", float64(n.Term))
+	gauge("jobs", "Jobs not over.", float64(n.Jobs))
+	gauge("tasks_held", "Tasks that count on a machine.", float64(n.Held))
+	gauge("tasks_waiting", "Tasks that wait for a machine.", float64(n.Waiting))
+	for state, v := range n.Machines {
+		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("opaldale_machines", "Machines by state.", []string{"state"}, nil),
+			prometheus.GaugeValue, float64(v), state)
+	}
+	for rule, v := range map[string]uint64{"planned": n.Planned, "local": n.Local, "new": n.New, "stolen": n.Stolen, "service": n.Services} {
+		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("opaldale_placed_total", "Tasks placed, by the rule that did.", []string{"rule"}, nil),
+			prometheus.CounterValue, float64(v), rule)
+	}
+	count("preempted", "Tasks stopped to make room.", float64(n.Preempted))
+	count("plan_rounds", "Plans made.", float64(n.Rounds))
+	count("plan_extra", "Plans made between rounds.", float64(n.ExtraRounds))
+	count("plan_seconds", "Time spent on plans.", n.PlanSeconds)
+	count("fetched_gigabytes", "Images sent to machines that did not hold them.", n.FetchedGB)
+	count("rented", "Machines rented.", float64(n.Rented))
+	count("returned", "Machines returned.", float64(n.Returned))
+	count("fenced", "Machines returned for their silence.", float64(n.Fenced))
+	count("txns", "Transactions sent.", float64(n.Txns))
+	count("puts", "Puts and deletes sent.", float64(n.Puts))
+	count("txn_repeats", "Transactions repeated.", float64(n.Repeats))
+	count("tasks_lost", "Tasks proven gone before they ended.", float64(n.Relocated))
+	count("command_fences", "Tokens raised over unanswered commands.", float64(n.Fences))
+	count("stale_reports", "Reports older than what was known.", float64(n.Stale))
+	count("forwarded", "Requests passed to the leader.", float64(n.Forwarded))
+	count("refused", "Requests refused for want of a leader or of the state service.", float64(n.Refused))
+	count("elected", "Terms begun.", float64(n.Elected))
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,160 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/mesh"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+const (
+	dialTime    = time.Second
+	commandTime = 2 * time.Second
+	memoryShare = 0.65
+)
+
+// Server is one node with its sockets.
+type Server struct {
+	loop   *loop
+	ctl    *controller.Controller
+	state  *statesvc.Client
+	cloud  *cloud.Client
+	worker *http.Client
+	mesh   *mesh.Transport
+}
+
+// Run serves until the process is killed, or a socket can't be had.
+func Run(set *settings.Settings) error {
+	// A node has a small share of one core; more threads only cost.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(memoryShare * set.Cluster.Resources.MemoryMB * (1 << 20)))
+	debug.SetGCPercent(300)
+
+	s := &Server{loop: newLoop()}
+	transport := func(perHost int) *http.Transport {
+		return &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
+			MaxIdleConnsPerHost: perHost,
+			IdleConnTimeout:     90 * time.Second,
+			DisableCompression:  true,
+		}
+	}
+	s.state = statesvc.NewClient(set.Ends.State, transport(8))
+	s.cloud = cloud.NewClient(set.Ends.Cloud, transport(4))
+	s.worker = &http.Client{Transport: transport(1)}
+	s.mesh = mesh.NewTransport(set.Node, func(from ident.NodeID, f *mesh.Frame) {
+		s.loop.post(func() { s.ctl.Frame(from, f) })
+	})
+
+	meshListener, err := net.Listen("tcp4", set.MeshAddr)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", set.Bind)
+	if err != nil {
+		return err
+	}
+	s.ctl = controller.New(env{s}, set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	s.loop.settle = s.ctl.Settle
+	for _, p := range set.Siblings {
+		s.mesh.Connect(p.Node, p.Address)
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- s.mesh.Serve(meshListener) }()
+	web := &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      15 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    8 << 10,
+	}
+	go func() { errs <- web.Serve(newBounded(listener, set.Cluster.Resources.Sockets*3/4)) }()
+	s.loop.post(s.ctl.Start)
+	go s.loop.run()
+	return <-errs
+}
+
+// env is the world as a controller sees it. All but the calls' own goroutines is
+// run by the loop.
+type env struct{ s *Server }
+
+func (e env) Now() ident.Mono                     { return e.s.loop.now() }
+func (e env) WallMS() int64                       { return time.Now().UnixMilli() }
+func (e env) After(d time.Duration, f func())     { e.s.loop.after(d, f) }
+func (e env) Mesh(to ident.NodeID, f *mesh.Frame) { e.s.mesh.Send(to, f) }
+
+func (e env) State(r statesvc.Request, f func(statesvc.Reply)) {
+	go func() {
+		a := e.s.state.Do(r)
+		e.s.loop.post(func() { f(a) })
+	}()
+}
+
+func (e env) Cloud(r cloud.Request, f func(cloud.Reply)) {
+	go func() {
+		a := e.s.cloud.Do(r)
+		e.s.loop.post(func() { f(a) })
+	}()
+}
+
+func (e env) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+	go func() {
+		a := e.s.command(addr, c)
+		e.s.loop.post(func() { f(a) })
+	}()
+}
+
+// command sends orders to a worker.
+func (s *Server) command(addr string, c api.Commands) workers.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/commands", bytes.NewReader(api.JSON(c)))
+	if err != nil {
+		return workers.Answer{}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.worker.Do(req)
+	if err != nil {
+		return workers.Answer{}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return workers.Answer{}
+	}
+	r, err := api.ParseReport(b)
+	if err != nil {
+		return workers.Answer{}
+	}
+	return workers.Answer{Status: resp.StatusCode, Report: r}
+}
+
+// snapshot asks the loop for the counters.
+func (s *Server) snapshot() controller.Snapshot {
+	ch := make(chan controller.Snapshot, 1)
+	s.loop.post(func() { ch <- s.ctl.Snapshot() })
+	return <-ch
+}
+
+// writeJSON answers with a message of the API.
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/settings/tuning.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+)
+
+// Tuning holds the operators' own settings, written as S-expressions:
+//
+//	(tuning (leader-lease 2s) (round 5s) (plan asm1))
+type Tuning struct {
+	LeaderLease time.Duration // how long leadership lasts without renewal
+	Round       time.Duration // from one plan to the next
+	Silent      time.Duration // a worker not heard of for so long is fenced
+	IdleKeep    time.Duration // how long an idle machine is kept
+	BootFactor  float64       // a boot is given up after this many times startup_s
+	Headroom    float64       // multiplies the room kept free for expected arrivals
+	Plan        string        // "asm1", or "none": only local work and stealing
+}
+
+// DefaultTuning is used where the operators say nothing.
+func DefaultTuning() Tuning {
+	return Tuning{
+		LeaderLease: 2 * time.Second,
+		Round:       5 * time.Second,
+		Silent:      9 * time.Second,
+		IdleKeep:    40 * time.Second,
+		BootFactor:  3.5,
+		Headroom:    1,
+		Plan:        "asm1",
+	}
+}
+
+func (t *Tuning) check() error {
+	var faults []error
+	for _, f := range []struct {
+		name string
+		bad  bool
+	}{
+		{"leader-lease: must be from 500ms to 60s", t.LeaderLease < 500*time.Millisecond || t.LeaderLease > time.Minute},
+		{"round: must be from 100ms to 10m", t.Round < 100*time.Millisecond || t.Round > 10*time.Minute},
+		{"silent: must be at least 1s", t.Silent < time.Second},
+		{"idle-keep: negative", t.IdleKeep < 0},
+		{"boot-factor: must be at least 1", t.BootFactor < 1},
+		{"headroom: must be from 0 to 10", t.Headroom < 0 || t.Headroom > 10},
+		{"plan: must be asm1 or none", t.Plan != "asm1" && t.Plan != "none"},
+	} {
+		if f.bad {
+			faults = append(faults, errors.New(f.name))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// Read takes over what a tuning file says. Unknown names are refused.
+func (t *Tuning) Read(b []byte) error {
+	exprs, err := parseSexp(string(b))
+	if err != nil {
+		return err
+	}
+	if len(exprs) != 1 || len(exprs[0].list) == 0 || exprs[0].list[0].atom != "tuning" {
+		return errors.New("want one expression (tuning ...)")
+	}
+	var faults []error
+	for _, e := range exprs[0].list[1:] {
+		if len(e.list) != 2 || e.list[0].atom == "" || e.list[1].atom == "" {
+			faults = append(faults, errors.New("want (name value)"))
+			continue
+		}
+		name, value := e.list[0].atom, e.list[1].atom
+		var err error
+		switch name {
+		case "leader-lease":
+			t.LeaderLease, err = time.ParseDuration(value)
+		case "round":
+			t.Round, err = time.ParseDuration(value)
+		case "silent":
+			t.Silent, err = time.ParseDuration(value)
+		case "idle-keep":
+			t.IdleKeep, err = time.ParseDuration(value)
+		case "boot-factor":
+			t.BootFactor, err = strconv.ParseFloat(value, 64)
+		case "headroom":
+			t.Headroom, err = strconv.ParseFloat(value, 64)
+		case "plan":
+			t.Plan = value
+		default:
+			err = errors.New("unknown setting")
+		}
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", name, err))
+		}
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/internal/workers/workers.go
@@ -0,0 +1,684 @@
+// Package workers owns what is known of the machines: which sessions they are
+// in, which tasks count on them, which orders are under way, and what proves
+// that a task is gone.
+package workers
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+)
+
+// State is a machine's course.
+type State uint8
+
+// The states of a machine.
+const (
+	Booting   State = iota // rented or listed, its worker was not heard of in this term
+	Up                     // its worker reports
+	Silent                 // its worker has not reported for a while
+	Returning              // is being returned; nothing is placed on it
+	Gone                   // returned, with everything that was on it
+)
+
+func (s State) String() string {
+	return [...]string{"booting", "up", "silent", "returning", "gone"}[s]
+}
+
+// Image is a cached image.
+type Image struct {
+	Bundle string
+	GB     float64
+}
+
+// attempt names one try of a task.
+type attempt struct {
+	piece ident.Piece
+	try   ident.Try
+}
+
+// Worker is a machine and the worker on it.
+type Worker struct {
+	Host    ident.HostID
+	Addr    string
+	Model   string
+	Kind    *cloud.Model // nil while the catalog doesn't list it
+	Site    string
+	Standby bool
+	State   State
+
+	Since    ident.Mono // when it entered its state
+	Born     ident.Mono // when it was rented, as far as known
+	IdleFrom ident.Mono // when its last task left it
+	Doomed   ident.Mono // when the cloud takes it; 0: not announced
+	Shun     ident.Mono // nothing is placed on it earlier
+	Errors   int        // tasks of different jobs that failed on it in a row
+	lastErr  ident.JobID
+
+	Tenure   ident.Tenure
+	serial   ident.Serial
+	seen     ident.Epoch // highest token that it reported
+	fence    uint32
+	heard    ident.Mono // newest report or answer
+	answered ident.Mono // last time a report was answered
+	everAns  bool
+
+	Tasks   map[ident.Piece]*jobs.Task
+	Plan    []*jobs.Task // of the current round
+	images  []Image      // newest last
+	orphans map[ident.Piece]ident.Try
+	unclear map[attempt]bool // ended, and not yet durably so
+
+	flying  []api.Order // of the command under way
+	busy    bool
+	queue   []api.Order
+	dull    bool // a command was not answered; wait for its report
+	probing bool
+
+	VCPUs, Cards, MemoryGB float64 // taken by Tasks
+
+	Doc *commit.Doc
+}
+
+// Fits says whether a task would find room now, and Could whether it would on
+// the empty machine.
+func (w *Worker) Fits(s *api.Spec) bool {
+	return w.Kind != nil && w.VCPUs+s.VCPUs <= w.Kind.VCPUs+slack && w.Cards+s.Cards <= w.Kind.Cards+slack &&
+		w.MemoryGB+s.MemoryGB <= w.Kind.MemoryGB+slack
+}
+
+// slack forgives rounding in sums of amounts.
+const slack = 1e-6
+
+// Allows says whether the job may use the machine at all.
+func (w *Worker) Allows(s *api.Spec) bool {
+	if s.Site != nil && *s.Site != w.Site || w.Standby && !s.Standby || w.Kind == nil {
+		return false
+	}
+	return AllowsModel(s, w.Model) && Could(w.Kind, s)
+}
+
+// AllowsModel says whether the job may run on a type of machine.
+func AllowsModel(s *api.Spec, model string) bool {
+	for _, m := range s.Models {
+		if m == model {
+			return true
+		}
+	}
+	return s.Models == nil
+}
+
+// Could says whether a task fits an empty machine.
+func Could(m *cloud.Model, s *api.Spec) bool {
+	return s.VCPUs <= m.VCPUs+slack && s.Cards <= m.Cards+slack && s.MemoryGB <= m.MemoryGB+slack
+}
+
+// Open says whether tasks may be placed on the machine now.
+func (w *Worker) Open(now ident.Mono) bool {
+	return w.State == Up && w.Doomed == 0 && now >= w.Shun && !w.dull && w.Tenure != 0 &&
+		w.Doc != nil && w.Doc.Stamp != 0 // a successor must know every machine that tasks may be on
+}
+
+// Holds says whether the machine surely or probably has an image.
+func (w *Worker) Holds(bundle string) bool {
+	for _, im := range w.images {
+		if im.Bundle == bundle {
+			return true
+		}
+	}
+	return false
+}
+
+// Heard returns when the worker was last heard of.
+func (w *Worker) Heard() ident.Mono { return w.heard }
+
+// cache notes that an image was used: the workers keep the most recently used
+// ones, as far as their disk reaches.
+func (w *Worker) cache(bundle string, gb float64) {
+	if n := len(w.images); n > 0 && w.images[n-1].Bundle == bundle {
+		return
+	}
+	keep := make([]Image, 0, len(w.images)+1)
+	for _, im := range w.images {
+		if im.Bundle != bundle {
+			keep = append(keep, im)
+		}
+	}
+	keep = append(keep, Image{bundle, gb})
+	sum := 0.0
+	for _, im := range keep {
+		sum += im.GB
+	}
+	for w.Kind != nil && len(keep) > 1 && sum > w.Kind.LocalGB {
+		sum -= keep[0].GB
+		keep = keep[1:]
+	}
+	w.images = keep
+}
+
+// Port is what the table needs of the world.
+type Port interface {
+	Now() ident.Mono
+	After(time.Duration, func())
+	Worker(addr string, c api.Commands, f func(Answer))
+}
+
+// Answer is what came of POST /commands.
+type Answer struct {
+	Status int // 0: none
+	Report *api.Report
+}
+
+// Config holds the workers' times and the term.
+type Config struct {
+	Term    ident.Term
+	LeaseS  time.Duration
+	Report  time.Duration
+	Grace   time.Duration // for which an earlier leader may have answered on
+	Catalog func(model string) *cloud.Model
+	// Deposed is called when a worker has seen a later term.
+	Deposed func()
+	// Changed is called when room or tasks have changed.
+	Changed func()
+	// Failed is called for a task that ended for another cause than done.
+	Failed func(t *jobs.Task, w *Worker, c api.Cause)
+	// Commit makes the machine's document.
+	Commit func(w *Worker)
+}
+
+// Table holds all machines. It lives for one term.
+type Table struct {
+	Workers map[ident.HostID]*Worker
+	cfg     Config
+	port    Port
+	jobs    *jobs.Table
+	began   ident.Mono
+	dead    bool
+
+	Relocated uint64 // tasks proven gone without having ended
+	Fences    uint64
+	Stale     uint64
+}
+
+// NewTable makes the machines' table of a term.
+func NewTable(port Port, j *jobs.Table, cfg Config) *Table {
+	return &Table{Workers: map[ident.HostID]*Worker{}, cfg: cfg, port: port, jobs: j, began: port.Now()}
+}
+
+// Close ends the table with its term.
+func (tb *Table) Close() { tb.dead = true }
+
+// Sorted returns the machines in the order of their names, which is that of
+// their creation.
+func (tb *Table) Sorted() []*Worker {
+	out := make([]*Worker, 0, len(tb.Workers))
+	for _, w := range tb.Workers {
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Host < out[k].Host })
+	return out
+}
+
+// to is the one place where a machine changes its state.
+func (tb *Table) to(w *Worker, s State, why string) {
+	if w.State == s {
+		return
+	}
+	slog.Debug("machine", "host", string(w.Host), "from", w.State.String(), "to", s.String(), "why", why)
+	w.State, w.Since = s, tb.port.Now()
+}
+
+// Restore notes that a machine of an earlier term had come up.
+func (tb *Table) Restore(w *Worker, addr string) {
+	w.Addr = addr
+	tb.to(w, Up, "on record")
+}
+
+// Add takes in a machine that was rented, loaded, listed or that reports.
+func (tb *Table) Add(h ident.HostID, model, site string, standby bool, born ident.Mono) *Worker {
+	if w := tb.Workers[h]; w != nil {
+		return w
+	}
+	now := tb.port.Now()
+	w := &Worker{Host: h, Model: model, Site: site, Standby: standby, Kind: tb.cfg.Catalog(model),
+		Born: born, Since: now, IdleFrom: now, heard: now, Tasks: map[ident.Piece]*jobs.Task{},
+		orphans: map[ident.Piece]ident.Try{}, unclear: map[attempt]bool{}}
+	tb.Workers[h] = w
+	tb.cfg.Commit(w)
+	return w
+}
+
+// epoch is the token for a worker: the term, and how often we fenced off
+// commands of our own.
+func (tb *Table) epoch(w *Worker) ident.Epoch { return ident.MakeEpoch(tb.cfg.Term, w.fence) }
+
+// Hold counts a task on its machine.
+func (tb *Table) Hold(w *Worker, t *jobs.Task) {
+	w.Tasks[t.Piece()] = t
+	// A report of an earlier session than the placement's is a late one.
+	w.Tenure = max(w.Tenure, t.Tenure)
+	tb.count(w, t.Job.Spec, 1)
+}
+
+// Release stops counting it.
+func (tb *Table) Release(w *Worker, t *jobs.Task) {
+	if w.Tasks[t.Piece()] != t {
+		return
+	}
+	delete(w.Tasks, t.Piece())
+	tb.count(w, t.Job.Spec, -1)
+	if len(w.Tasks) == 0 {
+		w.VCPUs, w.Cards, w.MemoryGB = 0, 0, 0
+		w.IdleFrom = tb.port.Now()
+	}
+	tb.cfg.Changed()
+}
+
+func (tb *Table) count(w *Worker, s *api.Spec, sign float64) {
+	w.VCPUs += sign * s.VCPUs
+	w.Cards += sign * s.Cards
+	w.MemoryGB += sign * s.MemoryGB
+}
+
+// Orphan says whether a piece is on some machine in a try that we don't know
+// of. Then it must not start elsewhere.
+func (tb *Table) Orphan(p ident.Piece) bool {
+	for _, w := range tb.Workers {
+		if _, ok := w.orphans[p]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Checkin takes a worker's report and returns the answer to it, nil for a
+// report that is not newer than what is known.
+func (tb *Table) Checkin(r *api.Report) *api.Orders {
+	w := tb.Workers[r.Host]
+	if w == nil || w.State == Gone {
+		if w != nil {
+			// Held up on its way while its machine was being returned.
+			return nil
+		}
+		w = tb.Add(r.Host, r.Model, r.Site, r.Standby, tb.port.Now())
+	}
+	now := tb.port.Now()
+	if !tb.take(w, r) {
+		// No effect, but its lease is renewed by any answer.
+		if tb.dead || r.Tenure < w.Tenure {
+			return nil
+		}
+		w.answered, w.everAns = now, true
+		return &api.Orders{Epoch: tb.epoch(w), Orders: []api.Order{}}
+	}
+	w.dull = false
+	orders := tb.reconcile(w, r)
+	w.answered, w.everAns = now, true
+	return &api.Orders{Epoch: tb.epoch(w), Orders: orders}
+}
+
+// Renew answers a report without looking at it: for a leader that may not be one
+// any more, but whose workers had better keep their tasks.
+func (tb *Table) Renew(r *api.Report) *api.Orders {
+	w := tb.Workers[r.Host]
+	if w == nil || w.State == Gone {
+		return nil
+	}
+	w.answered, w.everAns = tb.port.Now(), true
+	w.heard = w.answered
+	return &api.Orders{Epoch: tb.epoch(w), Orders: []api.Order{}}
+}
+
+// take notes what a report says of the worker itself. It returns false for a
+// report that is not newer than the newest seen.
+func (tb *Table) take(w *Worker, r *api.Report) bool {
+	if r.Tenure < w.Tenure || r.Tenure == w.Tenure && r.Serial <= w.serial {
+		tb.Stale++
+		return false
+	}
+	now := tb.port.Now()
+	if r.Epoch.Term() > tb.cfg.Term {
+		tb.cfg.Deposed()
+		return false
+	}
+	if r.Epoch > tb.epoch(w) {
+		// A token of ours that we don't remember: not possible within a term.
+		slog.Error("worker has seen a token from the future", "host", string(w.Host))
+		w.fence = uint32(r.Epoch-ident.MakeEpoch(tb.cfg.Term, 0)) + 1
+	}
+	if w.Addr != r.Addr || w.Kind == nil {
+		w.Addr = r.Addr
+		w.Kind = tb.cfg.Catalog(w.Model)
+		tb.cfg.Commit(w)
+	}
+	if r.Tenure > w.Tenure {
+		// The worker has killed and forgotten all tasks of earlier sessions, and
+		// orders for them are refused.
+		w.Tenure = r.Tenure
+		w.queue = nil
+		w.images = nil
+		clear(w.orphans)
+		for _, t := range w.Tasks {
+			if t.Tenure < r.Tenure {
+				tb.lose(w, t, "newer tenure")
+			}
+		}
+	}
+	w.serial, w.seen, w.heard = r.Serial, r.Epoch, now
+	if w.State == Booting || w.State == Silent {
+		tb.to(w, Up, "reports")
+		w.probing = false
+		tb.cfg.Changed()
+	}
+	if r.WarningS == nil {
+		w.Doomed = 0
+	} else {
+		at := now.Add(time.Duration(*r.WarningS * float64(time.Second)))
+		if w.Doomed == 0 {
+			slog.Info("machine will be taken", "host", string(w.Host), "in_s", *r.WarningS)
+			tb.cfg.Changed()
+		}
+		w.Doomed = max(at, 1)
+	}
+	clear(w.orphans)
+	for _, p := range r.Pieces {
+		t := w.Tasks[p.Piece]
+		if p.Status != api.Ended && (t == nil || t.Try != p.Try) {
+			w.orphans[p.Piece] = p.Try
+			continue
+		}
+		if t == nil || t.Try != p.Try {
+			continue
+		}
+		if p.Status == api.Running || p.Status == api.Flushing || p.Cause == api.CauseDone {
+			w.cache(t.Job.Spec.Bundle, t.Job.Spec.ImageGB)
+		}
+		if p.Status != api.Ended {
+			tb.jobs.Observe(t, p.Status)
+			continue
+		}
+		tb.ended(w, t, p)
+	}
+	return true
+}
+
+// ended handles a task that exited. Its attempt is cleared from the worker only
+// when that is durable: else a successor would start it again.
+func (tb *Table) ended(w *Worker, t *jobs.Task, p api.PieceReport) {
+	a := attempt{p.Piece, p.Try}
+	w.unclear[a] = true
+	durable := func() {
+		if tb.dead {
+			return
+		}
+		delete(w.unclear, a)
+		tb.Push(w, api.Order{Verb: api.Clear, Piece: a.piece, Try: a.try})
+	}
+	if p.Cause == api.CauseDone {
+		if w.lastErr != t.Job.Spec.ID {
+			w.Errors = 0
+		}
+		tb.jobs.Complete(t, durable)
+		return
+	}
+	tb.cfg.Failed(t, w, p.Cause)
+	if p.Cause == api.CauseError && w.lastErr != t.Job.Spec.ID {
+		w.Errors++
+		w.lastErr = t.Job.Spec.ID
+	}
+	tb.jobs.Gone(t, durable)
+}
+
+// reconcile finds what the report of a checkin proves to be gone, and the
+// orders that are missing on the worker.
+func (tb *Table) reconcile(w *Worker, r *api.Report) []api.Order {
+	orders := []api.Order{}
+	// What a command under way or queued names is left to it: a launch repeated
+	// here could be carried out, end and be cleared before the command's own
+	// comes and starts the task again.
+	flying := map[attempt]bool{}
+	for _, os := range [][]api.Order{w.flying, w.queue} {
+		for _, o := range os {
+			flying[attempt{o.Piece, o.Try}] = true
+		}
+	}
+	listed := make(map[attempt]bool, len(r.Pieces))
+	for _, p := range r.Pieces {
+		a := attempt{p.Piece, p.Try}
+		listed[a] = true
+		t := w.Tasks[p.Piece]
+		known := t != nil && t.Try == p.Try
+		switch {
+		case flying[a]:
+		case p.Status == api.Ended:
+			if !known && !w.unclear[a] {
+				orders = append(orders, api.Order{Verb: api.Clear, Piece: p.Piece, Try: p.Try})
+			}
+		case !known:
+			orders = append(orders, kill(a, 0))
+		case t.State == jobs.Stopping:
+			orders = append(orders, kill(a, tb.windDown(t)))
+		}
+	}
+	// Without the newest token, a command of before may still be on its way to
+	// the worker, so what is missing is not proven to be gone. Reports follow one
+	// another: an order in the answer to an earlier one was carried out before
+	// this report was sent, or never will be.
+	fresh := r.Epoch == tb.epoch(w)
+	for _, t := range tb.TasksOf(w) {
+		a := attempt{t.Piece(), t.Try}
+		if listed[a] || flying[a] {
+			continue
+		}
+		switch {
+		case t.State == jobs.Assigned && t.Seen == "":
+			if w.State == Up && t.Job.Phase == jobs.Open {
+				orders = append(orders, launch(t))
+			}
+		case t.State == jobs.Assigned && fresh:
+			tb.lose(w, t, "not in the report")
+		case t.State == jobs.Stopping && fresh:
+			tb.lose(w, t, "stopped before it started")
+		}
+	}
+	return orders
+}
+
+// TasksOf returns a copy in a fixed order: what follows changes the map, and
+// seeded runs must repeat.
+func (tb *Table) TasksOf(w *Worker) []*jobs.Task {
+	out := make([]*jobs.Task, 0, len(w.Tasks))
+	for _, t := range w.Tasks {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, b := out[i], out[k]
+		if a.Job.Seq != b.Job.Seq {
+			return a.Job.Seq < b.Job.Seq
+		}
+		return a.Index < b.Index
+	})
+	return out
+}
+
+// windDown gives a stopping task the rest of its time to save.
+func (tb *Table) windDown(t *jobs.Task) time.Duration {
+	left := t.WindDown - tb.port.Now().Sub(t.Since)
+	if t.WindDown == 0 || left <= 0 {
+		return 0
+	}
+	return t.WindDown
+}
+
+func launch(t *jobs.Task) api.Order {
+	return api.Order{Verb: api.Launch, Piece: t.Piece(), Try: t.Try}
+}
+
+func kill(a attempt, windDown time.Duration) api.Order {
+	s := windDown.Seconds()
+	return api.Order{Verb: api.Kill, Piece: a.piece, Try: a.try, WindDownS: &s}
+}
+
+// lose notes that a task is proven not to be on its machine.
+func (tb *Table) lose(w *Worker, t *jobs.Task, why string) {
+	slog.Info("task is gone", "piece", t.Piece().String(), "try", uint64(t.Try), "host", string(w.Host), "why", why)
+	tb.Relocated++
+	tb.jobs.Gone(t, nil)
+}
+
+// Launch sends a durable placement to its machine.
+func (tb *Table) Launch(w *Worker, t *jobs.Task) { tb.Push(w, launch(t)) }
+
+// StopTask stops a task. One whose placement is not yet durable was never sent.
+func (tb *Table) StopTask(w *Worker, t *jobs.Task, windDown time.Duration) {
+	switch t.State {
+	case jobs.Placing:
+		tb.jobs.Gone(t, nil)
+	case jobs.Assigned:
+		tb.jobs.Stop(t, windDown)
+		if w != nil {
+			tb.Push(w, kill(attempt{t.Piece(), t.Try}, windDown))
+		}
+	case jobs.Stopping:
+		if windDown < t.WindDown {
+			t.WindDown = windDown
+			if w != nil {
+				tb.Push(w, kill(attempt{t.Piece(), t.Try}, windDown))
+			}
+		}
+	}
+}
+
+// commandTime is how long an answer to a command is waited for.
+const commandTime = 2 * time.Second
+
+// Push sends an order to a worker at once. One command is under way at a time,
+// so that orders keep their order; what gets lost is repeated by the answer to
+// the worker's next report.
+func (tb *Table) Push(w *Worker, o api.Order) {
+	if w.State == Gone || w.Addr == "" || w.Tenure == 0 || w.dull {
+		return
+	}
+	w.queue = append(w.queue, o)
+	if !w.busy {
+		w.busy = true
+		// After the present event, so that orders of one moment go together.
+		tb.port.After(0, func() { tb.send(w) })
+	}
+}
+
+// Probe asks a worker for its state.
+func (tb *Table) Probe(w *Worker) {
+	if w.busy || w.Addr == "" || w.State == Gone {
+		return
+	}
+	w.busy = true
+	w.probing = true
+	tb.send(w)
+}
+
+func (tb *Table) send(w *Worker) {
+	if tb.dead || w.State == Gone || len(w.queue) == 0 && !w.probing {
+		w.busy = false
+		return
+	}
+	w.probing = false
+	w.flying, w.queue = w.queue, nil
+	epoch, tenure := tb.epoch(w), max(w.Tenure, 1)
+	orders := w.flying
+	if orders == nil {
+		orders = []api.Order{}
+	}
+	tb.port.Worker(w.Addr, api.Commands{Epoch: epoch, Tenure: tenure, Orders: orders}, func(a Answer) {
+		if tb.dead {
+			return
+		}
+		w.flying, w.busy = nil, false
+		if a.Status != 200 && a.Status != 409 || a.Report == nil || a.Report.Host != w.Host {
+			// It may be carried out at any later time, until the worker has seen
+			// a higher token.
+			w.fence++
+			tb.Fences++
+			w.queue = nil
+			w.dull = true
+			return
+		}
+		tb.take(w, a.Report)
+		if len(w.queue) > 0 {
+			w.busy = true
+			tb.send(w)
+		}
+	})
+}
+
+// Away makes a machine one that is being returned.
+func (tb *Table) Away(w *Worker, why string) { tb.to(w, Returning, why) }
+
+// Drop notes that a machine is gone, and all that was on it.
+func (tb *Table) Drop(w *Worker, why string) {
+	tb.to(w, Gone, why)
+	for _, t := range tb.TasksOf(w) {
+		tb.lose(w, t, why)
+	}
+	clear(w.orphans)
+	w.queue, w.Plan = nil, nil
+	tb.cfg.Commit(w)
+	tb.cfg.Changed()
+}
+
+// Forget removes a machine that is gone from the table.
+func (tb *Table) Forget(w *Worker) { delete(tb.Workers, w.Host) }
+
+// Silence returns for how long a worker has not been heard of; a new leader
+// gives everybody a little time to come.
+func (tb *Table) Silence(w *Worker) time.Duration { return tb.port.Now().Sub(w.heard) }
+
+// Quiet marks a silent machine.
+func (tb *Table) Quiet(w *Worker) { tb.to(w, Silent, "no reports") }
+
+// leaseDrift covers clocks that run up to 0.05% apart, twice over.
+const leaseDrift = 1.002
+
+// Expired says whether the worker's lease is surely over, and with it its
+// tasks: no report sent after the last answer can have been answered, by us or,
+// in its grace, by the leader before us.
+func (tb *Table) Expired(w *Worker) bool {
+	from := tb.began.Add(tb.cfg.Grace)
+	if w.everAns {
+		from = max(from, w.answered)
+	}
+	return tb.port.Now() > from.Add(time.Duration(float64(tb.cfg.LeaseS)*leaseDrift)+time.Second)
+}
+
+// Expire drops the tasks of a worker whose lease is surely over.
+func (tb *Table) Expire(w *Worker) {
+	for _, t := range tb.TasksOf(w) {
+		tb.lose(w, t, "lease over")
+	}
+	clear(w.orphans)
+}
+
+// Images returns the names of the images that the machine holds.
+func (w *Worker) Images() []string {
+	out := make([]string, len(w.images))
+	for i, im := range w.images {
+		out[i] = im.Bundle
+	}
+	return out
+}
+
+// Pulls says whether a task on the machine waits for an image.
+func (w *Worker) Pulls(bundle string) bool {
+	for _, t := range w.Tasks {
+		if t.Job.Spec.Bundle == bundle {
+			return true
+		}
+	}
+	return false
+}
