--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sort"
 	"time"
 
 	"opaldale/internal/api"
@@ -441,14 +440,3 @@
 	s.Relocated, s.Fences, s.Stale = l.workers.Relocated, l.workers.Fences, l.workers.Stale
 	return s
 }
-
-// sortedJobs returns the jobs in the order of arrival, so that seeded runs
-// repeat.
-func sortedJobs(t *jobs.Table) []*jobs.Job {
-	out := make([]*jobs.Job, 0, len(t.Jobs))
-	for _, j := range t.Jobs {
-		out = append(out, j)
-	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Seq < out[k].Seq })
-	return out
-}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"opaldale/internal/api"
@@ -39,12 +41,9 @@
 	onLoaded func()
 	dead     bool
 	dirty    bool // something may be placed
-	pending  map[*pending]bool
-}
-
-// pending is a user whose answer waits for the state service.
-type pending struct {
-	reply func(Reply)
+	// pending holds the users whose answers wait for the state service.
+	pending map[uint64]func(Reply)
+	lastReq uint64
 }
 
 const (
@@ -60,7 +59,7 @@
 )
 
 func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
-	l := &lead{c: c, term: t, kinds: map[string]*cloud.Model{}, pending: map[*pending]bool{}}
+	l := &lead{c: c, term: t, kinds: map[string]*cloud.Model{}, pending: map[uint64]func(Reply){}}
 	st := c.set.Cluster.State
 	valueBytes := int(st.ValueKB * 1024)
 	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS},
@@ -101,28 +100,30 @@
 // refusePending answers those who wait for a state service that doesn't answer:
 // they are not kept waiting for it.
 func (l *lead) refusePending() {
-	for p := range l.pending {
-		delete(l.pending, p)
+	for _, id := range slices.Sorted(maps.Keys(l.pending)) {
+		reply := l.pending[id]
+		delete(l.pending, id)
 		l.c.Refused++
-		p.reply(unavailable("state service unavailable"))
+		reply(unavailable("state service unavailable"))
 	}
 }
 
 // wait makes a reply that is refused when the state service doesn't answer in
 // time; the returned function answers unless that has happened.
 func (l *lead) wait(reply func(Reply)) func(Reply) {
-	p := &pending{reply}
-	l.pending[p] = true
+	l.lastReq++
+	id := l.lastReq
+	l.pending[id] = reply
 	l.c.env.After(commitTime, func() {
-		if l.pending[p] {
-			delete(l.pending, p)
+		if l.pending[id] != nil {
+			delete(l.pending, id)
 			l.c.Refused++
 			reply(unavailable("state service is slow"))
 		}
 	})
 	return func(r Reply) {
-		if l.pending[p] {
-			delete(l.pending, p)
+		if l.pending[id] != nil {
+			delete(l.pending, id)
 			reply(r)
 		}
 	}
@@ -301,7 +302,7 @@
 // begin takes over from the term before.
 func (l *lead) begin() {
 	l.onLoaded()
-	for _, j := range sortedJobs(l.jobs) {
+	for _, j := range l.jobs.Sorted() {
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
 			if !t.State.Held() {
@@ -318,7 +319,7 @@
 		}
 	}
 	l.jobs.Loaded()
-	for _, j := range sortedJobs(l.jobs) {
+	for _, j := range l.jobs.Sorted() {
 		if j.Phase == jobs.Cancelled {
 			l.stopAll(j)
 		}
@@ -457,8 +458,8 @@
 // suspect is called when most machines are silent: if a sibling lives, it may
 // hear them.
 func (l *lead) suspect() {
-	for n := range l.c.peers {
-		if l.c.reachable(n) {
+	for _, s := range l.c.set.Siblings {
+		if l.c.reachable(s.Node) {
 			l.c.elect.Resign(restAfter, "most machines are silent")
 			return
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -361,6 +361,24 @@
 // maxRent bounds the machines asked for in one request.
 const maxRent = 50
 
+func sortedPools(rent map[pool]int) []pool {
+	out := make([]pool, 0, len(rent))
+	for p := range rent {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		a, b := out[i], out[k]
+		if a.model != b.model {
+			return a.model < b.model
+		}
+		if a.site != b.site {
+			return a.site < b.site
+		}
+		return !a.standby && b.standby
+	})
+	return out
+}
+
 // size lays the waiting work out over what is there and what is coming, rents
 // what is missing, and returns what stays idle.
 func (m *Manager) size() {
@@ -405,7 +423,7 @@
 			site := ""
 			if s.Apart {
 				for z, k := range sites {
-					if k >= limit {
+					if k >= limit && "!"+z > site {
 						site = "!" + z // not this one
 					}
 				}
@@ -434,8 +452,8 @@
 		}
 	}
 	m.headroom(catalog, bins, open, now)
-	for p, n := range rent {
-		m.rent(p, n)
+	for _, p := range sortedPools(rent) {
+		m.rent(p, rent[p])
 	}
 	m.shrink(bins, now)
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sort"
 	"strings"
 	"time"
 
@@ -528,9 +529,19 @@
 	return nil
 }
 
+// Sorted returns the jobs in the order of arrival.
+func (tb *Table) Sorted() []*Job {
+	out := make([]*Job, 0, len(tb.Jobs))
+	for _, j := range tb.Jobs {
+		out = append(out, j)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Seq < out[k].Seq })
+	return out
+}
+
 // Loaded is called after the last Load: jobs that need nothing more go over.
 func (tb *Table) Loaded() {
-	for _, j := range tb.Jobs {
+	for _, j := range tb.Sorted() {
 		if j.Phase == Open && j.Spec.Shape == api.Batch && j.Done == len(j.Tasks) {
 			j.Phase = Done
 		}
--- /dev/null
+++ b/internal/standin/services.go
@@ -0,0 +1,339 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"opaldale/internal/cloud"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// store is the state service.
+type store struct {
+	w         *World
+	ledger    uint64
+	keys      map[string]*entry
+	leases    map[uint64]ident.Mono // when each ends
+	ttl       map[uint64]time.Duration
+	lastGrant uint64
+	watchers  []*watcher
+	news      []statesvc.News
+	downUntil ident.Mono
+	refuses   map[string]ident.Mono
+}
+
+type entry struct {
+	value json.RawMessage
+	stamp ident.Stamp
+	grant uint64
+}
+
+type watcher struct {
+	prefix string
+	since  uint64
+	reply  func(any)
+	done   bool
+}
+
+func newStore(w *World) *store {
+	s := &store{w: w, keys: map[string]*entry{}, leases: map[uint64]ident.Mono{}, ttl: map[uint64]time.Duration{},
+		refuses: map[string]ident.Mono{}}
+	w.at(0, s.expire)
+	return s
+}
+
+// expire ends leases; an outage gives each its full time again.
+func (s *store) expire() {
+	if s.w.now < s.downUntil {
+		for g := range s.leases {
+			s.leases[g] = s.downUntil.Add(s.ttl[g])
+		}
+	}
+	for _, g := range slices.Sorted(maps.Keys(s.leases)) {
+		if s.w.now > s.leases[g] {
+			s.end(g)
+		}
+	}
+	s.w.at(20*time.Millisecond, s.expire)
+}
+
+func (s *store) end(g uint64) {
+	delete(s.leases, g)
+	var gone []statesvc.Change
+	for k, e := range s.keys {
+		if e.grant == g {
+			gone = append(gone, statesvc.Change{Delete: k})
+		}
+	}
+	if len(gone) > 0 {
+		sort.Slice(gone, func(i, k int) bool { return gone[i].Delete < gone[k].Delete })
+		s.apply(gone)
+	}
+}
+
+func (s *store) apply(changes []statesvc.Change) {
+	s.ledger++
+	for _, c := range changes {
+		n := statesvc.News{Put: c.Put, Value: c.Value, Delete: c.Delete, Stamp: ident.Stamp(s.ledger)}
+		if c.Put != "" {
+			s.keys[c.Put] = &entry{c.Value, ident.Stamp(s.ledger), c.Grant}
+		} else {
+			delete(s.keys, c.Delete)
+		}
+		s.news = append(s.news, n)
+	}
+	for _, w := range s.watchers {
+		s.tell(w, false)
+	}
+}
+
+// tell answers a watcher that has news, or whose time is over.
+func (s *store) tell(w *watcher, over bool) {
+	if w.done {
+		return
+	}
+	out := statesvc.Reply{Outcome: statesvc.OK, Ledger: s.ledger}
+	for _, n := range s.news {
+		if uint64(n.Stamp) > w.since && (strings.HasPrefix(n.Put, w.prefix) && n.Put != "" || strings.HasPrefix(n.Delete, w.prefix) && n.Delete != "") {
+			out.News = append(out.News, n)
+		}
+	}
+	if len(out.News) > 0 || over {
+		w.done = true
+		w.reply(out)
+	}
+}
+
+func (s *store) serve(from string, r statesvc.Request, reply func(any)) {
+	if s.w.now < s.downUntil || s.w.now < s.refuses[from] {
+		reply(statesvc.Reply{Outcome: statesvc.Refused})
+		return
+	}
+	out := statesvc.Reply{Outcome: statesvc.OK, Ledger: s.ledger}
+	switch r.Op {
+	case statesvc.Get:
+		e := s.keys[r.Path]
+		if e == nil {
+			out.Outcome = statesvc.NotFound
+			break
+		}
+		out.Value, out.Stamp, out.Grant = e.value, e.stamp, e.grant
+	case statesvc.List:
+		var names []string
+		for k := range s.keys {
+			if strings.HasPrefix(k, r.Starts) && k > r.Since {
+				names = append(names, k)
+			}
+		}
+		sort.Strings(names)
+		for _, k := range names {
+			if len(out.Pairs) == 7 { // small pages, so that paging is tested
+				out.Truncated = true
+				break
+			}
+			out.Pairs = append(out.Pairs, statesvc.Pair{Path: k, Value: s.keys[k].value, Stamp: s.keys[k].stamp})
+		}
+	case statesvc.Txn:
+		out = s.txn(r)
+	case statesvc.Grant:
+		s.lastGrant++
+		s.ttl[s.lastGrant] = r.TTL
+		s.leases[s.lastGrant] = s.w.now.Add(r.TTL)
+		out.Grant = s.lastGrant
+	case statesvc.Extend:
+		if _, ok := s.leases[r.Grant]; !ok {
+			out.Outcome = statesvc.NotFound
+			break
+		}
+		s.leases[r.Grant] = s.w.now.Add(s.ttl[r.Grant])
+	case statesvc.Revoke:
+		if _, ok := s.leases[r.Grant]; ok {
+			s.end(r.Grant)
+		}
+	case statesvc.Follow:
+		w := &watcher{prefix: r.Starts, since: r.Ledger, reply: reply}
+		s.watchers = append(s.watchers, w)
+		s.tell(w, false)
+		s.w.at(r.Block, func() { s.tell(w, true) })
+		if len(s.watchers) > 100 {
+			s.watchers = s.watchers[50:]
+		}
+		return
+	}
+	reply(out)
+}
+
+func (s *store) txn(r statesvc.Request) statesvc.Reply {
+	if len(r.Then) > s.w.set.State.TxnOps || len(r.If) > 4*s.w.set.State.TxnOps {
+		s.w.broken("transaction over the limits: %d changes, %d conditions", len(r.Then), len(r.If))
+	}
+	size := 0
+	for _, c := range r.Then {
+		size += len(c.Value)
+		if float64(len(c.Value)) > s.w.set.State.ValueKB*1024 {
+			s.w.broken("value of %s over the limit: %d bytes", c.Put, len(c.Value))
+		}
+		if c.Put != "" && c.Grant != 0 {
+			if _, ok := s.leases[c.Grant]; !ok {
+				return statesvc.Reply{Outcome: statesvc.Bad, Error: "no such lease"}
+			}
+		}
+	}
+	if size > 64<<10 {
+		s.w.broken("transaction of %d bytes", size)
+	}
+	election := r.If[0].Path == "leader" && len(r.If) == 2 && r.If[1].Path == "term"
+	if s.w.cfg.Mutation != IgnoreStamps || election {
+		var failed []string
+		for _, c := range r.If {
+			var have ident.Stamp
+			if e := s.keys[c.Path]; e != nil {
+				have = e.stamp
+			}
+			if have != c.Stamp {
+				failed = append(failed, c.Path)
+			}
+		}
+		if failed != nil {
+			return statesvc.Reply{Outcome: statesvc.Conflict, Failed: failed, Ledger: s.ledger}
+		}
+	}
+	s.apply(r.Then)
+	return statesvc.Reply{Outcome: statesvc.OK, Ledger: s.ledger}
+}
+
+// provider is the cloud.
+type provider struct {
+	w         *World
+	models    []cloud.Model
+	machines  []*rented
+	hires     map[string][]ident.HostID
+	downUntil ident.Mono
+}
+
+type rented struct {
+	host    ident.HostID
+	site    string
+	standby bool
+	born    ident.Mono
+	up      ident.Mono // 0: not yet
+	gone    ident.Mono
+	never   bool
+}
+
+func newProvider(w *World) *provider {
+	return &provider{w: w, hires: map[string][]ident.HostID{}, models: []cloud.Model{{SKU: "m8", VCPUs: 8, MemoryGB: 32,
+		LocalGB: 4, PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 6, Sites: []string{"east", "west"}}}}
+}
+
+const capacity = 6 // of a zone and kind
+
+func (p *provider) serve(r cloud.Request, reply func(any)) {
+	w := p.w
+	if w.now < p.downUntil {
+		reply(cloud.Reply{Outcome: cloud.Refused})
+		return
+	}
+	out := cloud.Reply{Outcome: cloud.OK}
+	switch r.Op {
+	case cloud.Catalog:
+		out.Models = append(out.Models, p.models...)
+	case cloud.Rent:
+		if got, ok := p.hires[r.Hire]; ok {
+			out.Rented = got
+			break
+		}
+		have := 0
+		for _, m := range p.machines {
+			if m.gone == 0 && m.site == r.Site && m.standby == r.Standby {
+				have++
+			}
+		}
+		n := min(r.Number, capacity-have)
+		if n <= 0 {
+			reply(cloud.Reply{Outcome: cloud.NoCapacity})
+			return
+		}
+		for range n {
+			out.Rented = append(out.Rented, p.rent(r))
+		}
+		p.hires[r.Hire] = out.Rented
+	case cloud.Return:
+		for _, h := range r.Hosts {
+			for _, m := range p.machines {
+				if m.host == h {
+					p.take(m)
+				}
+			}
+		}
+	case cloud.List:
+		lag := time.Duration(w.rng.IntN(int(2*w.set.Cloud.ListLagS*1000))) * time.Millisecond
+		at := ident.Mono(max(0, w.now.Sub(0)-lag))
+		for _, m := range p.machines {
+			if m.host <= r.Since || m.born > at || m.gone > 0 && m.gone <= at {
+				continue
+			}
+			st := "booting"
+			if m.up > 0 && m.up <= at {
+				st = "running"
+			}
+			out.Listed = append(out.Listed, cloud.Listed{ID: m.host, Addr: string(m.host), Model: "m8", Site: m.site,
+				Standby: m.standby, Status: st, AgeS: at.Sub(m.born).Seconds()})
+		}
+	}
+	w.at(50*time.Millisecond, func() { reply(out) })
+}
+
+func (p *provider) rent(r cloud.Request) ident.HostID {
+	w := p.w
+	m := &rented{host: ident.HostID(fmt.Sprintf("host-%06d", len(p.machines)+1)), site: r.Site, standby: r.Standby, born: w.now,
+		never: w.rng.IntN(40) == 0}
+	p.machines = append(p.machines, m)
+	boot := time.Duration(3000+w.rng.IntN(6000)) * time.Millisecond
+	if w.rng.IntN(15) == 0 {
+		boot *= 4
+	}
+	if !m.never {
+		w.at(boot, func() {
+			if m.gone == 0 {
+				m.up = w.now
+				newWorker(w, m)
+			}
+		})
+	}
+	return m.host
+}
+
+// take ends a machine with all that is on it.
+func (p *provider) take(m *rented) {
+	if m.gone != 0 {
+		return
+	}
+	m.gone = p.w.now
+	if k := p.w.workers[m.host]; k != nil {
+		k.dead = true
+		delete(p.w.workers, m.host)
+	}
+}
+
+// wave takes back a share of the spot machines, with notice or without.
+func (p *provider) wave(share float64) {
+	p.w.logf("spot wave")
+	for _, m := range p.machines {
+		if m.gone != 0 || !m.standby || p.w.rng.Float64() > share {
+			continue
+		}
+		d := time.Duration(0)
+		if k := p.w.workers[m.host]; k != nil && p.w.rng.IntN(3) > 0 {
+			d = time.Duration(4+p.w.rng.IntN(8)) * time.Second
+			k.doom(d)
+		}
+		p.w.at(d, func() { p.take(m) })
+	}
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,249 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/mesh"
+)
+
+// userJob is a job with its user, who remembers what it was told.
+type userJob struct {
+	spec       api.Spec
+	runs       time.Duration
+	done       []bool
+	sent       bool
+	accepted   bool
+	told       string
+	cancelSent ident.Mono
+	cancelTold ident.Mono
+}
+
+func jobOf(key string) (ident.JobID, bool) {
+	s, ok := strings.CutPrefix(key, jobs.LivePrefix)
+	return ident.JobID(s), ok && !strings.Contains(s, "/")
+}
+
+// arrive submits jobs, more at the start.
+func (w *World) arrive() {
+	if w.now > ident.Mono(w.cfg.Length) {
+		return
+	}
+	w.newJob()
+	d := time.Duration(500+w.rng.IntN(14_000)) * time.Millisecond
+	if w.nextJob < 5 {
+		d = 10 * time.Millisecond
+	}
+	w.at(d, w.arrive)
+}
+
+func (w *World) newJob() {
+	w.nextJob++
+	r := w.rng
+	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Lane: "lane", Desk: w.set.Teams[r.IntN(3)].Name,
+		Shape: api.Batch, Rank: api.Standard, Pieces: 1 + r.IntN(6), VCPUs: float64(1 + r.IntN(4)), MemoryGB: 2,
+		Bundle: fmt.Sprintf("img-%d", r.IntN(3)), ImageGB: 1.5, Standby: r.IntN(3) > 0, RuntimeS: 20}
+	switch r.IntN(6) {
+	case 0:
+		s.OneZone = true
+		s.Pieces = min(s.Pieces, 3)
+	case 1:
+		s.Apart = true
+	case 2:
+		z := w.set.Zones[r.IntN(2)]
+		s.Site = &z
+	}
+	if r.IntN(3) == 0 {
+		s.Shape, s.Rank, s.Standby, s.RuntimeS = api.Service, api.Critical, false, 0
+		s.Pieces = 1 + r.IntN(2)
+		s.VCPUs = 1
+	}
+	if r.IntN(40) == 0 {
+		s.Pieces, s.VCPUs = 200, 0.1 // more than a header holds
+		s.Shape, s.Rank, s.OneZone = api.Batch, api.Standard, false
+	}
+	j := &userJob{spec: s, runs: time.Duration(2000+r.IntN(40_000)) * time.Millisecond, done: make([]bool, s.Pieces)}
+	w.jobs[s.ID] = j
+	w.order = append(w.order, s.ID)
+	w.submit(j, w.now.Add(60*time.Second))
+	if r.IntN(3) == 0 || s.Shape == api.Service && r.IntN(2) == 0 {
+		w.at(time.Duration(r.IntN(80_000))*time.Millisecond, func() {
+			if j.accepted {
+				j.cancelSent = w.now
+				w.cancel(j)
+			}
+		})
+	}
+}
+
+// some returns a node that accepts connections, if there is one.
+func (w *World) some() *node {
+	for range 3 {
+		if n := w.nodes[w.rng.IntN(3)]; n.alive {
+			return n
+		}
+	}
+	return w.nodes[0]
+}
+
+func (w *World) submit(j *userJob, until ident.Mono) {
+	j.sent = true
+	w.request("users", w.some(), mesh.Submit, "", api.JSON(j.spec), 5*time.Second, func(r *controller.Reply) {
+		if r != nil && (r.Status == 200 || r.Status == 201) {
+			if !j.accepted {
+				j.accepted = true
+				w.poll(j)
+			}
+			w.hear(j, r)
+			if w.rng.IntN(6) == 0 { // asked again, much later
+				w.at(time.Duration(w.rng.IntN(60_000))*time.Millisecond, func() { w.submit(j, 0) })
+			}
+			return
+		}
+		if r != nil && (r.Status == 400 || r.Status == 422) {
+			w.broken("%s: a submission that is in order got %d %s", j.spec.ID, r.Status, r.Body)
+		}
+		if w.now < until {
+			w.at(time.Second, func() { w.submit(j, until) })
+		}
+	})
+}
+
+func (w *World) poll(j *userJob) {
+	w.request("users", w.some(), mesh.Poll, string(j.spec.ID), nil, 2*time.Second, func(r *controller.Reply) {
+		if r != nil {
+			if r.Status == 404 {
+				w.broken("forgotten: %s got 404", j.spec.ID)
+			}
+			if r.Status == 200 {
+				w.hear(j, r)
+			}
+		}
+		w.at(4*time.Second+time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { w.poll(j) })
+	})
+	if w.rng.IntN(20) == 0 {
+		id := fmt.Sprintf("j-9%05d", w.rng.IntN(1000))
+		w.request("users", w.some(), mesh.Poll, id, nil, 2*time.Second, func(r *controller.Reply) {
+			if r != nil && r.Status == 200 {
+				w.broken("invented: %s got 200", id)
+			}
+		})
+	}
+}
+
+func (w *World) cancel(j *userJob) {
+	w.request("users", w.some(), mesh.Cancel, string(j.spec.ID), nil, 5*time.Second, func(r *controller.Reply) {
+		if r != nil && r.Status == 200 {
+			w.hear(j, r)
+			return
+		}
+		if r != nil && r.Status == 404 {
+			w.broken("forgotten: cancelling %s got 404", j.spec.ID)
+		}
+		w.at(time.Second, func() { w.cancel(j) })
+	})
+}
+
+// hear checks an answer against what the user knows.
+func (w *World) hear(j *userJob, r *controller.Reply) {
+	var v api.View
+	if err := json.Unmarshal(r.Body, &v); err != nil || v.ID != j.spec.ID {
+		w.broken("%s: unreadable answer %s", j.spec.ID, r.Body)
+		return
+	}
+	final := v.Status == "done" || v.Status == "cancelled"
+	if (j.told == "done" || j.told == "cancelled") && v.Status != j.told {
+		w.broken("went_back: %s was %s, is %s", j.spec.ID, j.told, v.Status)
+	}
+	if v.Status == "cancelled" && j.cancelSent == 0 {
+		w.broken("went_back: %s was not cancelled by its user", j.spec.ID)
+	}
+	if v.Status == "done" {
+		for i, d := range j.done {
+			if !d {
+				w.broken("not_done: %s is called done, task %d is not", j.spec.ID, i)
+				break
+			}
+		}
+	}
+	if v.Status == "cancelled" && j.cancelTold == 0 {
+		j.cancelTold = w.now
+		limit := time.Duration(w.set.Workers.CancelS * float64(time.Second))
+		w.at(limit+time.Millisecond, func() {
+			for _, k := range w.sortedWorkers() {
+				if k.w.now < k.hung && k.w.now.Sub(k.leaseAt).Seconds() > w.set.Workers.LeaseS {
+					continue // over with its lease, though the machine hasn't noticed
+				}
+				if k.count(j.spec.ID) > 0 {
+					w.broken("ran_cancelled: %s is still on %s", j.spec.ID, k.host)
+				}
+			}
+		})
+	}
+	if final || j.told == "" || !finalStatus(j.told) {
+		j.told = v.Status
+	}
+}
+
+func finalStatus(s string) bool { return s == "done" || s == "cancelled" }
+
+// started checks the rules at the start of a task on k.
+func (w *World) started(k *worker, p *piece) {
+	w.Starts++
+	j := w.jobs[p.id.Job]
+	s := &j.spec
+	cpus := 0.0
+	zones := map[string]int{}
+	for _, o := range w.sortedWorkers() {
+		if o.dead || w.now.Sub(o.leaseAt).Seconds() > w.set.Workers.LeaseS {
+			continue // its lease is over; it will notice when it goes on
+		}
+		for _, tries := range o.pieces {
+			for _, q := range tries {
+				if q == p || !q.onMachine() {
+					continue
+				}
+				if q.id == p.id && o != k {
+					w.broken("ran_twice: %s starts on %s (try %d) while on %s (try %d)", p.id, k.host, p.try, o.host, q.try)
+				}
+				t := w.jobs[q.id.Job]
+				if t.spec.Desk == s.Desk {
+					cpus += t.spec.VCPUs
+				}
+				if q.id.Job == p.id.Job {
+					zones[o.m.site]++
+				}
+			}
+		}
+	}
+	for _, t := range w.set.Teams {
+		if t.Name == s.Desk && cpus+s.VCPUs > t.CPUsMax+1e-6 {
+			w.broken("quota: %s uses %v of %v with %s", t.Name, cpus+s.VCPUs, t.CPUsMax, p.id)
+		}
+	}
+	site := k.m.site
+	switch {
+	case s.Site != nil && *s.Site != site:
+		w.broken("wrong_place: %s in %s", p.id, site)
+	case k.m.standby && !s.Standby:
+		w.broken("wrong_place: %s on a spot machine", p.id)
+	case s.Apart && zones[site]+1 > (s.Pieces+1)/2:
+		w.broken("wrong_place: %s is one of %d in %s", p.id, zones[site]+1, site)
+	}
+	if s.OneZone {
+		for z, n := range zones {
+			if z != site && n > 0 {
+				w.broken("wrong_place: %s in %s, others in %s", p.id, site, z)
+			}
+		}
+	}
+	if j.cancelTold > 0 && w.now.Sub(j.cancelTold).Seconds() > w.set.Workers.CancelS {
+		w.broken("ran_cancelled: %s starts", p.id)
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,324 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/mesh"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+// worker is a machine's worker.
+type worker struct {
+	w       *World
+	m       *rented
+	host    ident.HostID
+	dead    bool
+	hung    ident.Mono
+	tenure  ident.Tenure
+	serial  ident.Serial
+	epoch   ident.Epoch
+	leaseAt ident.Mono
+	doomed  ident.Mono
+	node    int
+	pieces  map[ident.Piece]map[ident.Try]*piece
+	images  map[string]bool
+	flying  bool // a report is under way
+	last    ident.Mono
+	faulty  bool
+}
+
+type piece struct {
+	id     ident.Piece
+	try    ident.Try
+	status api.PieceStatus
+	cause  api.Cause
+	gen    int
+}
+
+func newWorker(w *World, m *rented) *worker {
+	k := &worker{w: w, m: m, host: m.host, tenure: 1, leaseAt: w.now, node: w.rng.IntN(3),
+		pieces: map[ident.Piece]map[ident.Try]*piece{}, images: map[string]bool{}, faulty: w.cfg.Faults && w.rng.IntN(25) == 0}
+	w.workers[m.host] = k
+	k.tick()
+	return k
+}
+
+// when runs f once the machine doesn't hang.
+func (k *worker) when(f func()) {
+	if k.dead {
+		return
+	}
+	if k.w.now < k.hung {
+		k.w.at(k.hung.Sub(k.w.now)+time.Millisecond, func() { k.when(f) })
+		return
+	}
+	k.lease()
+	f()
+}
+
+func (k *worker) hang(d time.Duration) {
+	k.w.logf("%s hangs for %v", k.host, d)
+	k.hung = max(k.hung, k.w.now.Add(d))
+}
+
+func (k *worker) doom(d time.Duration) { k.doomed = k.w.now.Add(d) }
+
+// lease ends the session when its time is over.
+func (k *worker) lease() {
+	if k.w.now.Sub(k.leaseAt) > time.Duration(k.w.set.Workers.LeaseS*float64(time.Second)) {
+		k.w.logf("%s: lease over", k.host)
+		k.pieces = map[ident.Piece]map[ident.Try]*piece{}
+		k.images = map[string]bool{}
+		k.tenure++
+		k.serial = 0
+		k.leaseAt = k.w.now
+	}
+}
+
+// tick reports now and then.
+func (k *worker) tick() {
+	if k.dead {
+		return
+	}
+	k.when(func() {
+		if !k.flying && k.w.now.Sub(k.last) >= time.Duration(k.w.set.Workers.ReportS*900)*time.Millisecond {
+			k.report()
+		}
+	})
+	k.w.at(250*time.Millisecond, k.tick)
+}
+
+// changed brings the next report forward.
+func (k *worker) changed() { k.last = min(k.last, k.w.now.Add(-2500*time.Millisecond)) }
+
+func (k *worker) message() *api.Report {
+	k.serial++
+	r := &api.Report{Host: k.host, Addr: string(k.host), Model: "m8", Site: k.m.site, Standby: k.m.standby,
+		Tenure: k.tenure, Serial: k.serial, Epoch: k.epoch}
+	if k.doomed > 0 {
+		s := k.doomed.Sub(k.w.now).Seconds()
+		r.WarningS = &s
+	}
+	for _, tries := range k.pieces {
+		for _, p := range tries {
+			r.Pieces = append(r.Pieces, api.PieceReport{Piece: p.id, Try: p.try, Status: p.status, Cause: p.cause})
+		}
+	}
+	slices.SortFunc(r.Pieces, func(a, b api.PieceReport) int {
+		return cmp.Or(cmp.Compare(a.Piece.Job, b.Piece.Job), cmp.Compare(a.Piece.Index, b.Piece.Index), cmp.Compare(a.Try, b.Try))
+	})
+	return r
+}
+
+func (k *worker) report() {
+	k.flying = true
+	k.last = k.w.now
+	sent, tenure := k.w.now, k.tenure
+	n := k.w.nodes[k.node]
+	k.w.request(string(k.host), n, mesh.Checkin, "", api.JSON(k.message()), 4*time.Second, func(r *controller.Reply) {
+		if k.dead {
+			return
+		}
+		// A hanging machine comes back to the answer later.
+		k.when(func() {
+			if r != nil && r.Status == 200 && k.w.now.Sub(sent) <= 4*time.Second {
+				k.flying = false
+				var o api.Orders
+				if json.Unmarshal(r.Body, &o) != nil || tenure != k.tenure || !k.entitled(o.Epoch) {
+					return
+				}
+				k.leaseAt = sent
+				k.obey(o.Orders)
+				return
+			}
+			if r != nil && r.Status == 421 {
+				var home struct {
+					Home string `json:"home"`
+				}
+				json.Unmarshal(r.Body, &home)
+				for i, o := range k.w.nodes {
+					if o.name == home.Home && i != k.node {
+						k.node = i
+						k.flying = false
+						k.last = 0
+						return
+					}
+				}
+			}
+			k.w.at(time.Second, func() {
+				k.node = (k.node + 1) % len(k.w.nodes)
+				k.flying = false
+				k.last = 0
+			})
+		})
+	})
+}
+
+// entitled checks and notes a token.
+func (k *worker) entitled(e ident.Epoch) bool {
+	if e < k.epoch && k.w.cfg.Mutation != IgnoreEpochs {
+		return false
+	}
+	if e > k.epoch {
+		k.epoch = e
+		k.changed()
+	}
+	return true
+}
+
+func (k *worker) commands(c api.Commands, reply func(any)) {
+	if c.Tenure != k.tenure || !k.entitled(c.Epoch) {
+		reply(workers.Answer{Status: 409, Report: k.message()})
+		return
+	}
+	k.obey(c.Orders)
+	reply(workers.Answer{Status: 200, Report: k.message()})
+}
+
+func (k *worker) obey(orders []api.Order) {
+	for _, o := range orders {
+		p := k.pieces[o.Piece][o.Try]
+		switch o.Verb {
+		case api.Launch:
+			if p == nil {
+				k.launch(o.Piece, o.Try)
+			}
+		case api.Kill:
+			if p != nil && p.status != api.Ended {
+				k.end(p, api.CauseStopped)
+			}
+		case api.Clear:
+			if p != nil && p.status == api.Ended {
+				delete(k.pieces[o.Piece], o.Try)
+				if len(k.pieces[o.Piece]) == 0 {
+					delete(k.pieces, o.Piece)
+				}
+			}
+		}
+		k.changed()
+	}
+}
+
+func (k *worker) end(p *piece, c api.Cause) {
+	p.status, p.cause = api.Ended, c
+	p.gen++
+	k.changed()
+}
+
+func (k *worker) launch(id ident.Piece, try ident.Try) {
+	p := &piece{id: id, try: try, status: api.Pulling}
+	busy := false
+	cpus := 0.0
+	for _, tries := range k.pieces {
+		for _, o := range tries {
+			if o.status != api.Ended {
+				cpus += k.w.jobs[o.id.Job].spec.VCPUs
+				busy = busy || o.id == id
+			}
+		}
+	}
+	if k.pieces[id] == nil {
+		k.pieces[id] = map[ident.Try]*piece{}
+	}
+	k.pieces[id][try] = p
+	j := k.w.jobs[id.Job]
+	switch {
+	case j == nil || id.Index >= j.spec.Pieces:
+		k.end(p, api.CauseUnknown)
+	case busy:
+		k.end(p, api.CauseBusy)
+	case cpus+j.spec.VCPUs > k.w.cloud.models[0].VCPUs:
+		k.end(p, api.CauseFull)
+	default:
+		d := time.Millisecond
+		if !k.images[j.spec.Bundle] {
+			d = time.Duration(500+k.w.rng.IntN(3000)) * time.Millisecond
+		}
+		k.step(p, d, func() {
+			k.images[j.spec.Bundle] = true
+			p.status = api.Running
+			k.changed()
+			k.w.started(k, p)
+			if j.done[id.Index] {
+				k.step(p, time.Millisecond, func() { k.end(p, api.CauseDone) })
+				return
+			}
+			if k.faulty {
+				k.step(p, time.Second, func() { k.end(p, api.CauseError) })
+				return
+			}
+			if j.spec.Shape == api.Batch {
+				k.step(p, j.runs, func() {
+					j.done[id.Index] = true
+					k.end(p, api.CauseDone)
+				})
+			}
+		})
+	}
+}
+
+// step does something with a task later, unless it or its session ends before.
+func (k *worker) step(p *piece, d time.Duration, f func()) {
+	gen, tenure := p.gen, k.tenure
+	k.w.at(d, func() {
+		k.when(func() {
+			if !k.dead && k.tenure == tenure && p.gen == gen && p.status != api.Ended {
+				f()
+			}
+		})
+	})
+}
+
+// count returns how many tasks of a job are on the machine.
+func (k *worker) count(id ident.JobID) int {
+	n := 0
+	for p, tries := range k.pieces {
+		for _, o := range tries {
+			if p.Job == id && o.onMachine() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// onMachine is the protocol's word: from the image until the exit.
+func (p *piece) onMachine() bool { return p.status == api.Running || p.status == api.Flushing }
+
+// launchPlaced is the mutation that launches what a transaction is only about to
+// make durable.
+func (w *World) launchPlaced(from string, r statesvc.Request) {
+	for _, c := range r.Then {
+		var v struct {
+			Tasks []struct {
+				Try    ident.Try    `json:"t"`
+				Host   ident.HostID `json:"h"`
+				Tenure ident.Tenure `json:"n"`
+			} `json:"tasks"`
+		}
+		id, ok := jobOf(c.Put)
+		if !ok || json.Unmarshal(c.Value, &v) != nil {
+			continue
+		}
+		for i, t := range v.Tasks {
+			k := w.workers[t.Host]
+			if k == nil {
+				continue
+			}
+			w.deliver(from, string(t.Host), func() {
+				k.when(func() {
+					if k.tenure == t.Tenure && k.pieces[ident.Piece{Job: id, Index: i}][t.Try] == nil {
+						k.launch(ident.Piece{Job: id, Index: i}, t.Try)
+					}
+				})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,491 @@
+// Package standin is a small world for tests, written from the protocol: a state
+// service, a cloud, workers, users and a network with cuts, losses and late
+// deliveries, all in simulated time and from a seed. It checks every rule at
+// every step.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/mesh"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+// Mutation switches off one of the safeguards, to show that the checks notice.
+type Mutation uint8
+
+// The mutations.
+const (
+	None         Mutation = iota
+	LaunchFirst           // launches are sent before the placement is durable
+	IgnoreEpochs          // workers carry out commands with any token
+	IgnoreStamps          // transactions are carried out whatever their stamps
+)
+
+// Config sets a run up.
+type Config struct {
+	Seed     uint64
+	Mutation Mutation
+	Faults   bool
+	Length   time.Duration // of the part with faults and arrivals
+}
+
+// World is one run.
+type World struct {
+	cfg   Config
+	rng   *rand.Rand
+	now   ident.Mono
+	queue eventHeap
+	seq   uint64
+
+	set     settings.Cluster
+	nodes   []*node
+	store   *store
+	cloud   *provider
+	workers map[ident.HostID]*worker
+	jobs    map[ident.JobID]*userJob
+	order   []ident.JobID
+	cuts    map[[2]string]*cut
+	nextJob int
+
+	// Broken lists the rules broken, in words; Log what happened.
+	Broken []string
+	Log    []string
+	Starts int
+}
+
+type event struct {
+	at  ident.Mono
+	seq uint64
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, k int) bool {
+	return h[i].at < h[k].at || h[i].at == h[k].at && h[i].seq < h[k].seq
+}
+func (h eventHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// New makes a world of three controllers in two zones.
+func New(cfg Config) *World {
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), workers: map[ident.HostID]*worker{},
+		jobs: map[ident.JobID]*userJob{}, cuts: map[[2]string]*cut{}}
+	w.set = settings.Cluster{
+		Nodes: 3, Zones: []string{"east", "west"}, TimeBoundMS: 200,
+		Teams: []settings.Team{{Name: "red", CPUs: 12, CPUsMax: 28}, {Name: "blue", CPUs: 8, CPUsMax: 20},
+			{Name: "grey", CPUs: 0, CPUsMax: 16}},
+		Workers:   settings.Workers{ReportS: 3, LeaseS: 20, CancelS: 42},
+		State:     settings.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16},
+		Cloud:     settings.Cloud{RPS: 5, ListLagS: 4},
+		Resources: settings.Resources{Cores: 1, MemoryMB: 256, Sockets: 1000},
+	}
+	w.store = newStore(w)
+	w.cloud = newProvider(w)
+	for i := range 3 {
+		n := &node{w: w, name: fmt.Sprintf("agent-%d", i), zone: w.set.Zones[i%2]}
+		w.nodes = append(w.nodes, n)
+	}
+	for _, n := range w.nodes {
+		n.start()
+	}
+	return w
+}
+
+func (w *World) at(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, f})
+}
+
+func (w *World) logf(format string, a ...any) {
+	w.Log = append(w.Log, fmt.Sprintf("%8.3f ", w.now.Sub(0).Seconds())+fmt.Sprintf(format, a...))
+}
+
+func (w *World) broken(format string, a ...any) {
+	w.logf("BROKEN: "+format, a...)
+	w.Broken = append(w.Broken, fmt.Sprintf("%.3f: ", w.now.Sub(0).Seconds())+fmt.Sprintf(format, a...))
+}
+
+// Run plays the world: cfg.Length with arrivals and faults, then a while of calm
+// in which everything must come to its end.
+func (w *World) Run() {
+	w.arrive()
+	if w.cfg.Faults {
+		w.at(10*time.Second, w.fault)
+	}
+	end := ident.Mono(w.cfg.Length + calm)
+	for len(w.queue) > 0 && len(w.Broken) == 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > end {
+			break
+		}
+		w.now = e.at
+		e.run()
+	}
+	if len(w.Broken) == 0 {
+		w.finish()
+	}
+}
+
+const calm = 260 * time.Second
+
+// finish checks that nothing was left undone.
+func (w *World) finish() {
+	for _, id := range w.order {
+		j := w.jobs[id]
+		switch {
+		case !j.accepted:
+		case j.told == "cancelled" || j.told == "done":
+		case j.cancelSent > 0:
+			w.broken("%s: its cancellation was never confirmed", id)
+		case j.spec.Shape == api.Batch:
+			w.broken("%s: never done, last told %q", id, j.told)
+		default:
+			n := 0
+			for _, k := range w.workers {
+				n += k.count(id)
+			}
+			if n != j.spec.Pieces {
+				w.broken("%s: %d of %d replicas run", id, n, j.spec.Pieces)
+			}
+		}
+	}
+}
+
+// cut is a broken link.
+type cut struct {
+	hold bool
+	held []func()
+}
+
+// deliver carries something from one party to another: after a short time, after
+// a long one, or never.
+func (w *World) deliver(from, to string, f func()) {
+	if c := w.cut(from, to); c != nil {
+		if c.hold {
+			c.held = append(c.held, f)
+		}
+		return
+	}
+	d := time.Duration(200+w.rng.IntN(3000)) * time.Microsecond
+	if w.cfg.Faults && w.rng.IntN(200) == 0 {
+		if w.rng.IntN(2) == 0 {
+			return
+		}
+		d = time.Duration(w.rng.IntN(30_000)) * time.Millisecond
+	}
+	w.at(d, f)
+}
+
+func (w *World) cut(a, b string) *cut {
+	for _, k := range [][2]string{{a, b}, {b, a}, {a, "*"}, {b, "*"}} {
+		if c := w.cuts[k]; c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// sever breaks a link for a while; what was held is then delivered in order.
+func (w *World) sever(a, b string, hold bool, d time.Duration) {
+	k := [2]string{a, b}
+	if w.cuts[k] != nil {
+		return
+	}
+	w.logf("cut %s from %s, hold=%v, for %v", a, b, hold, d)
+	c := &cut{hold: hold}
+	w.cuts[k] = c
+	w.at(d, func() {
+		delete(w.cuts, k)
+		w.logf("link %s %s heals", a, b)
+		for i, f := range c.held {
+			w.at(time.Duration(i)*time.Microsecond, f)
+		}
+	})
+}
+
+// call is a request with its answer; exec may answer at any time. done gets nil
+// without an answer in time.
+func (w *World) call(from, to string, limit time.Duration, exec func(reply func(any)), done func(any)) {
+	over := false
+	finish := func(a any) {
+		if !over {
+			over = true
+			done(a)
+		}
+	}
+	w.at(limit, func() { finish(nil) })
+	w.deliver(from, to, func() {
+		exec(func(a any) { w.deliver(to, from, func() { finish(a) }) })
+	})
+}
+
+// node is a controller's machine; its process comes and goes.
+type node struct {
+	w     *World
+	name  string
+	zone  string
+	ctl   *controller.Controller
+	life  int // counts the processes
+	alive bool
+}
+
+func (n *node) start() {
+	n.life++
+	n.alive = true
+	set := &settings.Settings{Node: ident.NodeID(n.name), Zone: n.zone, Cluster: n.w.set, Tuning: settings.DefaultTuning()}
+	for _, o := range n.w.nodes {
+		if o != n {
+			set.Siblings = append(set.Siblings, settings.Sibling{Node: ident.NodeID(o.name), Zone: o.zone})
+		}
+	}
+	if len(set.Siblings) == 0 {
+		for i := range 3 {
+			if name := fmt.Sprintf("agent-%d", i); name != n.name {
+				set.Siblings = append(set.Siblings, settings.Sibling{Node: ident.NodeID(name)})
+			}
+		}
+	}
+	e := &nodeEnv{n: n, life: n.life, start: n.w.now, rate: 1 + (n.w.rng.Float64()-0.5)*0.001}
+	n.ctl = controller.New(e, set, rand.New(rand.NewPCG(n.w.rng.Uint64(), 1)))
+	n.ctl.Start()
+	n.ctl.Settle()
+}
+
+func (n *node) kill(back time.Duration) {
+	if !n.alive {
+		return
+	}
+	n.w.logf("%s is killed, back in %v", n.name, back)
+	n.alive = false
+	n.life++
+	n.w.at(back, n.start)
+}
+
+// nodeEnv is the world as one process sees it.
+type nodeEnv struct {
+	n     *node
+	life  int
+	start ident.Mono
+	rate  float64 // of its steady clock
+}
+
+func (e *nodeEnv) w() *World { return e.n.w }
+
+func (e *nodeEnv) Now() ident.Mono {
+	return ident.Mono(float64(e.w().now-e.start) * e.rate)
+}
+
+func (e *nodeEnv) WallMS() int64 { return 1_700_000_000_000 + e.w().now.Sub(0).Milliseconds() }
+
+// in runs f if the process still lives.
+func (e *nodeEnv) in(f func()) func() {
+	return func() {
+		if e.n.alive && e.n.life == e.life {
+			f()
+			e.n.ctl.Settle()
+		}
+	}
+}
+
+func (e *nodeEnv) After(d time.Duration, f func()) {
+	e.w().at(max(0, time.Duration(float64(d)/e.rate)+time.Microsecond), e.in(f))
+}
+
+func (e *nodeEnv) State(r statesvc.Request, f func(statesvc.Reply)) {
+	w := e.w()
+	send := func() {
+		w.call(e.n.name, "state", r.Timeout, func(reply func(any)) { w.store.serve(e.n.name, r, reply) }, func(a any) {
+			e.in(func() {
+				if a == nil {
+					f(statesvc.Reply{Outcome: statesvc.Lost})
+				} else {
+					f(a.(statesvc.Reply))
+				}
+			})()
+		})
+	}
+	if w.cfg.Mutation == LaunchFirst && r.Op == statesvc.Txn && r.If[0].Path == "leader" && r.If[0].Stamp != 0 {
+		w.launchPlaced(e.n.name, r)
+		w.at(400*time.Millisecond, e.in(send))
+		return
+	}
+	send()
+}
+
+func (e *nodeEnv) Cloud(r cloud.Request, f func(cloud.Reply)) {
+	w := e.w()
+	w.call(e.n.name, "cloud", 4*time.Second, func(reply func(any)) { w.cloud.serve(r, reply) }, func(a any) {
+		e.in(func() {
+			if a == nil {
+				f(cloud.Reply{Outcome: cloud.Lost})
+			} else {
+				f(a.(cloud.Reply))
+			}
+		})()
+	})
+}
+
+func (e *nodeEnv) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+	w := e.w()
+	k := w.workers[ident.HostID(addr)]
+	if k == nil {
+		w.at(0, e.in(func() { f(workers.Answer{}) }))
+		return
+	}
+	w.call(e.n.name, addr, 2*time.Second, func(reply func(any)) { k.when(func() { k.commands(c, reply) }) }, func(a any) {
+		e.in(func() {
+			if a == nil {
+				f(workers.Answer{})
+			} else {
+				f(a.(workers.Answer))
+			}
+		})()
+	})
+}
+
+func (e *nodeEnv) Mesh(to ident.NodeID, f *mesh.Frame) {
+	w := e.w()
+	for _, o := range w.nodes {
+		if o.name != string(to) {
+			continue
+		}
+		// Through the wire format, as between processes.
+		g, err := mesh.Decode(f.Append(nil)[4:])
+		if err != nil {
+			panic(err)
+		}
+		life := o.life
+		w.deliver(e.n.name, o.name, func() {
+			if o.alive && o.life == life {
+				o.ctl.Frame(ident.NodeID(e.n.name), g)
+				o.ctl.Settle()
+			}
+		})
+	}
+}
+
+// request is a request of a user or a worker to a node.
+func (w *World) request(from string, n *node, v mesh.Verb, job string, body []byte, limit time.Duration, done func(*controller.Reply)) {
+	if !n.alive {
+		w.at(time.Millisecond, func() { done(nil) })
+		return
+	}
+	life := n.life
+	w.call(from, n.name, limit, func(reply func(any)) {
+		if !n.alive || n.life != life {
+			return
+		}
+		n.ctl.Request(v, job, body, func(r controller.Reply) { reply(&r) })
+		n.ctl.Settle()
+	}, func(a any) {
+		if a == nil {
+			done(nil)
+		} else {
+			done(a.(*controller.Reply))
+		}
+	})
+}
+
+// fault lets something go wrong, again and again until the calm.
+func (w *World) fault() {
+	if w.now > ident.Mono(w.cfg.Length) {
+		return
+	}
+	sec := func(a, b int) time.Duration { return time.Duration(a+w.rng.IntN(b-a)) * time.Second }
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	for _, o := range w.nodes {
+		if o.alive && o.ctl.Election().Valid() && w.rng.IntN(2) == 0 {
+			n = o
+		}
+	}
+	hold := w.rng.IntN(2) == 0
+	back := sec(2, 8)
+	if w.rng.IntN(3) == 0 {
+		back = 200 * time.Millisecond
+	}
+	k := w.anyWorker()
+	switch w.rng.IntN(14) {
+	case 0, 1:
+		n.kill(back)
+	case 2:
+		for _, o := range w.nodes {
+			o.kill(back)
+		}
+	case 3:
+		w.logf("state service down")
+		w.store.downUntil = w.now.Add(sec(3, 30))
+	case 4:
+		w.sever(n.name, "state", hold, sec(2, 20))
+	case 5:
+		w.sever(n.name, "*", hold, sec(3, 30))
+	case 6:
+		for _, o := range w.nodes {
+			if o != n {
+				w.sever(n.name, o.name, hold, sec(3, 20))
+			}
+		}
+	case 7:
+		for _, k := range w.sortedWorkers() {
+			w.sever(n.name, string(k.host), hold, 15*time.Second)
+		}
+	case 8, 9:
+		if k != nil {
+			w.sever(string(k.host), "*", hold, sec(3, 50))
+		}
+	case 10:
+		if k != nil {
+			k.hang(sec(3, 40))
+		}
+	case 11:
+		w.cloud.wave(0.5)
+	case 12:
+		w.logf("state service refuses %s", n.name)
+		w.store.refuses[n.name] = w.now.Add(sec(3, 20))
+	case 13:
+		w.logf("cloud trouble")
+		w.cloud.downUntil = w.now.Add(sec(3, 20))
+	}
+	w.at(time.Duration(1000+w.rng.IntN(14000))*time.Millisecond, w.fault)
+}
+
+func (w *World) sortedWorkers() []*worker {
+	out := make([]*worker, 0, len(w.workers))
+	for _, k := range w.workers {
+		out = append(out, k)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].host < out[k].host })
+	return out
+}
+
+func (w *World) anyWorker() *worker {
+	all := w.sortedWorkers()
+	if len(all) == 0 {
+		return nil
+	}
+	return all[w.rng.IntN(len(all))]
+}
+
+// Tail returns the end of the log.
+func (w *World) Tail(n int) string {
+	return strings.Join(w.Log[max(0, len(w.Log)-n):], "\n")
+}
