Let idle machines fetch for jobs whose holders they can't use; silent fleets don't end every term

Now a leader resigns only if it hears no sibling either; through one, workers would have reached it.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -80,7 +80,7 @@
 	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
-		Suspect: l.suspect,
+		Reached: l.reached,
 		Drain:   l.drain,
 		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
 	})
@@ -455,15 +455,20 @@
 	}
 }
 
-// suspect is called when most machines are silent: if a sibling lives, it may
-// hear them.
-func (l *lead) suspect() {
+// reached says whether a sibling is heard, which would pass workers' reports on.
+// A leader that hears neither workers nor siblings leaves the lead to one that
+// may.
+func (l *lead) reached() bool {
 	for _, s := range l.c.set.Siblings {
 		if l.c.reachable(s.Node) {
-			l.c.elect.Resign(restAfter, "most machines are silent")
-			return
+			return true
 		}
 	}
+	if len(l.c.set.Siblings) == 0 {
+		return true
+	}
+	l.c.elect.Resign(restAfter, "neither machines nor siblings are heard")
+	return false
 }
 
 // failed decides when and where a task that ended early is tried again.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,9 +46,9 @@
 	Cloud   settings.Cloud
 	Workers settings.Workers
 	Catalog func() []cloud.Model
-	// Suspect is called when so much of the fleet is silent that the fault is
-	// more likely ours.
-	Suspect func()
+	// Reached is asked when most of the fleet is silent: whether workers could
+	// reach us through a sibling. If not, the fault is more likely ours.
+	Reached func() bool
 	// Drain is called for machines that will be taken.
 	Drain func(w *workers.Worker)
 	// Room is called when it changed how much arrays must leave free.
@@ -151,6 +151,9 @@
 // Tick looks after the fleet.
 func (m *Manager) Tick() {
 	m.watch()
+	if m.dead {
+		return // watch may end the term
+	}
 	m.list()
 	m.size()
 	m.flush()
@@ -208,12 +211,18 @@
 			}
 		}
 	}
-	if len(silent) > 2 && 2*len(silent) > up {
-		// Most machines silent at once: rather we are cut off than they.
-		m.cfg.Suspect()
+	// Most machines silent at once: rather we are cut off than they. But if a
+	// sibling is heard, they could reach us through it, and have not in twice the
+	// time: then they are gone. (Two leaders that each resigned over machines
+	// long taken kept a cluster without one for good.)
+	mass := len(silent) > 2 && 2*len(silent) > up
+	if mass && !m.cfg.Reached() {
 		return
 	}
 	for _, w := range silent {
+		if mass && m.machine.Silence(w) < 2*t.Silent {
+			continue
+		}
 		m.Fenced++
 		m.Return(w, "silent")
 	}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -34,7 +34,8 @@
 	last   ident.Mono
 	Stats  Stats
 	within map[*jobs.Job]bool
-	held   map[string]bool // images that some machine holds, of this dispatch
+	held   map[*jobs.Job]bool // whether a machine that the job may use holds its image, of this dispatch
+	open   map[ident.HostID]bool
 	order  []*workers.Worker
 	arrays []*jobs.Job
 	cursor map[*jobs.Job]int
@@ -96,20 +97,16 @@
 	})
 	sort.Slice(p.arrays, func(i, k int) bool { return before(p.arrays[i], p.arrays[k]) })
 	p.order = p.order[:0]
-	p.held = map[string]bool{}
+	p.held = map[*jobs.Job]bool{}
+	p.open = map[ident.HostID]bool{}
 	p.free = map[string]float64{}
 	p.cursor = map[*jobs.Job]int{}
 	for _, w := range p.fleet.Sorted() {
-		if w.State == workers.Gone {
-			continue
-		}
-		for _, im := range w.Images() {
-			p.held[im] = true
-		}
 		if !w.Open(now) || w.Kind == nil {
 			continue
 		}
 		p.order = append(p.order, w)
+		p.open[w.Host] = true
 		if !w.Standby {
 			p.free[w.Site] += w.Kind.VCPUs - w.VCPUs
 		}
@@ -158,6 +155,23 @@
 	return nil
 }
 
+// isHeld says whether a machine that may take the job's tasks holds its image. A
+// holder in another zone, or one that is not open, must not keep an idle
+// machine from fetching: the tasks would wait for ever.
+func (p *Planner) isHeld(j *jobs.Job) bool {
+	held, ok := p.held[j]
+	if !ok {
+		for _, w := range p.order {
+			if w.Holds(j.Spec.Bundle) && w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) {
+				held = true
+				break
+			}
+		}
+		p.held[j] = held
+	}
+	return held
+}
+
 // zoneOK checks one_zone and apart against the job's other tasks.
 func zoneOK(j *jobs.Job, site string) bool {
 	s := j.Spec
@@ -270,7 +284,7 @@
 			if t := p.next(j); t != nil {
 				return t, &p.Stats.Local
 			}
-		} else if !p.held[j.Spec.Bundle] && (oldest == nil || j.Seq < oldest.Seq) && p.next(j) != nil {
+		} else if !p.isHeld(j) && (oldest == nil || j.Seq < oldest.Seq) && p.next(j) != nil {
 			oldest = j
 		}
 	}
@@ -319,11 +333,11 @@
 	}
 	clear(p.cursor)
 	for _, j := range p.arrays {
-		if j.Waits() == 0 || !p.held[j.Spec.Bundle] || !p.teams.Allows(j.Spec, 1) {
+		if j.Waits() == 0 || !p.isHeld(j) || !p.teams.Allows(j.Spec, 1) {
 			continue
 		}
 		t := p.next(j)
-		if t == nil || t.Planned != "" {
+		if t == nil || p.open[t.Planned] {
 			continue
 		}
 		for _, w := range p.order {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -664,15 +664,6 @@
 	clear(w.orphans)
 }
 
-// Images returns the names of the images that the machine holds.
-func (w *Worker) Images() []string {
-	out := make([]string, len(w.images))
-	for i, im := range w.images {
-		out[i] = im.Bundle
-	}
-	return out
-}
-
 // Pulls says whether a task on the machine waits for an image.
 func (w *Worker) Pulls(bundle string) bool {
 	for _, t := range w.Tasks {
