--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -65,7 +65,7 @@
 	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS},
 		key, func(why string) { c.elect.Deposed(why) })
 	l.commits.OnDown = l.refusePending
-	l.jobs = jobs.NewTable(l.commits, valueBytes, c.env.Now)
+	l.jobs = jobs.NewTable(l.commits, valueBytes, c.env.Now, c.env.WallMS)
 	l.teams = placement.NewTeams(c.set.Cluster.Teams)
 	w := c.set.Cluster.Workers
 	l.workers = workers.NewTable(c.env, l.jobs, workers.Config{
@@ -76,7 +76,7 @@
 		Failed:  l.failed,
 		Commit:  l.commitWorker,
 	})
-	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1")
+	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
 	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -88,9 +88,11 @@
 type Job struct {
 	Spec    *api.Spec
 	Seq     uint64 // order of arrival
-	Phase   Phase  // in memory
-	Durable Phase  // known to be in the state service
-	Known   bool   // the submission is durable
+	AtMS    int64  // time of day of the arrival
+	Arrived ident.Mono
+	Phase   Phase // in memory
+	Durable Phase // known to be in the state service
+	Known   bool  // the submission is durable
 	Tasks   []Task
 
 	Held, Done, Runs int // tasks that count on a machine, that completed, that were seen running
@@ -159,6 +161,7 @@
 type header struct {
 	Spec  *api.Spec `json:"spec"`
 	Seq   uint64    `json:"seq"`
+	AtMS  int64     `json:"at_ms"`
 	Phase Phase     `json:"phase"`
 	Tasks []record  `json:"tasks,omitempty"`
 }
@@ -189,6 +192,7 @@
 
 	commits *commit.Committer
 	now     func() ident.Mono
+	wall    func() int64 // time of day in milliseconds
 	perSeg  int
 	inline  int
 
@@ -203,8 +207,8 @@
 const maxEnded = 20_000
 
 // NewTable makes an empty table.
-func NewTable(commits *commit.Committer, valueBytes int, now func() ident.Mono) *Table {
-	return &Table{Jobs: map[ident.JobID]*Job{}, ended: map[ident.JobID]Ended{}, commits: commits, now: now,
+func NewTable(commits *commit.Committer, valueBytes int, now func() ident.Mono, wall func() int64) *Table {
+	return &Table{Jobs: map[ident.JobID]*Job{}, ended: map[ident.JobID]Ended{}, commits: commits, now: now, wall: wall,
 		perSeg: max(1, (valueBytes-64)/recordBytes), inline: max(0, (valueBytes-headerBytes)/recordBytes),
 		OnMove: func(*Task, State, State) {}, OnWaiting: func(*Task) {}}
 }
@@ -213,7 +217,7 @@
 // that name turns out to be over already.
 func (tb *Table) Add(s *api.Spec, then, taken func()) *Job {
 	tb.Seq++
-	j := &Job{Spec: s, Seq: tb.Seq}
+	j := &Job{Spec: s, Seq: tb.Seq, AtMS: tb.wall(), Arrived: tb.now()}
 	tb.shape(j)
 	j.head.Absent = []string{OverKey(s.ID)}
 	j.head.Exists = func() {
@@ -257,7 +261,7 @@
 		if j.over {
 			return nil
 		}
-		h := header{Spec: j.Spec, Seq: j.Seq, Phase: j.Phase}
+		h := header{Spec: j.Spec, Seq: j.Seq, AtMS: j.AtMS, Phase: j.Phase}
 		if len(j.segs) == 0 {
 			h.Tasks = records(j.Tasks)
 		}
@@ -483,7 +487,8 @@
 		if h.Spec == nil || LiveKey(h.Spec.ID) != path {
 			return fmt.Errorf("%s: not a job", path)
 		}
-		j := &Job{Spec: h.Spec, Seq: h.Seq, Phase: h.Phase, Durable: h.Phase, Known: true}
+		age := time.Duration(max(0, tb.wall()-h.AtMS)) * time.Millisecond
+		j := &Job{Spec: h.Spec, Seq: h.Seq, AtMS: h.AtMS, Arrived: tb.now().Add(-age), Phase: h.Phase, Durable: h.Phase, Known: true}
 		tb.shape(j)
 		j.head.Stamp = stamp
 		tb.Jobs[h.Spec.ID] = j
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -1,12 +1,14 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 
 	"opaldale/internal/api"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/settings"
 	"opaldale/internal/workers"
 )
 
@@ -25,6 +27,7 @@
 	act   Actions
 	now   func() ident.Mono
 	asm1  bool
+	aims  map[string][]time.Duration // by lane: within which times jobs should be done, ascending
 
 	// Reserve is the room in CPUs that arrays leave free on the ordinary
 	// machines of a zone, for services to come.
@@ -52,8 +55,18 @@
 }
 
 // NewPlanner makes a planner without a plan.
-func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool) *Planner {
-	return &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}}
+func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool, aims []settings.Objective) *Planner {
+	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{},
+		aims: map[string][]time.Duration{}}
+	for _, o := range aims {
+		if o.Kind == "finished" {
+			p.aims[o.Class] = append(p.aims[o.Class], settings.Seconds(o.WithinS))
+		}
+	}
+	for _, a := range p.aims {
+		slices.Sort(a)
+	}
+	return p
 }
 
 // maxPlanned bounds the tasks that a plan covers, and with it its time.
@@ -86,6 +99,13 @@
 		if la, lb := a.Spec.Rank.Level(), b.Spec.Rank.Level(); la != lb {
 			return la < lb
 		}
+		ua, ub := p.urgency(a), p.urgency(b)
+		if ua != ub {
+			return ua < ub
+		}
+		if wa, wb := work(a), work(b); ua == reachable && wa != wb {
+			return wa < wb
+		}
 		return a.Seq < b.Seq
 	}
 	sort.Slice(services, func(i, k int) bool {
@@ -114,6 +134,42 @@
 	return services
 }
 
+// urgency orders jobs of one priority by what can still be reached. In the order
+// of arrival alone, a backlog of half a minute makes every job late, while
+// starting the late ones later costs them nothing that counts.
+type urgency uint8
+
+const (
+	pressing  urgency = iota // the last aim is about to be missed
+	reachable                // the first aim can be met
+	late                     // the first aim is lost, the last is far
+)
+
+func (p *Planner) urgency(j *jobs.Job) urgency {
+	aims := p.aims[j.Spec.Lane]
+	if j.Spec.DueS != nil {
+		aims = append(slices.Clone(aims), settings.Seconds(*j.Spec.DueS))
+		slices.Sort(aims)
+	}
+	if len(aims) == 0 {
+		return reachable
+	}
+	end := p.now().Sub(j.Arrived) + settings.Seconds(j.Spec.RuntimeS)
+	last := aims[len(aims)-1]
+	switch {
+	case end <= aims[0]:
+		return reachable
+	case end <= last && end > last*2/3:
+		return pressing
+	}
+	return late
+}
+
+// work is what a job still has to start, in CPU seconds as estimated.
+func work(j *jobs.Job) float64 {
+	return float64(j.Waits()) * j.Spec.VCPUs * max(j.Spec.RuntimeS, 1)
+}
+
 // Dispatch places what can be placed now. Nothing waits for a round that could
 // start at once.
 func (p *Planner) Dispatch() {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -412,6 +412,10 @@
 // when that is durable: else a successor would start it again.
 func (tb *Table) ended(w *Worker, t *jobs.Task, p api.PieceReport) {
 	a := attempt{p.Piece, p.Try}
+	if now := tb.port.Now(); t.RunsAt > 0 {
+		slog.Debug("task ended", "piece", p.Piece.String(), "cause", string(p.Cause), "host", string(w.Host),
+			"ran_s", now.Sub(t.RunsAt).Seconds(), "job_age_s", now.Sub(t.Job.Arrived).Seconds(), "runtime_s", t.Job.Spec.RuntimeS)
+	}
 	w.unclear[a] = true
 	durable := func() {
 		if tb.dead {
