--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -49,6 +51,8 @@
 	// Reached is asked when most of the fleet is silent: whether workers could
 	// reach us through a sibling. If not, the fault is more likely ours.
 	Reached func() bool
+	// Movable is asked whether a replica would find room, and its image, elsewhere.
+	Movable func(t *jobs.Task, from *workers.Worker) bool
 	// Drain is called for machines that will be taken.
 	Drain func(w *workers.Worker)
 	// Room is called when it changed how much arrays must leave free.
@@ -72,6 +76,7 @@
 	leaving []*workers.Worker // to be returned with the next request
 	listing bool
 	listed  ident.Mono
+	excess  ident.Mono // since when there is more room than needed, 0: there isn't
 	began   ident.Mono
 
 	services arrivals
@@ -420,6 +425,10 @@
 				k = min(k, limit-sites[b.pool.site])
 			}
 			if k > 0 {
+				if b.w != nil && b.w.Cordoned {
+					b.w.Cordoned = false
+					m.machine.Uncordoned()
+				}
 				b.take(s, k)
 				sites[b.pool.site] += k
 				n -= k
@@ -460,7 +469,7 @@
 			lay(j.Spec, n, sites)
 		}
 	}
-	m.headroom(catalog, bins, open, now)
+	m.headroom(bins, open, now)
 	for _, p := range sortedPools(rent) {
 		m.rent(p, rent[p])
 	}
@@ -515,10 +524,24 @@
 			}
 		}
 	}
-	sort.SliceStable(out, func(i, k int) bool { return out[i].pool.standby && !out[k].pool.standby })
+	// Cordoned machines come last, and are taken back into use before another
+	// one is rented.
+	order := func(b *bin) int {
+		switch {
+		case b.w != nil && b.w.Cordoned:
+			return 2
+		case b.pool.standby:
+			return 0
+		}
+		return 1
+	}
+	sort.SliceStable(out, func(i, k int) bool { return order(out[i]) < order(out[k]) })
 	return out
 }
 
+// spotOnly, as a site, asks newBin for a spot machine of any zone.
+const spotOnly = "*spot"
+
 // newBin opens a machine of the cheapest pool that allows the job, in the zone
 // that has the fewest of its kind. A site "!z" rules z out.
 func (m *Manager) newBin(catalog []cloud.Model, bins []*bin, s *api.Spec, site string, now ident.Mono) *bin {
@@ -531,10 +554,13 @@
 	for i := range catalog {
 		k := &catalog[i]
 		for _, z := range k.Sites {
-			if site != "" && site != z && (site[0] != '!' || site == "!"+z) {
+			if site != "" && site != spotOnly && site != z && (site[0] != '!' || site == "!"+z) {
 				continue
 			}
 			for _, standby := range []bool{true, false} {
+				if !standby && site == spotOnly {
+					continue
+				}
 				p := pool{k.SKU, z, standby}
 				b := &bin{kind: k, pool: p, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, rent: true}
 				if !b.allows(s) || m.market(p).closed > now {
@@ -564,55 +590,61 @@
 	return mk
 }
 
-// headroom keeps room for the jobs to be expected while a machine boots.
-func (m *Manager) headroom(catalog []cloud.Model, bins []*bin, open func(*api.Spec, string) *bin, now ident.Mono) {
+// wanted returns the room in CPUs to keep free: for services by zone, and for
+// arrays.
+func (m *Manager) wanted(now ident.Mono) (services map[string]float64, arrays float64) {
 	boot := 0.0
-	sites := map[string]bool{}
-	for _, k := range catalog {
+	services = map[string]float64{}
+	for _, k := range m.cfg.Catalog() {
 		boot = max(boot, k.StartupS)
 		for _, z := range k.Sites {
-			sites[z] = true
+			services[z] = 0
 		}
 	}
 	f := m.cfg.Tuning.Headroom
-	rate, _, most := m.services.rate(now, m.began)
-	want := f * (rate*boot*1.3 + most)
+	if len(m.services.at) > 0 {
+		rate, _, most := m.services.rate(now, m.began)
+		for z := range services {
+			services[z] = f * (rate*boot*1.3 + most) / float64(len(services))
+		}
+	}
+	if len(m.arrays.at) > 0 {
+		_, mean, _ := m.arrays.rate(now, m.began)
+		arrays = f * mean
+	}
+	return services, arrays
+}
+
+// headroom keeps room for the jobs to be expected while a machine boots.
+func (m *Manager) headroom(bins []*bin, open func(*api.Spec, string) *bin, now ident.Mono) {
+	services, arrays := m.wanted(now)
 	free := map[string]float64{}
-	total, spot := 0.0, 0.0
+	spare := 0.0
 	for _, b := range bins {
-		if b.pool.standby {
-			spot += b.v
-		} else {
+		if b.w != nil && b.w.Cordoned {
+			continue
+		}
+		spare += b.v
+		if !b.pool.standby {
 			free[b.pool.site] += b.v
-			total += b.v
 		}
 	}
-	names := make([]string, 0, len(sites))
-	for z := range sites {
-		names = append(names, z)
-	}
-	sort.Strings(names)
-	for _, z := range names {
-		share := want / float64(len(names))
-		m.cfg.Reserve(z, share)
-		if len(m.services.at) > 0 && free[z] < share {
-			open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, z)
+	for _, z := range slices.Sorted(maps.Keys(services)) {
+		m.cfg.Reserve(z, services[z])
+		spare -= services[z]
+		if free[z] < services[z] && services[z] > 0 {
+			if b := open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, z); b != nil {
+				spare += b.v
+			}
 		}
 	}
-	if len(m.arrays.at) > 0 {
-		_, mean, _ := m.arrays.rate(now, m.began)
-		spot += max(0, total-want)
-		for n := 0; n < 4 && spot < f*mean; n++ {
-			b := open(&api.Spec{Shape: api.Batch, Pieces: 1, Standby: true}, "")
-			if b == nil || !b.pool.standby {
-				// Ordinary machines are not rented just in case.
-				if b != nil {
-					b.rent = false
-				}
-				return
-			}
-			spot += b.v
+	for n := 0; n < 4 && spare < arrays; n++ {
+		// Ordinary machines are not rented just in case.
+		b := open(&api.Spec{Shape: api.Batch, Pieces: 1, Standby: true}, spotOnly)
+		if b == nil {
+			return
 		}
+		spare += b.v
 	}
 }
 
@@ -679,45 +711,123 @@
 	mk.closed = m.port.Now().Add(m.jitter(mk.backoff))
 }
 
-// shrink returns machines that have been idle for a while and that neither the
-// waiting work nor the headroom needs.
+// shrink empties and returns machines that neither the waiting work nor the
+// headroom needs. A machine is seldom idle by itself: tasks come and go on it,
+// and replicas stay. So the one that is easiest to empty is cordoned: its tasks
+// end, its replicas move, and nothing new is placed there.
 func (m *Manager) shrink(bins []*bin, now ident.Mono) {
-	f := m.cfg.Tuning.Headroom
-	_, mean, _ := m.arrays.rate(now, m.began)
-	spot, free := 0.0, map[string]float64{}
+	services, arrays := m.wanted(now)
+	total := 0.0
+	free, sites := map[string]float64{}, map[string]bool{}
+	busy := false
+	var cand []*bin
 	for _, b := range bins {
-		if b.rent {
+		if b.rent || b.w == nil || b.w.State == workers.Booting {
+			busy = true // more is coming: see first what becomes of it
+			continue
+		}
+		if b.w.Cordoned {
+			m.empty(b.w, now)
 			continue
 		}
-		if b.pool.standby {
-			spot += b.v
-		} else {
+		total += b.v
+		if !b.pool.standby {
 			free[b.pool.site] += b.v
+			sites[b.pool.site] = true
+		}
+		if b.w.State == workers.Up {
+			cand = append(cand, b)
 		}
 	}
-	boot := 0.0
-	for _, k := range m.cfg.Catalog() {
-		boot = max(boot, k.StartupS)
+	for z := range sites {
+		services[z] = max(services[z], 0)
 	}
-	rate, _, most := m.services.rate(now, m.began)
-	want := f * (rate*boot*1.3 + most) / float64(max(len(free), 1))
-	for i := len(bins) - 1; i >= 0; i-- {
-		b := bins[i]
-		if b.w == nil || b.w.State != workers.Up || len(b.w.Tasks) > 0 || b.v < b.kind.VCPUs-1e-6 ||
-			now.Sub(b.w.IdleFrom) < m.cfg.Tuning.IdleKeep {
+	sort.SliceStable(cand, func(i, k int) bool {
+		a, b := cand[i], cand[k]
+		if x, y := m.price(a), m.price(b); x != y {
+			return x > y
+		}
+		if x, y := replicas(a.w), replicas(b.w); x != y {
+			return x < y
+		}
+		return a.v > b.v
+	})
+	all := 0.0
+	for _, v := range services {
+		all += v
+	}
+	for _, b := range cand {
+		// What its replicas take elsewhere; its arrays end where they are.
+		moving := replicas(b.w)
+		if total-b.v-moving < all+arrays {
 			continue
 		}
-		if b.pool.standby {
-			if spot-b.v < f*mean {
-				continue
-			}
-			spot -= b.v
-		} else {
-			if free[b.pool.site]-b.v < want {
-				continue
-			}
-			free[b.pool.site] -= b.v
+		if !b.pool.standby && free[b.pool.site]-b.v-moving < services[b.pool.site] {
+			continue
+		}
+		if m.excess == 0 {
+			m.excess = now
+		}
+		if busy || now.Sub(m.excess) < m.cfg.Tuning.IdleKeep {
+			return
+		}
+		// One at a time: what it frees or moves is seen before the next.
+		m.excess = now.Add(-m.cfg.Tuning.IdleKeep * 3 / 4)
+		slog.Info("cordoning machine", "host", string(b.w.Host), "tasks", len(b.w.Tasks), "replicas_cpus", moving)
+		b.w.Cordoned = true
+		m.empty(b.w, now)
+		return
+	}
+	m.excess = 0
+}
+
+// price is what a bin's machine costs at present.
+func (m *Manager) price(b *bin) float64 {
+	if b.pool.standby {
+		return b.kind.MarketPrice
+	}
+	return b.kind.Hourly
+}
+
+// replicas returns the CPUs of the services on a machine.
+func replicas(w *workers.Worker) float64 {
+	sum := 0.0
+	for _, t := range w.Tasks {
+		if t.Job.Spec.Shape == api.Service {
+			sum += t.Job.Spec.VCPUs
+		}
+	}
+	return sum
+}
+
+// settled is how long a start must last to count for the aims.
+const settled = 35 * time.Second
+
+// empty moves the replicas off a cordoned machine, once its arrays have ended,
+// and returns it when nothing is left.
+func (m *Manager) empty(w *workers.Worker, now ident.Mono) {
+	if w.State != workers.Up {
+		return
+	}
+	if len(w.Tasks) == 0 {
+		m.Return(w, "not needed")
+		return
+	}
+	for _, t := range m.machine.TasksOf(w) {
+		if t.Job.Spec.Shape != api.Service {
+			return
+		}
+		if t.State != jobs.Assigned || t.RunsAt == 0 || now.Sub(t.RunsAt) < settled {
+			return
+		}
+	}
+	// One replica each time, and only while there is room for it where its image
+	// is: it is gone for no longer than a command and a transaction take.
+	for _, t := range m.machine.TasksOf(w) {
+		if m.cfg.Movable(t, w) {
+			slog.Info("moving replica", "piece", t.Piece().String(), "host", string(w.Host))
+			m.machine.StopTask(w, t, 0)
+			return
 		}
-		m.Return(b.w, "idle")
 	}
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -462,6 +462,26 @@
 	p.Stats.Took += time.Since(began)
 }
 
+// Movable says whether a replica would find room on another machine that holds
+// its image.
+func (p *Planner) Movable(t *jobs.Task, from *workers.Worker) bool {
+	j := t.Job
+	if !p.teams.Allows(j.Spec, 0) {
+		return false
+	}
+	now := p.now()
+	for _, w := range p.fleet.Sorted() {
+		if w == from || !w.Open(now) || !w.Allows(j.Spec) || !w.Fits(j.Spec) || !w.Holds(j.Spec.Bundle) {
+			continue
+		}
+		// As if it had left its zone already.
+		if w.Site == from.Site || zoneOK(j, w.Site) {
+			return true
+		}
+	}
+	return false
+}
+
 // victim says whether a running task must give way to a job.
 func (p *Planner) victim(v *jobs.Task, j *jobs.Job) bool {
 	if v.State != jobs.Assigned {
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -14,7 +14,7 @@
 	LeaderLease time.Duration // how long leadership lasts without renewal
 	Round       time.Duration // from one plan to the next
 	Silent      time.Duration // a worker not heard of for so long is fenced
-	IdleKeep    time.Duration // how long an idle machine is kept
+	IdleKeep    time.Duration // how long more machines are kept than are needed
 	BootFactor  float64       // a boot is given up after this many times startup_s
 	Headroom    float64       // multiplies the room kept free for expected arrivals
 	Plan        string        // "asm1", or "none": only local work and stealing
@@ -26,7 +26,7 @@
 		LeaderLease: 2 * time.Second,
 		Round:       5 * time.Second,
 		Silent:      9 * time.Second,
-		IdleKeep:    40 * time.Second,
+		IdleKeep:    15 * time.Second,
 		BootFactor:  3.5,
 		Headroom:    1,
 		Plan:        "asm1",
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -58,6 +58,7 @@
 	IdleFrom ident.Mono // when its last task left it
 	Doomed   ident.Mono // when the cloud takes it; 0: not announced
 	Shun     ident.Mono // nothing is placed on it earlier
+	Cordoned bool       // being emptied, to be returned
 	Errors   int        // tasks of different jobs that failed on it in a row
 	lastErr  ident.JobID
 
@@ -121,7 +122,7 @@
 
 // Open says whether tasks may be placed on the machine now.
 func (w *Worker) Open(now ident.Mono) bool {
-	return w.State == Up && w.Doomed == 0 && now >= w.Shun && !w.dull && w.Tenure != 0 &&
+	return w.State == Up && w.Doomed == 0 && !w.Cordoned && now >= w.Shun && !w.dull && w.Tenure != 0 &&
 		w.Doc != nil && w.Doc.Stamp != 0 // a successor must know every machine that tasks may be on
 }
 
@@ -643,6 +644,9 @@
 // gives everybody a little time to come.
 func (tb *Table) Silence(w *Worker) time.Duration { return tb.port.Now().Sub(w.heard) }
 
+// Uncordoned notes that a machine takes work again.
+func (tb *Table) Uncordoned() { tb.cfg.Changed() }
+
 // Quiet marks a silent machine.
 func (tb *Table) Quiet(w *Worker) { tb.to(w, Silent, "no reports") }
 
