--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -756,6 +756,7 @@
 	for _, v := range services {
 		all += v
 	}
+	excess := false
 	for _, b := range cand {
 		// What its replicas take elsewhere; its arrays end where they are.
 		moving := replicas(b.w)
@@ -765,20 +766,24 @@
 		if !b.pool.standby && free[b.pool.site]-b.v-moving < services[b.pool.site] {
 			continue
 		}
+		excess = true
 		if m.excess == 0 {
 			m.excess = now
 		}
 		if busy || now.Sub(m.excess) < m.cfg.Tuning.IdleKeep {
 			return
 		}
-		// One at a time: what it frees or moves is seen before the next.
-		m.excess = now.Add(-m.cfg.Tuning.IdleKeep * 3 / 4)
+		total -= b.v + moving
+		if !b.pool.standby {
+			free[b.pool.site] -= b.v + moving
+		}
 		slog.Info("cordoning machine", "host", string(b.w.Host), "tasks", len(b.w.Tasks), "replicas_cpus", moving)
 		b.w.Cordoned = true
 		m.empty(b.w, now)
-		return
 	}
-	m.excess = 0
+	if !excess {
+		m.excess = 0
+	}
 }
 
 // price is what a bin's machine costs at present.
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -26,7 +26,7 @@
 		LeaderLease: 2 * time.Second,
 		Round:       5 * time.Second,
 		Silent:      9 * time.Second,
-		IdleKeep:    15 * time.Second,
+		IdleKeep:    25 * time.Second,
 		BootFactor:  3.5,
 		Headroom:    1,
 		Plan:        "asm1",
