--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"sort"
 	"strings"
 	"time"
@@ -350,6 +351,8 @@
 		t.Job.Runs++
 		if !runs(t.Seen) {
 			t.RunsAt = tb.now()
+			slog.Debug("task runs", "piece", t.Piece().String(), "host", string(t.Host), "try", uint64(t.Try),
+				"placed_s", t.Since.Sub(0).Seconds(), "job_age_s", t.RunsAt.Sub(t.Job.Arrived).Seconds())
 		}
 	}
 	t.Seen = s
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -28,6 +28,7 @@
 	now   func() ident.Mono
 	asm1  bool
 	aims  map[string][]time.Duration // by lane: within which times jobs should be done, ascending
+	waits map[string]time.Duration   // by lane: within which time tasks should start
 
 	// Reserve is the room in CPUs that arrays leave free on the ordinary
 	// machines of a zone, for services to come.
@@ -57,10 +58,13 @@
 // NewPlanner makes a planner without a plan.
 func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool, aims []settings.Objective) *Planner {
 	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{},
-		aims: map[string][]time.Duration{}}
+		aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
 	for _, o := range aims {
-		if o.Kind == "finished" {
+		switch o.Kind {
+		case "finished":
 			p.aims[o.Class] = append(p.aims[o.Class], settings.Seconds(o.WithinS))
+		case "wait":
+			p.waits[o.Class] = settings.Seconds(o.WithinS)
 		}
 	}
 	for _, a := range p.aims {
@@ -285,8 +289,13 @@
 				}
 			}
 		}
+		if found != nil && !found.Holds(j.Spec.Bundle) && p.impatient(j, found) && p.preempt(t, true) {
+			// Fetching would take longer than its users want to wait.
+			p.Stats.Services++
+			continue
+		}
 		if found == nil {
-			if !p.preempt(t) {
+			if !p.preempt(t, false) {
 				return
 			}
 			p.Stats.Services++
@@ -493,15 +502,24 @@
 	return p.within[j] && !p.within[v.Job] && v.Job.Spec.Desk != j.Spec.Desk && v.Job.Spec.Shape == api.Batch
 }
 
-// preempt makes room for a task where least work is lost, and places it there.
-func (p *Planner) preempt(t *jobs.Task) bool {
+// fetches estimates how long a machine would fetch a job's image.
+func (p *Planner) fetches(j *jobs.Job, w *workers.Worker) time.Duration {
+	if w.Kind.PullGBPerS <= 0 {
+		return 0
+	}
+	return settings.Seconds(j.Spec.ImageGB / w.Kind.PullGBPerS)
+}
+
+// preempt makes room for a task where least work is lost, and places it there;
+// if holders is set, only where its image is.
+func (p *Planner) preempt(t *jobs.Task, holders bool) bool {
 	j := t.Job
 	now := p.now()
 	var best *workers.Worker
 	var stop []*jobs.Task
 	least := 0.0
 	for _, w := range p.order {
-		if !p.may(j, w) {
+		if !p.may(j, w) || holders && !w.Holds(j.Spec.Bundle) {
 			continue
 		}
 		victims, cost, ok := p.victims(w, j, now)
@@ -608,9 +626,16 @@
 		}
 		for j.Waits() > 0 && p.teams.Allows(j.Spec, 1) {
 			t := p.next(j)
-			if t == nil || now.Sub(t.Since) < claimAfter || !p.preempt(t) {
+			if t == nil || now.Sub(t.Since) < claimAfter || !p.preempt(t, false) {
 				break
 			}
 		}
 	}
 }
+
+// impatient says whether a job's users want it started sooner than a machine
+// would have its image.
+func (p *Planner) impatient(j *jobs.Job, w *workers.Worker) bool {
+	limit, ok := p.waits[j.Spec.Lane]
+	return ok && p.fetches(j, w) > limit
+}
