--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -403,7 +403,7 @@
 
 // Place carries out a decision: it is launched once it is durable.
 func (l *lead) Place(t *jobs.Task, w *workers.Worker) {
-	slog.Debug("place", "piece", t.Piece().String(), "host", string(w.Host), "held", w.Holds(t.Job.Spec.Bundle),
+	slog.Debug("place", "piece", t.Piece().String(), "host", string(w.Host), "held", w.Holds(t.Job.Spec.Bundle), "within", l.planner.Within(t.Job),
 		"age_s", l.c.env.Now().Sub(t.Job.Arrived).Seconds())
 	l.jobs.Place(t, w.Host, w.Tenure, func() {
 		if l.dead || !l.c.elect.Valid() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,6 +78,7 @@
 	listed  ident.Mono
 	excess  ident.Mono // since when there is more room than needed, 0: there isn't
 	began   ident.Mono
+	silent  time.Duration // a worker not heard of for so long is fenced
 
 	services arrivals
 	arrays   arrivals
@@ -88,7 +89,12 @@
 // New makes the manager of a term.
 func New(port Port, m *workers.Table, j *jobs.Table, t *placement.Teams, rng *rand.Rand, cfg Config) *Manager {
 	now := port.Now()
-	return &Manager{cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
+	silent := cfg.Tuning.Silent
+	if silent == 0 {
+		// Two reports at their latest (a quarter late) are missing, and a probe.
+		silent = settings.Seconds(2.2 * cfg.Workers.ReportS)
+	}
+	return &Manager{silent: silent, cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
 		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now}
 }
 
@@ -192,14 +198,14 @@
 			}
 		case workers.Up, workers.Silent:
 			up++
-			if quiet > t.Silent*55/100 {
+			if quiet > m.silent*2/3 {
 				m.machine.Quiet(w)
 				m.machine.Probe(w)
 			}
 			switch {
-			case w.Doomed > 0 && now > w.Doomed && quiet > t.Silent/2:
+			case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
 				m.Return(w, "taken")
-			case quiet > t.Silent:
+			case quiet > m.silent && w.Unanswered():
 				silent = append(silent, w)
 			case w.Errors >= 2:
 				m.Return(w, "faulty")
@@ -225,7 +231,7 @@
 		return
 	}
 	for _, w := range silent {
-		if mass && m.machine.Silence(w) < 2*t.Silent {
+		if mass && m.machine.Silence(w) < 2*m.silent {
 			continue
 		}
 		m.Fenced++
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -502,6 +502,9 @@
 	return p.within[j] && !p.within[v.Job] && v.Job.Spec.Desk != j.Spec.Desk && v.Job.Spec.Shape == api.Batch
 }
 
+// Within says whether a job lay within its team's guarantee at the last dispatch.
+func (p *Planner) Within(j *jobs.Job) bool { return p.within[j] }
+
 // fetches estimates how long a machine would fetch a job's image.
 func (p *Planner) fetches(j *jobs.Job, w *workers.Worker) time.Duration {
 	if w.Kind.PullGBPerS <= 0 {
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -13,7 +13,7 @@
 type Tuning struct {
 	LeaderLease time.Duration // how long leadership lasts without renewal
 	Round       time.Duration // from one plan to the next
-	Silent      time.Duration // a worker not heard of for so long is fenced
+	Silent      time.Duration // a worker not heard of for so long is fenced; 0: by report_s
 	IdleKeep    time.Duration // how long more machines are kept than are needed
 	BootFactor  float64       // a boot is given up after this many times startup_s
 	Headroom    float64       // multiplies the room kept free for expected arrivals
@@ -25,7 +25,6 @@
 	return Tuning{
 		LeaderLease: 2 * time.Second,
 		Round:       5 * time.Second,
-		Silent:      9 * time.Second,
 		IdleKeep:    25 * time.Second,
 		BootFactor:  3.5,
 		Headroom:    1,
@@ -41,7 +40,7 @@
 	}{
 		{"leader-lease: must be from 500ms to 60s", t.LeaderLease < 500*time.Millisecond || t.LeaderLease > time.Minute},
 		{"round: must be from 100ms to 10m", t.Round < 100*time.Millisecond || t.Round > 10*time.Minute},
-		{"silent: must be at least 1s", t.Silent < time.Second},
+		{"silent: must be 0 or at least 1s", t.Silent != 0 && t.Silent < time.Second},
 		{"idle-keep: negative", t.IdleKeep < 0},
 		{"boot-factor: must be at least 1", t.BootFactor < 1},
 		{"headroom: must be from 0 to 10", t.Headroom < 0 || t.Headroom > 10},
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -136,6 +136,10 @@
 	return false
 }
 
+// Unanswered says whether a command or a probe went without an answer since the
+// worker last reported.
+func (w *Worker) Unanswered() bool { return w.dull }
+
 // Heard returns when the worker was last heard of.
 func (w *Worker) Heard() ident.Mono { return w.heard }
 
