--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -198,6 +198,14 @@
 			}
 		case workers.Up, workers.Silent:
 			up++
+			limit := m.silent
+			if replicas(w) > 0 {
+				// Users miss replicas at once: don't wait for reports to fail.
+				limit = m.silent / 2
+				if quiet > limit/2 {
+					m.machine.Probe(w)
+				}
+			}
 			if quiet > m.silent*2/3 {
 				m.machine.Quiet(w)
 				m.machine.Probe(w)
@@ -205,7 +213,7 @@
 			switch {
 			case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
 				m.Return(w, "taken")
-			case quiet > m.silent && w.Unanswered():
+			case quiet > limit && w.Misses() > 1 || quiet > m.silent && w.Misses() > 0:
 				silent = append(silent, w)
 			case w.Errors >= 2:
 				m.Return(w, "faulty")
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -24,7 +24,7 @@
 
 const (
 	dialTime    = time.Second
-	commandTime = 2 * time.Second
+	commandTime = 1200 * time.Millisecond // a worker answers within milliseconds, or after a lost packet
 	memoryShare = 0.65
 )
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -362,7 +362,7 @@
 		w.at(0, e.in(func() { f(workers.Answer{}) }))
 		return
 	}
-	w.call(e.n.name, addr, 2*time.Second, func(reply func(any)) { k.when(func() { k.commands(c, reply) }) }, func(a any) {
+	w.call(e.n.name, addr, 1200*time.Millisecond, func(reply func(any)) { k.when(func() { k.commands(c, reply) }) }, func(a any) {
 		e.in(func() {
 			if a == nil {
 				f(workers.Answer{})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -81,6 +81,7 @@
 	queue   []api.Order
 	dull    bool // a command was not answered; wait for its report
 	probing bool
+	misses  int // commands and probes without an answer since it was last heard of
 
 	VCPUs, Cards, MemoryGB float64 // taken by Tasks
 
@@ -136,9 +137,9 @@
 	return false
 }
 
-// Unanswered says whether a command or a probe went without an answer since the
-// worker last reported.
-func (w *Worker) Unanswered() bool { return w.dull }
+// Misses counts the commands and probes that went without an answer since the
+// worker was last heard of.
+func (w *Worker) Misses() int { return w.misses }
 
 // Heard returns when the worker was last heard of.
 func (w *Worker) Heard() ident.Mono { return w.heard }
@@ -376,6 +377,7 @@
 		}
 	}
 	w.serial, w.seen, w.heard = r.Serial, r.Epoch, now
+	w.misses = 0
 	if w.State == Booting || w.State == Silent {
 		tb.to(w, Up, "reports")
 		w.probing = false
@@ -564,9 +566,6 @@
 	}
 }
 
-// commandTime is how long an answer to a command is waited for.
-const commandTime = 2 * time.Second
-
 // Push sends an order to a worker at once. One command is under way at a time,
 // so that orders keep their order; what gets lost is repeated by the answer to
 // the worker's next report.
@@ -613,6 +612,7 @@
 			// It may be carried out at any later time, until the worker has seen
 			// a higher token.
 			w.fence++
+			w.misses++
 			tb.Fences++
 			w.queue = nil
 			w.dull = true
