--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -362,6 +362,19 @@
 	pool    pool
 	v, c, g float64 // free CPUs, cards, memory
 	rent    bool
+	soon    []*jobs.Task // arrays' tasks that will probably end before a machine rented now is up
+}
+
+// use takes the place of one task that will end soon, if there is one as large.
+func (b *bin) use(s *api.Spec) bool {
+	for i, t := range b.soon {
+		o := t.Job.Spec
+		if o.VCPUs >= s.VCPUs && o.Cards >= s.Cards && o.MemoryGB >= s.MemoryGB {
+			b.soon = slices.Delete(b.soon, i, i+1)
+			return true
+		}
+	}
+	return false
 }
 
 func (b *bin) fit(s *api.Spec) int {
@@ -451,6 +464,13 @@
 		for _, b := range bins {
 			put(b)
 		}
+		if s.Shape == api.Batch {
+			for _, b := range bins {
+				for n > 0 && b.allows(s) && b.use(s) {
+					n--
+				}
+			}
+		}
 		for n > 0 {
 			site := ""
 			if s.Apart {
@@ -520,6 +540,9 @@
 			b.v -= w.VCPUs
 			b.c -= w.Cards
 			b.g -= w.MemoryGB
+			if !w.Cordoned {
+				b.soon = m.ending(w, now)
+			}
 		default:
 			continue
 		}
@@ -553,6 +576,20 @@
 	return out
 }
 
+// ending lists a machine's array tasks that will probably end before a machine
+// rented now would be up: what waits gets their places as soon, and cheaper.
+func (m *Manager) ending(w *workers.Worker, now ident.Mono) []*jobs.Task {
+	var out []*jobs.Task
+	for _, t := range m.machine.TasksOf(w) {
+		s := t.Job.Spec
+		if s.Shape == api.Batch && t.RunsAt > 0 && t.State == jobs.Assigned &&
+			settings.Seconds(s.RuntimeS)-now.Sub(t.RunsAt) < m.startup(w) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // spotOnly, as a site, asks newBin for a spot machine of any zone.
 const spotOnly = "*spot"
 
@@ -640,7 +677,10 @@
 		}
 		spare += b.v
 		if !b.pool.standby {
-			free[b.pool.site] += b.v
+			// Room that arrays have there comes back by itself, since they keep off
+			// the reserve: renting for it too, and letting arrays have that as
+			// well, made the ordinary fleet grow without services.
+			free[b.pool.site] += b.v + borrowed(b.w)
 		}
 	}
 	for _, z := range slices.Sorted(maps.Keys(services)) {
@@ -746,7 +786,7 @@
 		}
 		total += b.v
 		if !b.pool.standby {
-			free[b.pool.site] += b.v
+			free[b.pool.site] += b.v + borrowed(b.w)
 			sites[b.pool.site] = true
 		}
 		if b.w.State == workers.Up {
@@ -777,7 +817,7 @@
 		if total-b.v-moving < all+arrays {
 			continue
 		}
-		if !b.pool.standby && free[b.pool.site]-b.v-moving < services[b.pool.site] {
+		if !b.pool.standby && free[b.pool.site]-b.v-borrowed(b.w)-moving < services[b.pool.site] {
 			continue
 		}
 		excess = true
@@ -789,7 +829,7 @@
 		}
 		total -= b.v + moving
 		if !b.pool.standby {
-			free[b.pool.site] -= b.v + moving
+			free[b.pool.site] -= b.v + borrowed(b.w) + moving
 		}
 		slog.Info("cordoning machine", "host", string(b.w.Host), "tasks", len(b.w.Tasks), "replicas_cpus", moving)
 		b.w.Cordoned = true
@@ -819,6 +859,19 @@
 	return sum
 }
 
+// borrowed returns the CPUs of the arrays on a machine, nil for one to come.
+func borrowed(w *workers.Worker) float64 {
+	sum := 0.0
+	if w != nil {
+		for _, t := range w.Tasks {
+			if t.Job.Spec.Shape == api.Batch {
+				sum += t.Job.Spec.VCPUs
+			}
+		}
+	}
+	return sum
+}
+
 // settled is how long a start must last to count for the aims.
 const settled = 35 * time.Second
 
