--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -438,7 +438,8 @@
 		}
 		return b
 	}
-	lay := func(s *api.Spec, n int, sites map[string]int) {
+	lay := func(j *jobs.Job, n int, sites map[string]int) {
+		s := j.Spec
 		limit := s.Pieces
 		if s.Apart {
 			limit = (s.Pieces + 1) / 2
@@ -480,6 +481,11 @@
 					}
 				}
 			}
+			if site == "" && s.Standby && now.Sub(j.Arrived) < patience*m.slowest() {
+				// An ordinary machine costs several times as much, and spot ones
+				// that are refused now are mostly to be had a little later.
+				site = spotOnly
+			}
 			b := open(s, site)
 			if b == nil {
 				return
@@ -500,7 +506,7 @@
 			for z, k := range j.Zones {
 				sites[z] = k
 			}
-			lay(j.Spec, n, sites)
+			lay(j, n, sites)
 		}
 	}
 	m.headroom(bins, open, now)
@@ -590,6 +596,19 @@
 	return out
 }
 
+// patience, in boot times, is how long work that may use spot machines waits for
+// one before an ordinary one is rented for it.
+const patience = 2
+
+// slowest returns the longest boot time in the catalog.
+func (m *Manager) slowest() time.Duration {
+	boot := 0.0
+	for _, k := range m.cfg.Catalog() {
+		boot = max(boot, k.StartupS)
+	}
+	return settings.Seconds(boot)
+}
+
 // spotOnly, as a site, asks newBin for a spot machine of any zone.
 const spotOnly = "*spot"
 
@@ -644,10 +663,9 @@
 // wanted returns the room in CPUs to keep free: for services by zone, and for
 // arrays.
 func (m *Manager) wanted(now ident.Mono) (services map[string]float64, arrays float64) {
-	boot := 0.0
+	boot := m.slowest().Seconds()
 	services = map[string]float64{}
 	for _, k := range m.cfg.Catalog() {
-		boot = max(boot, k.StartupS)
 		for _, z := range k.Sites {
 			services[z] = 0
 		}
