--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,144 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// keep is a state service that carries everything out in order.
+type keep struct {
+	keys   map[string]statesvc.Pair
+	ledger uint64
+	queue  []func()
+}
+
+func (k *keep) Now() ident.Mono                 { return 1 }
+func (k *keep) After(d time.Duration, f func()) { k.queue = append(k.queue, f) }
+func (k *keep) State(r statesvc.Request, f func(statesvc.Reply)) {
+	k.ledger++
+	for _, c := range r.Then {
+		if c.Put != "" {
+			if len(c.Value) > 16<<10 {
+				panic(fmt.Sprintf("%s has %d bytes", c.Put, len(c.Value)))
+			}
+			k.keys[c.Put] = statesvc.Pair{Path: c.Put, Value: c.Value, Stamp: ident.Stamp(k.ledger)}
+		} else {
+			delete(k.keys, c.Delete)
+		}
+	}
+	a := statesvc.Reply{Outcome: statesvc.OK, Ledger: k.ledger}
+	k.queue = append(k.queue, func() { f(a) })
+}
+
+func (k *keep) run() {
+	for len(k.queue) > 0 {
+		f := k.queue[0]
+		k.queue = k.queue[1:]
+		f()
+	}
+}
+
+func table(k *keep) (*Table, *commit.Committer) {
+	c := commit.New(k, commit.Limits{Ops: 16, PerSecond: 1e9}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { panic(why) })
+	return NewTable(c, 16<<10, k.Now, func() int64 { return 5 }), c
+}
+
+// TestSegments: an array too large for one value is split, survives a change of
+// leader task by task, and goes over as a whole.
+func TestSegments(t *testing.T) {
+	for _, pieces := range []int{1, 100, 5000} {
+		k := &keep{keys: map[string]statesvc.Pair{}}
+		tb, c := table(k)
+		s := &api.Spec{ID: "j-1", Shape: api.Batch, Pieces: pieces, Bundle: strings.Repeat("x", 200)}
+		accepted := false
+		j := tb.Add(s, func() { accepted = true }, nil)
+		c.Flush()
+		k.run()
+		for i := range j.Tasks {
+			task := &j.Tasks[i]
+			tb.Place(task, "host-999999", 1<<40, func() {})
+		}
+		c.Flush()
+		k.run()
+		for i := 0; i < pieces/2; i++ {
+			tb.Complete(&j.Tasks[i], nil)
+		}
+		c.Flush()
+		k.run()
+		if !accepted || j.Done != pieces/2 || j.Held != pieces-pieces/2 {
+			t.Fatalf("%d pieces: accepted %v, %d done, %d held", pieces, accepted, j.Done, j.Held)
+		}
+
+		next, c2 := table(k)
+		var paths []string
+		for p := range k.keys {
+			paths = append(paths, p)
+		}
+		// In the order of keys, as the state service lists them.
+		for i := range paths {
+			for n := i + 1; n < len(paths); n++ {
+				if paths[n] < paths[i] {
+					paths[i], paths[n] = paths[n], paths[i]
+				}
+			}
+		}
+		for _, p := range paths {
+			if err := next.Load(p, k.keys[p].Value, k.keys[p].Stamp); err != nil {
+				t.Fatal(err)
+			}
+		}
+		next.Loaded()
+		j = next.Jobs["j-1"]
+		if j.Done != pieces/2 || j.Held != pieces-pieces/2 || j.Tasks[pieces-1].Host != "host-999999" || j.Tasks[pieces-1].Tenure != 1<<40 {
+			t.Fatalf("%d pieces: loaded %d done, %d held", pieces, j.Done, j.Held)
+		}
+		if v, err := ReadLive(k.keys["live/j-1"].Value); err != nil || v.ID != "j-1" {
+			t.Errorf("%+v, %v", v, err)
+		}
+		for i := range j.Tasks {
+			if j.Tasks[i].State == Assigned {
+				next.Complete(&j.Tasks[i], nil)
+			}
+		}
+		c2.Flush()
+		k.run()
+		var e Ended
+		if len(k.keys) != 1 || json.Unmarshal(k.keys["over/j-1"].Value, &e) != nil || e.Phase != Done {
+			t.Errorf("%d pieces: %d keys are left, over: %+v", pieces, len(k.keys), e)
+		}
+	}
+}
+
+// TestCancelWaits: a cancelled job stays live until its tasks are proven gone,
+// so that a successor knows of them, but is told as cancelled at once.
+func TestCancelWaits(t *testing.T) {
+	k := &keep{keys: map[string]statesvc.Pair{}}
+	tb, c := table(k)
+	j := tb.Add(&api.Spec{ID: "j-1", Shape: api.Service, Pieces: 2}, func() {}, nil)
+	c.Flush()
+	k.run()
+	tb.Place(&j.Tasks[0], "h", 1, func() {})
+	c.Flush()
+	k.run()
+	told := ""
+	tb.Cancel(j, func() { told = j.View().Status })
+	c.Flush()
+	k.run()
+	if told != "cancelled" || k.keys["over/j-1"].Stamp != 0 || k.keys["live/j-1"].Stamp == 0 {
+		t.Fatalf("told %q, keys %v", told, k.keys)
+	}
+	tb.Gone(&j.Tasks[0], nil)
+	c.Flush()
+	k.run()
+	if k.keys["over/j-1"].Stamp == 0 || k.keys["live/j-1"].Stamp != 0 {
+		t.Errorf("keys %v", k.keys)
+	}
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,120 @@
+package mesh
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"opaldale/internal/ident"
+)
+
+var samples = []*Frame{
+	{Kind: Hello, Node: "agent-0"},
+	{Kind: Beat},
+	{Kind: Beat, Node: "agent-1", Term: 1<<63 + 5},
+	{Kind: Ask, ID: 7, Verb: Poll, Job: "j-000412", Body: []byte{}},
+	{Kind: Ask, ID: 1<<64 - 1, Verb: Submit, Body: []byte(`{"id":"j-1"}`)},
+	{Kind: Tell, ID: 9, Status: 503, Retry: 2, Body: []byte("{}")},
+}
+
+func TestRoundTrip(t *testing.T) {
+	var all []byte
+	for _, f := range samples {
+		all = f.Append(all)
+	}
+	r := bytes.NewReader(all)
+	for _, f := range samples {
+		g, err := Read(r)
+		if err != nil || !reflect.DeepEqual(f, g) {
+			t.Errorf("%+v came back as %+v, %v", f, g, err)
+		}
+	}
+}
+
+// TestMalformed: whatever is not a frame of this version is refused.
+func TestMalformed(t *testing.T) {
+	good := samples[4].Append(nil)[4:]
+	other := append([]byte{Version + 1}, good[1:]...)
+	for name, b := range map[string][]byte{"empty": nil, "other version": other, "unknown kind": {Version, 99},
+		"cut short": good[:len(good)-1], "too long": append(good[:len(good):len(good)], 0),
+		"unknown verb": {Version, byte(Ask), 0, 0, 0, 0, 0, 0, 0, 1, 77, 0, 0, 0, 0, 0, 0}} {
+		if _, err := Decode(b); !errors.Is(err, ErrFrame) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	huge := binary.BigEndian.AppendUint32(nil, MaxFrame+1)
+	if _, err := Read(bytes.NewReader(huge)); !errors.Is(err, ErrFrame) {
+		t.Errorf("oversized: %v", err)
+	}
+}
+
+// FuzzDecode: the decoder never panics, and what it accepts is what would be
+// written again.
+func FuzzDecode(f *testing.F) {
+	for _, s := range samples {
+		f.Add(s.Append(nil)[4:])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if again := g.Append(nil)[4:]; !bytes.Equal(again, b) {
+			t.Fatalf("%x decodes to %+v, which is written as %x", b, g, again)
+		}
+	})
+}
+
+// TestTransport sends through sockets, and sees a bad peer's connection closed.
+func TestTransport(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := make(chan *Frame, 10)
+	b := NewTransport("b", func(from ident.NodeID, f *Frame) {
+		if from != "a" {
+			t.Errorf("frame from %s", from)
+		}
+		got <- f
+	})
+	b.known["a"] = true
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() { defer wg.Done(); b.Serve(l) }()
+
+	a := NewTransport("a", func(ident.NodeID, *Frame) {})
+	a.Connect("b", l.Addr().String())
+	for {
+		a.Send("b", samples[4])
+		select {
+		case f := <-got:
+			if !reflect.DeepEqual(f, samples[4]) {
+				t.Errorf("got %+v", f)
+			}
+		case <-time.After(50 * time.Millisecond):
+			continue // what is sent before the connection stands is dropped
+		}
+		break
+	}
+	for name, raw := range map[string][]byte{"unknown node": (&Frame{Kind: Hello, Node: "x"}).Append(nil),
+		"no hello": samples[4].Append(nil), "garbage": {0, 0, 0, 2, 99, 99}} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(raw)
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%s: the connection stays open", name)
+		}
+		c.Close()
+	}
+	l.Close()
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,87 @@
+package server
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"opaldale/internal/cloud"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/mesh"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	os.Exit(m.Run())
+}
+
+const job = `{"id":"j-000001","lane":"l","desk":"red","shape":"batch","rank":"high","pieces":1,"vcpus":1,"cards":0,"memory_gb":1,
+ "bundle":"img","image_gb":1,"one_zone":false,"apart":false,"standby":true,"runtime_s":1,"snapshot_every_s":0,"snapshot_s":0}`
+
+// TestInterface asks a node that has no leader and no state service.
+func TestInterface(t *testing.T) {
+	down := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer down.Close()
+	addr := strings.TrimPrefix(down.URL, "http://")
+	set := &settings.Settings{Node: "agent-0", Tuning: settings.DefaultTuning(), Cluster: settings.Cluster{
+		Teams:   []settings.Team{{Name: "red", CPUsMax: 10}},
+		Workers: settings.Workers{ReportS: 3, LeaseS: 20, CancelS: 50}, State: settings.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
+		Cloud: settings.Cloud{RPS: 5}}}
+	s := &Server{loop: newLoop(), state: statesvc.NewClient(addr, http.DefaultTransport),
+		cloud: cloud.NewClient(addr, http.DefaultTransport), worker: http.DefaultClient,
+		mesh: mesh.NewTransport("agent-0", func(ident.NodeID, *mesh.Frame) {})}
+	s.ctl = controller.New(env{s}, set, rand.New(rand.NewPCG(1, 2)))
+	s.loop.settle = s.ctl.Settle
+	s.loop.post(s.ctl.Start)
+	go s.loop.run()
+	web := httptest.NewServer(s.handler())
+	defer web.Close()
+
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		says               string
+	}{
+		{"POST", "/v2/runs", job, 503, "no leader"},
+		{"POST", "/v2/runs", "nonsense", 400, "body"},
+		{"POST", "/v2/runs", strings.Replace(job, `"pieces":1`, `"pieces":-1`, 1), 400, "pieces"},
+		{"POST", "/v2/runs", job + strings.Repeat(" ", 64<<10), 400, "64 KiB"},
+		{"GET", "/v2/runs", "", 405, ""},
+		{"DELETE", "/v2/runs/j-000001", "", 405, ""},
+		{"GET", "/v2/runs/j-000001", "", 503, "state service"},
+		{"GET", "/v2/runs/sixpence", "", 404, "no such job"},
+		{"POST", "/v2/runs/sixpence/cancel", "", 404, "no such job"},
+		{"POST", "/v2/runs/j-000001/cancel", "", 503, "no leader"},
+		{"POST", "/checkin", `{"host":""}`, 400, "host"},
+		{"POST", "/checkin", `{"host":"h","addr":"1.2.3.4:5","model":"m","site":"a","tenure":1,"serial":1}`, 503, ""},
+		{"GET", "/up", "", 200, ""},
+		{"GET", "/nothing", "", 404, ""},
+		{"GET", "/metrics", "", 200, "opaldale_leading 0"},
+	} {
+		began := time.Now()
+		req, _ := http.NewRequest(c.method, web.URL+c.path, strings.NewReader(c.body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != c.status || !strings.Contains(string(b), c.says) {
+			t.Errorf("%s %s: %d %s", c.method, c.path, resp.StatusCode, b)
+		}
+		if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+			t.Errorf("%s %s: 503 without Retry-After after %v", c.method, c.path, time.Since(began))
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `
+node_name = "agent-0"
+zone = "east"
+bind = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+new_field = true
+[[siblings]]
+node_name = "agent-1"
+address = "10.0.0.2:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+nodes = 2
+zones = ["east"]
+[[cluster.teams]]
+name = "red"
+cpus = 24.0
+cpus_max = 88.0
+[[cluster.objectives]]
+kind = "wait"
+class = "api"
+within_s = 1.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 36.0
+cancel_s = 61.0
+[cluster.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 24
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[cluster.resources]
+cores = 0.144
+memory_mb = 342.0
+sockets = 3500
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil || s.Cluster.Teams[0].CPUsMax != 88 || s.Cluster.Objectives[0].WithinS != 1 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	// Every fault is named, not only the first.
+	bad := strings.NewReplacer(`"agent-1"`, `"agent-0"`, `10.2.0.2:8443`, `cloud.example:1`, `lease_s = 36.0`, `lease_s = 70.0`,
+		`txn_ops = 24`, `txn_ops = 0`, `sockets = 3500`, ``).Replace(good)
+	_, err = Parse([]byte(bad))
+	for _, name := range []string{"siblings[0].node_name", "endpoints.cloud", "cancel_s", "txn_ops", "sockets"} {
+		if err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s is not named in %v", name, err)
+		}
+	}
+}
+
+func TestTuning(t *testing.T) {
+	tu := DefaultTuning()
+	if err := tu.Read([]byte("; ours\n(tuning (leader-lease 3s)\n (plan none) (headroom 1.5))")); err != nil {
+		t.Fatal(err)
+	}
+	if tu.LeaderLease != 3*time.Second || tu.Plan != "none" || tu.Headroom != 1.5 {
+		t.Errorf("%+v", tu)
+	}
+	for _, bad := range []string{"", "(tuning", "(tuning))", "(other)", "(tuning (colour red))", "(tuning (round))",
+		"(tuning (round soon))", strings.Repeat("(", 100)} {
+		tu := DefaultTuning()
+		if tu.Read([]byte(bad)) == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+	tu.Plan = "guess"
+	if tu.check() == nil {
+		t.Error("an unknown plan is taken")
+	}
+}
