--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,6 +109,7 @@
 
 const (
 	window = 90 * time.Second
+	burst  = 25 * time.Second
 	// settling is how long after the first job arrivals count as a backlog and
 	// not as a rate.
 	settling = 15 * time.Second
@@ -132,19 +133,23 @@
 // rate returns CPUs a second, and the mean and the largest job.
 func (a *arrivals) rate(now, began ident.Mono) (perSecond, mean, most float64) {
 	a.trim(now)
-	sum, all := 0.0, 0.0
+	sum, last, all := 0.0, 0.0, 0.0
 	for i, c := range a.cpus {
 		all += c
 		most = max(most, c)
 		if a.at[i].Sub(began) > settling {
 			sum += c
+			if now.Sub(a.at[i]) < burst {
+				last += c
+			}
 		}
 	}
 	if len(a.cpus) > 0 {
 		mean = all / float64(len(a.cpus))
 	}
 	if span := min(now.Sub(began)-settling, window); span > 10*time.Second {
-		perSecond = sum / span.Seconds()
+		// A burst is over before a slow mean has noticed it.
+		perSecond = max(sum/span.Seconds(), last/burst.Seconds())
 	}
 	return
 }
