A new leader takes over the arrivals of the jobs it loads

Cause: after a failover nothing was expected to arrive, so room was returned that was needed soon after.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -320,7 +320,13 @@
 		}
 	}
 	l.jobs.Loaded()
+	if l.jobs.Seq > 0 {
+		l.fleet.Continue()
+	}
 	for _, j := range l.jobs.Sorted() {
+		if j.Phase == jobs.Open {
+			l.fleet.Arrived(j.Spec, j.Arrived)
+		}
 		if j.Phase == jobs.Cancelled {
 			l.stopAll(j)
 		}
@@ -528,7 +534,7 @@
 	}
 	reply = l.wait(reply)
 	l.jobs.Add(s, func() {
-		l.fleet.Arrived(s)
+		l.fleet.Arrived(s, l.c.env.Now())
 		reply(answer(http.StatusCreated, api.Ack{ID: s.ID, Status: "queued"}))
 	}, func() {
 		l.ended(s.ID, reply, known, func() { reply(unavailable("try again")) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,16 +154,20 @@
 	return
 }
 
-// Arrived notes a new job.
-func (m *Manager) Arrived(s *api.Spec) {
+// Arrived notes a new job, or at the start of a term one of the term before.
+func (m *Manager) Arrived(s *api.Spec, at ident.Mono) {
 	cpus := s.VCPUs * float64(s.Pieces)
 	if s.Shape == api.Service {
-		m.services.add(m.port.Now(), cpus)
+		m.services.add(at, cpus)
 	} else {
-		m.arrays.add(m.port.Now(), min(cpus, max(m.teams.Largest(), s.VCPUs)))
+		m.arrays.add(at, min(cpus, max(m.teams.Largest(), s.VCPUs)))
 	}
 }
 
+// Continue tells that the cluster was running before this term: its arrivals are
+// a rate from the beginning, not a backlog.
+func (m *Manager) Continue() { m.began = m.began.Add(-time.Hour) }
+
 // Tick looks after the fleet.
 func (m *Manager) Tick() {
 	m.watch()
