--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 	// Reached is asked when most of the fleet is silent: whether workers could
 	// reach us through a sibling. If not, the fault is more likely ours.
 	Reached func() bool
+	// Within is asked whether a job lies within its team's guarantee.
+	Within func(j *jobs.Job) bool
 	// Movable is asked whether a replica would find room, and its image, elsewhere.
 	Movable func(t *jobs.Task, from *workers.Worker) bool
 	// Drain is called for machines that will be taken.
@@ -490,7 +492,7 @@
 					}
 				}
 			}
-			if site == "" && s.Standby && now.Sub(j.Arrived) < patience*m.slowest() {
+			if site == "" && s.Standby && !m.cfg.Within(j) && now.Sub(j.Arrived) < patience*m.slowest() {
 				// An ordinary machine costs several times as much, and spot ones
 				// that are refused now are mostly to be had a little later.
 				site = spotOnly
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -616,7 +616,7 @@
 // Guaranteed work waits this long for room before others' borrowed room is
 // taken back: long enough for tasks that end by themselves, short against the
 // aims of a few seconds.
-const claimAfter = 1500 * time.Millisecond
+const claimAfter = 500 * time.Millisecond
 
 // claimGuarantees gives jobs within their team's guarantee what other teams have
 // borrowed.
