--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -530,7 +530,7 @@
 			continue
 		}
 		if !w.Holds(j.Spec.Bundle) {
-			cost += 1
+			cost += p.fetches(j, w).Seconds() * 2 * max(j.Spec.VCPUs, 1)
 		}
 		if best == nil || cost < least {
 			best, stop, least = w, victims, cost
