--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -361,6 +361,11 @@
 		if l.c.elect.Valid() {
 			l.planner.Round()
 			l.dirty = true
+			if l.planner.Stats.Rounds%12 == 0 {
+				s := l.planner.Stats
+				slog.Debug("figures", "planned", s.Planned, "local", s.Local, "new", s.New, "stolen", s.Stolen, "services", s.Services,
+					"rounds", s.Rounds, "extra", s.Extra, "fetched_gb", s.FetchedGB, "plan_ms", s.Took.Seconds()*1000, "preempted", s.Preempted)
+			}
 		}
 		l.roundLater()
 	})
