--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -81,6 +81,7 @@
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
 		Reached: l.reached,
+		Aim:     l.planner.Aim,
 		Within:  func(j *jobs.Job) bool { return l.planner.Within(j) },
 		Movable: func(t *jobs.Task, from *workers.Worker) bool { return l.planner.Movable(t, from) },
 		Drain:   l.drain,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,9 @@
 	// Reached is asked when most of the fleet is silent: whether workers could
 	// reach us through a sibling. If not, the fault is more likely ours.
 	Reached func() bool
+	// Aim is the shortest time within which jobs of a lane should be done, 0 if
+	// nothing is said.
+	Aim func(lane string) time.Duration
 	// Within is asked whether a job lies within its team's guarantee.
 	Within func(j *jobs.Job) bool
 	// Movable is asked whether a replica would find room, and its image, elsewhere.
@@ -80,6 +83,7 @@
 	listed  ident.Mono
 	excess  ident.Mono // since when there is more room than needed, 0: there isn't
 	began   ident.Mono
+	started ident.Mono    // of the term
 	silent  time.Duration // a worker not heard of for so long is fenced
 
 	services arrivals
@@ -97,7 +101,7 @@
 		silent = settings.Seconds(2.2 * cfg.Workers.ReportS)
 	}
 	return &Manager{silent: silent, cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
-		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now}
+		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now, started: now}
 }
 
 // Close ends the manager with its term.
@@ -317,6 +321,9 @@
 	return d/2 + time.Duration(m.rng.Int64N(int64(d)))
 }
 
+// listTime is how long an answer with a list may take.
+const listTime = 5 * time.Second
+
 // list reads the cloud's list now and then, and adopts what nobody expected.
 func (m *Manager) list() {
 	now := m.port.Now()
@@ -353,6 +360,12 @@
 func (m *Manager) adopt(l cloud.Listed) {
 	w := m.machine.Workers[l.ID]
 	if w == nil {
+		// A list may be older than this term, and show what the leader before has
+		// returned: such a machine would count as room to come. What is real is
+		// listed again, or reports.
+		if m.port.Now().Sub(m.started) < 2*settings.Seconds(m.cfg.Cloud.ListLagS)+listTime {
+			return
+		}
 		slog.Info("adopting machine", "host", string(l.ID), "status", l.Status, "age_s", l.AgeS)
 		w = m.machine.Add(l.ID, l.Model, l.Site, l.Standby, m.port.Now().Add(-settings.Seconds(l.AgeS)))
 		if w.Addr == "" {
@@ -441,6 +454,7 @@
 	now := m.port.Now()
 	bins := m.bins(catalog, now)
 	rent := map[pool]int{}
+	var late float64
 	open := func(s *api.Spec, site string) *bin {
 		b := m.newBin(catalog, bins, s, site, now)
 		if b != nil {
@@ -492,7 +506,8 @@
 					}
 				}
 			}
-			if site == "" && s.Standby && !m.cfg.Within(j) && now.Sub(j.Arrived) < patience*m.slowest() {
+			dear := site == "" && s.Standby && !m.cfg.Within(j) && now.Sub(j.Arrived) < patience*m.slowest()
+			if dear && late <= 0 {
 				// An ordinary machine costs several times as much, and spot ones
 				// that are refused now are mostly to be had a little later.
 				site = spotOnly
@@ -501,12 +516,16 @@
 			if b == nil {
 				return
 			}
+			if dear && !b.pool.standby {
+				late -= b.v
+			}
 			before := n
 			if put(b); n == before {
 				return
 			}
 		}
 	}
+	late = m.late(bins, now)
 	for _, services := range []bool{true, false} {
 		for _, j := range m.waiting(services) {
 			n := min(j.Waits(), m.teams.Room(j.Spec))
@@ -593,6 +612,50 @@
 	return out
 }
 
+// late returns how many CPUs are missing for the arrays that wait to be started
+// in time for the first of their aims, 0 if the machines that are there or coming
+// can still do it. A backlog is seen by its work, not by waiting until it is late.
+func (m *Manager) late(bins []*bin, now ident.Mono) float64 {
+	room, work, slack, weight := 0.0, 0.0, 0.0, 0.0
+	for _, b := range bins {
+		if b.pool.standby {
+			room += b.kind.VCPUs
+		} else {
+			room += b.v + borrowed(b.w)
+		}
+	}
+	for _, j := range m.jobs.Jobs {
+		s := j.Spec
+		if !j.Known || j.Phase != jobs.Open || s.Shape != api.Batch || !s.Standby {
+			continue
+		}
+		waits := float64(min(j.Waits(), m.teams.Room(s))) * s.VCPUs * s.RuntimeS
+		work += waits
+		if aim := m.cfg.Aim(s.Lane).Seconds(); aim > 0 && waits > 0 {
+			slack += waits * max(0, aim-s.RuntimeS)
+			weight += waits
+		}
+		if j.Held == 0 {
+			continue
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.State.Held() {
+				left := s.RuntimeS
+				if t.RunsAt > 0 {
+					left -= now.Sub(t.RunsAt).Seconds()
+				}
+				work += s.VCPUs * max(left, 5)
+			}
+		}
+	}
+	if weight == 0 {
+		return 0
+	}
+	// A part of the slack, since arrivals go on and estimates are often short.
+	within := max(0.85*slack/weight, m.slowest().Seconds())
+	return max(0, work/within-room)
+}
+
 // ending lists a machine's array tasks that will probably end before a machine
 // rented now would be up: what waits gets their places as soon, and cheaper.
 func (m *Manager) ending(w *workers.Worker, now ident.Mono) []*jobs.Task {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/placement"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	os.Exit(m.Run())
+}
+
+// world answers the cloud's requests from a script and lets time pass.
+type world struct {
+	now    ident.Mono
+	timers []func()
+	calls  []cloud.Request
+	reply  func(cloud.Request) cloud.Reply
+}
+
+func (w *world) Now() ident.Mono { return w.now }
+
+func (w *world) After(d time.Duration, f func()) { w.timers = append(w.timers, f) }
+
+func (w *world) Cloud(r cloud.Request, f func(cloud.Reply)) {
+	w.calls = append(w.calls, r)
+	f(w.reply(r))
+}
+
+func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
+	f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 5})
+}
+
+// Worker never answers.
+func (w *world) Worker(addr string, c api.Commands, f func(workers.Answer)) { f(workers.Answer{}) }
+
+func (w *world) pass(d time.Duration, m *Manager) {
+	for end := w.now.Add(d); w.now < end; {
+		w.now = w.now.Add(500 * time.Millisecond)
+		due := w.timers
+		w.timers = nil
+		for _, f := range due {
+			f()
+		}
+		m.Tick()
+	}
+}
+
+type rig struct {
+	*world
+	m       *Manager
+	table   *workers.Table
+	jobs    *jobs.Table
+	commits *commit.Committer
+	reached bool
+}
+
+func newRig() *rig {
+	r := &rig{world: &world{now: ident.Mono(time.Hour)}, reached: true}
+	r.reply = func(q cloud.Request) cloud.Reply { return cloud.Reply{Outcome: cloud.OK} }
+	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Sites: []string{"east"}}
+	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) {})
+	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
+	r.table = workers.NewTable(r, r.jobs, workers.Config{Term: 3, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
+		Catalog: func(string) *cloud.Model { return &kind }, Deposed: func() {}, Changed: func() {},
+		Failed: func(*jobs.Task, *workers.Worker, api.Cause) {},
+		Commit: func(w *workers.Worker) {
+			w.Doc = &commit.Doc{Path: "fleet/" + string(w.Host), Render: func() json.RawMessage { return json.RawMessage("{}") }}
+		}})
+	teams := placement.NewTeams([]settings.Team{{Name: "red", CPUs: 100, CPUsMax: 100}})
+	r.m = New(r, r.table, r.jobs, teams, rand.New(rand.NewPCG(1, 1)), Config{Term: 3, Tuning: settings.DefaultTuning(),
+		Cloud: settings.Cloud{RPS: 5, ListLagS: 10}, Workers: settings.Workers{ReportS: 3},
+		Catalog: func() []cloud.Model { return []cloud.Model{kind} },
+		Reached: func() bool { return r.reached }, Within: func(*jobs.Job) bool { return false },
+		Aim:     func(string) time.Duration { return 0 },
+		Movable: func(*jobs.Task, *workers.Worker) bool { return false }, Drain: func(*workers.Worker) {},
+		Reserve: func(string, float64) {}})
+	return r
+}
+
+func (r *rig) up(n int) {
+	for i := range n {
+		w := r.table.Add(ident.HostID(fmt.Sprintf("host-%06d", i)), "m8", "east", false, r.now)
+		r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 1})
+	}
+}
+
+func (r *rig) count(op cloud.Op) int {
+	n := 0
+	for _, c := range r.calls {
+		if c.Op == op {
+			n++
+		}
+	}
+	return n
+}
+
+// TestGhosts guards against what incident inc-8601 showed: a list older than the
+// term made a new leader adopt a machine that the one before had returned.
+func TestGhosts(t *testing.T) {
+	r := newRig()
+	r.reply = func(q cloud.Request) cloud.Reply {
+		return cloud.Reply{Outcome: cloud.OK, Listed: []cloud.Listed{{ID: "host-000009", Addr: "b", Model: "m8", Site: "east", Status: "running", AgeS: 5}}}
+	}
+	r.pass(15*time.Second, r.m)
+	if r.count(cloud.List) == 0 || r.table.Workers["host-000009"] != nil {
+		t.Fatalf("after %d lists: adopted %v", r.count(cloud.List), r.table.Workers)
+	}
+	r.pass(25*time.Second, r.m)
+	if r.table.Workers["host-000009"] == nil {
+		t.Error("a machine that stays listed is not adopted")
+	}
+}
+
+// TestLostRental: a request without an answer is repeated under its own name,
+// which rents nothing more; other requests get names of their own.
+func TestLostRental(t *testing.T) {
+	r := newRig()
+	tries := map[string]int{}
+	r.reply = func(q cloud.Request) cloud.Reply {
+		if q.Op != cloud.Rent {
+			return cloud.Reply{Outcome: cloud.OK}
+		}
+		tries[q.Hire]++
+		if tries[q.Hire] < 3 {
+			return cloud.Reply{Outcome: cloud.Lost}
+		}
+		return cloud.Reply{Outcome: cloud.OK, Rented: []ident.HostID{ident.HostID("host-" + q.Hire)}}
+	}
+	for i := range 2 {
+		r.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", i)), Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 8, MemoryGB: 1}, func() {}, nil)
+		r.commits.Flush()
+		r.pass(4*time.Second, r.m)
+	}
+	if len(tries) != 2 || r.m.Rented != 2 {
+		t.Errorf("requests by name %v, rented %d", tries, r.m.Rented)
+	}
+	for name, n := range tries {
+		if n != 3 {
+			t.Errorf("%s was sent %d times", name, n)
+		}
+	}
+}
+
+// TestMassSilence: most of the fleet silent at once is not fenced while no
+// sibling is heard, and only after twice the time if one is.
+func TestMassSilence(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		r := newRig()
+		r.reached = reached
+		r.up(6)
+		r.pass(9*time.Second, r.m)
+		if n := r.count(cloud.Return); n > 0 {
+			t.Errorf("reached %v: fenced after 9 s", reached)
+		}
+		r.pass(10*time.Second, r.m)
+		if n := r.count(cloud.Return); (n > 0) != reached {
+			t.Errorf("reached %v: %d returns after 19 s", reached, n)
+		}
+	}
+}
+
+// TestOneSilent: a single silent machine is fenced after about two reports.
+func TestOneSilent(t *testing.T) {
+	r := newRig()
+	r.up(6)
+	for i := range 20 {
+		for n := range 5 {
+			r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(2 + i)})
+		}
+		r.pass(500*time.Millisecond, r.m)
+	}
+	if w := r.table.Workers["host-000005"]; w.State != workers.Gone {
+		t.Errorf("the silent machine is %v", w.State)
+	}
+	if w := r.table.Workers["host-000000"]; w.State != workers.Up {
+		t.Errorf("a reporting machine is %v", w.State)
+	}
+}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -138,6 +138,15 @@
 	return services
 }
 
+// Aim returns the shortest time within which jobs of a lane should be done, 0 if
+// nothing is said.
+func (p *Planner) Aim(lane string) time.Duration {
+	if a := p.aims[lane]; len(a) > 0 {
+		return a[0]
+	}
+	return 0
+}
+
 // urgency orders jobs of one priority by what can still be reached. In the order
 // of arrival alone, a backlog of half a minute makes every job late, while
 // starting the late ones later costs them nothing that counts.
