--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -865,14 +865,13 @@
 	services, arrays := m.wanted(now)
 	total := 0.0
 	free, sites := map[string]float64{}, map[string]bool{}
-	busy := false
 	var cand []*bin
 	for _, b := range bins {
 		if b.rent || b.w == nil || b.w.State == workers.Booting {
-			busy = true // more is coming: see first what becomes of it
 			continue
 		}
 		if b.w.Cordoned {
+			total -= b.w.VCPUs
 			m.empty(b.w, now)
 			continue
 		}
@@ -904,9 +903,12 @@
 	}
 	excess := false
 	for _, b := range cand {
-		// What its replicas take elsewhere; its arrays end where they are.
+		// Its replicas move, and its arrays end where they are; but while work goes
+		// on as it does, others come in their place. (Counting only what was free
+		// on it cordoned most of a fleet within a second of the end of a peak, and
+		// rented it again.)
 		moving := replicas(b.w)
-		if total-b.v-moving < all+arrays {
+		if total-b.v-b.w.VCPUs < all+arrays {
 			continue
 		}
 		if !b.pool.standby && free[b.pool.site]-b.v-borrowed(b.w)-moving < services[b.pool.site] {
@@ -916,10 +918,10 @@
 		if m.excess == 0 {
 			m.excess = now
 		}
-		if busy || now.Sub(m.excess) < m.cfg.Tuning.IdleKeep {
+		if now.Sub(m.excess) < m.cfg.Tuning.IdleKeep {
 			return
 		}
-		total -= b.v + moving
+		total -= b.v + b.w.VCPUs
 		if !b.pool.standby {
 			free[b.pool.site] -= b.v + borrowed(b.w) + moving
 		}
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -25,7 +25,7 @@
 	return Tuning{
 		LeaderLease: 2 * time.Second,
 		Round:       5 * time.Second,
-		IdleKeep:    25 * time.Second,
+		IdleKeep:    12 * time.Second,
 		BootFactor:  3.5,
 		Headroom:    1,
 		Plan:        "asm1",
