--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -2,14 +2,12 @@
 package cloud
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
+	"opaldale/internal/httpcall"
 	"opaldale/internal/ident"
 )
 
@@ -102,8 +100,6 @@
 
 // Do carries out a request.
 func (c *Client) Do(r Request) Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
 	method, path := http.MethodGet, ""
 	var body any
 	switch r.Op {
@@ -119,31 +115,11 @@
 	case List:
 		path = "/machines?" + url.Values{"since": {string(r.Since)}, "most": {listMost}}.Encode()
 	}
-	var rd io.Reader
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return Reply{Outcome: Bad, Error: err.Error()}
-		}
-		rd = bytes.NewReader(b)
-	}
-	hr, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err != nil {
-		return Reply{Outcome: Bad, Error: err.Error()}
-	}
-	if rd != nil {
-		hr.Header.Set("Content-Type", "application/json")
-	}
-	resp, err := c.http.Do(hr)
-	if err != nil {
-		return Reply{Outcome: Lost, Error: err.Error()}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	status, b, err := httpcall.Do(c.http, timeout, method, c.base+path, body, maxReply)
 	if err != nil {
 		return Reply{Outcome: Lost, Error: err.Error()}
 	}
-	return decode(r.Op, resp.StatusCode, b)
+	return decode(r.Op, status, b)
 }
 
 func decode(op Op, status int, body []byte) Reply {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -1,10 +1,7 @@
 package server
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,6 +12,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
 	"opaldale/internal/controller"
+	"opaldale/internal/httpcall"
 	"opaldale/internal/ident"
 	"opaldale/internal/mesh"
 	"opaldale/internal/settings"
@@ -25,6 +23,7 @@
 const (
 	dialTime    = time.Second
 	commandTime = 1200 * time.Millisecond // a worker answers within milliseconds, or after a lost packet
+	maxReport   = 1 << 20
 	memoryShare = 0.65
 )
 
@@ -122,19 +121,7 @@
 
 // command sends orders to a worker.
 func (s *Server) command(addr string, c api.Commands) workers.Answer {
-	ctx, cancel := context.WithTimeout(context.Background(), commandTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/commands", bytes.NewReader(api.JSON(c)))
-	if err != nil {
-		return workers.Answer{}
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := s.worker.Do(req)
-	if err != nil {
-		return workers.Answer{}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	status, b, err := httpcall.Do(s.worker, commandTime, http.MethodPost, "http://"+addr+"/commands", c, maxReport)
 	if err != nil {
 		return workers.Answer{}
 	}
@@ -142,7 +129,7 @@
 	if err != nil {
 		return workers.Answer{}
 	}
-	return workers.Answer{Status: resp.StatusCode, Report: r}
+	return workers.Answer{Status: status, Report: r}
 }
 
 // snapshot asks the loop for the counters.
--- a/internal/statesvc/statesvc.go
+++ b/internal/statesvc/statesvc.go
@@ -3,16 +3,13 @@
 package statesvc
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"opaldale/internal/httpcall"
 	"opaldale/internal/ident"
 )
 
@@ -124,23 +121,13 @@
 // Do carries out a request. It never guesses: whatever is not a clear answer
 // is Lost.
 func (c *Client) Do(r Request) Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
-	defer cancel()
-	hr, err := c.request(ctx, r)
-	if err != nil {
-		return Reply{Outcome: Bad, Error: err.Error()}
-	}
-	resp, err := c.http.Do(hr)
-	if err != nil {
-		return Reply{Outcome: Lost, Error: err.Error()}
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	method, path, sent := request(r)
+	status, body, err := httpcall.Do(c.http, r.Timeout, method, c.base+path, sent, maxReply)
 	if err != nil {
 		return Reply{Outcome: Lost, Error: err.Error()}
 	}
 	var out Reply
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK:
 		out.Outcome = OK
 	case http.StatusNotFound:
@@ -150,12 +137,12 @@
 	case http.StatusGone:
 		out.Outcome = TooOld
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return Reply{Outcome: Refused, Error: resp.Status}
+		return Reply{Outcome: Refused, Error: http.StatusText(status)}
 	case http.StatusBadRequest:
 		out.Outcome = Bad
 	default:
 		// Not in the protocol: it may have been carried out.
-		return Reply{Outcome: Lost, Error: resp.Status}
+		return Reply{Outcome: Lost, Error: http.StatusText(status)}
 	}
 	if len(body) > 0 {
 		if err := json.Unmarshal(body, &out); err != nil && out.Outcome == OK {
@@ -165,51 +152,32 @@
 	return out
 }
 
-func (c *Client) request(ctx context.Context, r Request) (*http.Request, error) {
-	method, path := http.MethodGet, ""
-	var body any
+// request puts a request in the service's words.
+func request(r Request) (method, path string, body any) {
 	switch r.Op {
-	case Get:
-		path = "/keys/" + r.Path
 	case List:
 		q := url.Values{"starts": {r.Starts}, "most": {"1000"}}
 		if r.Since != "" {
 			q.Set("since", r.Since)
 		}
-		path = "/keys?" + q.Encode()
+		return http.MethodGet, "/keys?" + q.Encode(), nil
 	case Txn:
-		method, path = http.MethodPost, "/txn"
-		body = struct {
+		return http.MethodPost, "/txn", struct {
 			If   []Cond   `json:"if"`
 			Then []Change `json:"then,omitempty"`
 		}{r.If, r.Then}
 	case Grant:
-		method, path = http.MethodPost, "/leases"
-		body = struct {
+		return http.MethodPost, "/leases", struct {
 			TTL int64 `json:"ttl_ms"`
 		}{r.TTL.Milliseconds()}
 	case Extend:
-		method, path = http.MethodPost, "/leases/"+strconv.FormatUint(r.Grant, 10)+"/extend"
+		return http.MethodPost, "/leases/" + strconv.FormatUint(r.Grant, 10) + "/extend", nil
 	case Revoke:
-		method, path = http.MethodDelete, "/leases/"+strconv.FormatUint(r.Grant, 10)
+		return http.MethodDelete, "/leases/" + strconv.FormatUint(r.Grant, 10), nil
 	case Follow:
 		q := url.Values{"starts": {r.Starts}, "since": {strconv.FormatUint(r.Ledger, 10)},
 			"block_ms": {strconv.FormatInt(r.Block.Milliseconds(), 10)}}
-		path = "/follow?" + q.Encode()
-	default:
-		return nil, fmt.Errorf("unknown operation %d", r.Op)
-	}
-	var rd io.Reader
-	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			return nil, err
-		}
-		rd = bytes.NewReader(b)
-	}
-	hr, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
-	if err == nil && rd != nil {
-		hr.Header.Set("Content-Type", "application/json")
+		return http.MethodGet, "/follow?" + q.Encode(), nil
 	}
-	return hr, err
+	return http.MethodGet, "/keys/" + r.Path, nil
 }
