--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -82,7 +82,6 @@
 		Catalog: func() []cloud.Model { return l.models },
 		Reached: l.reached,
 		Aim:     l.planner.Aim,
-		Within:  func(j *jobs.Job) bool { return l.planner.Within(j) },
 		Movable: func(t *jobs.Task, from *workers.Worker) bool { return l.planner.Movable(t, from) },
 		Drain:   l.drain,
 		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,8 +54,6 @@
 	// Aim is the shortest time within which jobs of a lane should be done, 0 if
 	// nothing is said.
 	Aim func(lane string) time.Duration
-	// Within is asked whether a job lies within its team's guarantee.
-	Within func(j *jobs.Job) bool
 	// Movable is asked whether a replica would find room, and its image, elsewhere.
 	Movable func(t *jobs.Task, from *workers.Worker) bool
 	// Drain is called for machines that will be taken.
@@ -506,7 +504,7 @@
 					}
 				}
 			}
-			dear := site == "" && s.Standby && !m.cfg.Within(j) && now.Sub(j.Arrived) < patience*m.slowest()
+			dear := site == "" && s.Standby && now.Sub(j.Arrived) < patience*m.slowest()
 			if dear && late <= 0 {
 				// An ordinary machine costs several times as much, and spot ones
 				// that are refused now are mostly to be had a little later.
