--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -622,35 +622,40 @@
 			room += b.v + borrowed(b.w)
 		}
 	}
-	for _, j := range m.jobs.Jobs {
+	var open []*jobs.Job
+	for _, j := range m.jobs.Sorted() {
 		s := j.Spec
 		if !j.Known || j.Phase != jobs.Open || s.Shape != api.Batch || !s.Standby {
 			continue
 		}
+		open = append(open, j)
 		waits := float64(min(j.Waits(), m.teams.Room(s))) * s.VCPUs * s.RuntimeS
-		work += waits
-		if aim := m.cfg.Aim(s.Lane).Seconds(); aim > 0 && waits > 0 {
-			slack += waits * max(0, aim-s.RuntimeS)
+		// What can't be done in time by any machine goes last, and doesn't count.
+		if left := (m.cfg.Aim(s.Lane) - now.Sub(j.Arrived)).Seconds() - s.RuntimeS; left > 0 && waits > 0 {
+			work += waits
+			slack += waits * left
 			weight += waits
 		}
+	}
+	if weight == 0 {
+		return 0
+	}
+	// A part of the slack, since arrivals go on and estimates are often short.
+	within := max(0.85*slack/weight, m.slowest().Seconds())
+	for _, j := range open {
 		if j.Held == 0 {
 			continue
 		}
 		for i := range j.Tasks {
 			if t := &j.Tasks[i]; t.State.Held() {
-				left := s.RuntimeS
+				left := j.Spec.RuntimeS
 				if t.RunsAt > 0 {
 					left -= now.Sub(t.RunsAt).Seconds()
 				}
-				work += s.VCPUs * max(left, 5)
+				work += j.Spec.VCPUs * min(max(left, 5), within)
 			}
 		}
 	}
-	if weight == 0 {
-		return 0
-	}
-	// A part of the slack, since arrivals go on and estimates are often short.
-	within := max(0.85*slack/weight, m.slowest().Seconds())
 	return max(0, work/within-room)
 }
 
