--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -40,6 +40,7 @@
 	// onLoaded takes in what was read, once all of it has been.
 	onLoaded func()
 	dead     bool
+	began    ident.Mono
 	dirty    bool // something may be placed
 	// pending holds the users whose answers wait for the state service.
 	pending map[uint64]func(Reply)
@@ -56,10 +57,11 @@
 	catalogEvery = 30 * time.Second
 	loadTime     = 3 * time.Second
 	restAfter    = 12 * time.Second
+	aloneAfter   = 2500 * time.Millisecond
 )
 
 func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
-	l := &lead{c: c, term: t, kinds: map[string]*cloud.Model{}, pending: map[uint64]func(Reply){}}
+	l := &lead{c: c, term: t, began: c.env.Now(), kinds: map[string]*cloud.Model{}, pending: map[uint64]func(Reply){}}
 	st := c.set.Cluster.State
 	valueBytes := int(st.ValueKB * 1024)
 	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS},
@@ -347,6 +349,10 @@
 		return
 	}
 	if l.c.elect.Valid() {
+		if l.alone() {
+			l.c.elect.Resign(restAfter, "nobody is heard")
+			return
+		}
 		l.fleet.Tick()
 		l.dirty = true
 	}
@@ -469,6 +475,31 @@
 	}
 }
 
+// alone says whether this node hears no sibling and, with several machines up,
+// none of them either: a leader cut off from all but the state service would keep
+// its lease, and the cluster, for as long as the cut lasts.
+func (l *lead) alone() bool {
+	now := l.c.env.Now()
+	if len(l.c.set.Siblings) == 0 || now.Sub(l.began) < aloneAfter {
+		return false
+	}
+	for _, s := range l.c.set.Siblings {
+		if l.c.reachable(s.Node) {
+			return false
+		}
+	}
+	up := 0
+	for _, w := range l.workers.Workers {
+		if w.State == workers.Up || w.State == workers.Silent {
+			if now.Sub(w.Heard()) < aloneAfter {
+				return false
+			}
+			up++
+		}
+	}
+	return up >= 4
+}
+
 // reached says whether a sibling is heard, which would pass workers' reports on.
 // A leader that hears neither workers nor siblings leaves the lead to one that
 // may.
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -61,3 +61,37 @@
 		t.Fatalf("%d starts and %d lines, then %d and %d", a.Starts, len(a.Log), b.Starts, len(b.Log))
 	}
 }
+
+// TestLeaderCutOff: a leader that only the state service hears keeps its lease;
+// it must leave the lead to a node that users and machines can reach.
+func TestLeaderCutOff(t *testing.T) {
+	w := New(Config{Seed: 5, Length: 120 * time.Second})
+	var old *node
+	w.at(60*time.Second, func() {
+		for _, n := range w.nodes {
+			if n.ctl.Election().Valid() {
+				old = n
+			}
+		}
+		for _, n := range w.nodes {
+			if n != old {
+				w.sever(old.name, n.name, false, 40*time.Second)
+			}
+		}
+		for _, k := range w.sortedWorkers() {
+			w.sever(old.name, string(k.host), false, 40*time.Second)
+		}
+	})
+	w.at(67*time.Second, func() {
+		for _, n := range w.nodes {
+			if n != old && n.ctl.Election().Valid() {
+				return
+			}
+		}
+		t.Error("nobody else leads 7 s after the cut")
+	})
+	w.Run()
+	if len(w.Broken) > 0 || len(w.Undone) > 0 {
+		t.Errorf("%v %v", w.Broken, w.Undone)
+	}
+}
