Count machines fenced a moment ago as silent; resign with two machines silent

Cause: the new test of a cut-off leader failed: with three machines it fenced them one after the other, each time fewer than half of what was left.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -497,7 +497,7 @@
 			up++
 		}
 	}
-	return up >= 4
+	return up >= 2
 }
 
 // reached says whether a sibling is heard, which would pass workers' reports on.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -79,7 +79,8 @@
 	leaving []*workers.Worker // to be returned with the next request
 	listing bool
 	listed  ident.Mono
-	excess  ident.Mono // since when there is more room than needed, 0: there isn't
+	fences  []ident.Mono // of late
+	excess  ident.Mono   // since when there is more room than needed, 0: there isn't
 	began   ident.Mono
 	started ident.Mono    // of the term
 	silent  time.Duration // a worker not heard of for so long is fenced
@@ -247,7 +248,11 @@
 	// sibling is heard, they could reach us through it, and have not in twice the
 	// time: then they are gone. (Two leaders that each resigned over machines
 	// long taken kept a cluster without one for good.)
-	mass := len(silent) > 2 && 2*len(silent) > up
+	// Those fenced a moment ago count as well: machines that fall silent together
+	// are noticed one by one.
+	m.fences = slices.DeleteFunc(m.fences, func(at ident.Mono) bool { return now.Sub(at) > 2*m.silent })
+	n := len(silent) + len(m.fences)
+	mass := n > 1 && 2*n > up+len(m.fences)
 	if mass && !m.cfg.Reached() {
 		return
 	}
@@ -256,6 +261,7 @@
 			continue
 		}
 		m.Fenced++
+		m.fences = append(m.fences, now)
 		m.Return(w, "silent")
 	}
 }
