--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -293,7 +293,9 @@
 					found = w
 					break
 				}
-				if found == nil {
+				// Where the image must be fetched anyway, on the machine with the most
+				// room: the next ones then find it there.
+				if found == nil || w.Kind.VCPUs-w.VCPUs > found.Kind.VCPUs-found.VCPUs+slack {
 					found = w
 				}
 			}
