--- /dev/null
+++ b/internal/workers/workers_test.go
@@ -0,0 +1,226 @@
+package workers
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"os"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/statesvc"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	os.Exit(m.Run())
+}
+
+// world lets the test decide when a transaction is carried out and what becomes
+// of a command.
+type world struct {
+	now     ident.Mono
+	timers  []func()
+	txns    []func()
+	sent    []api.Commands
+	answers []func(Answer)
+}
+
+func (w *world) Now() ident.Mono                 { return w.now }
+func (w *world) After(d time.Duration, f func()) { w.timers = append(w.timers, f) }
+func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
+	w.txns = append(w.txns, func() { f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 9}) })
+}
+func (w *world) Worker(addr string, c api.Commands, f func(Answer)) {
+	w.sent = append(w.sent, c)
+	w.answers = append(w.answers, f)
+}
+
+func drain(list *[]func()) {
+	for len(*list) > 0 {
+		f := (*list)[0]
+		*list = (*list)[1:]
+		f()
+	}
+}
+
+const term = 7
+
+type rig struct {
+	*world
+	tb      *Table
+	jobs    *jobs.Table
+	commits *commit.Committer
+	w       *Worker
+	job     *jobs.Job
+	serial  ident.Serial
+}
+
+// newRig has one machine, up, and a job of one task placed on it durably.
+func newRig(t *testing.T) *rig {
+	r := &rig{world: &world{now: ident.Mono(time.Hour)}}
+	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, LocalGB: 10}
+	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
+	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
+	r.tb = NewTable(r, r.jobs, Config{Term: term, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
+		Catalog: func(string) *cloud.Model { return &kind }, Deposed: func() { t.Error("deposed") }, Changed: func() {},
+		Failed: func(*jobs.Task, *Worker, api.Cause) {},
+		Commit: func(w *Worker) {
+			w.Doc = &commit.Doc{Path: "fleet/h", Stamp: 1, Render: func() json.RawMessage { return json.RawMessage("{}") }}
+		}})
+	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
+		w := r.tb.Workers[task.Host]
+		if !from.Held() && to.Held() {
+			r.tb.Hold(w, task)
+		} else if from.Held() && !to.Held() {
+			r.tb.Release(w, task)
+		}
+	}
+	r.report(0)
+	r.w = r.tb.Workers["h"]
+	r.job = r.jobs.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Pieces: 2, VCPUs: 1, Bundle: "img", ImageGB: 1}, func() {}, nil)
+	r.settle()
+	r.jobs.Place(r.task(), "h", 1, func() { r.tb.Launch(r.w, r.task()) })
+	r.settle()
+	return r
+}
+
+func (r *rig) task() *jobs.Task { return &r.job.Tasks[0] }
+
+// settle lets transactions and timers happen.
+func (r *rig) settle() {
+	r.commits.Flush()
+	for len(r.txns)+len(r.timers) > 0 {
+		drain(&r.txns)
+		drain(&r.timers)
+	}
+}
+
+func (r *rig) report(fence uint32, pieces ...api.PieceReport) *api.Orders {
+	r.serial++
+	return r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: r.serial,
+		Epoch: ident.MakeEpoch(term, fence), Pieces: pieces})
+}
+
+func (r *rig) piece(s api.PieceStatus, c api.Cause) api.PieceReport {
+	return api.PieceReport{Piece: r.task().Piece(), Try: r.task().Try, Status: s, Cause: c}
+}
+
+func verbs(o *api.Orders) string {
+	s := ""
+	if o != nil {
+		for _, x := range o.Orders {
+			s += string(x.Verb) + " "
+		}
+	}
+	return s
+}
+
+// TestUnansweredCommand: the launch may be carried out at any later time, so a
+// report without the task proves nothing until it carries the raised token.
+func TestUnansweredCommand(t *testing.T) {
+	r := newRig(t)
+	if len(r.sent) != 1 || r.sent[0].Orders[0].Verb != api.Launch || r.sent[0].Epoch != ident.MakeEpoch(term, 0) {
+		t.Fatalf("sent %+v", r.sent)
+	}
+	if got := verbs(r.report(0)); got != "" {
+		t.Errorf("while the command is under way: %q", got)
+	}
+	r.answers[0](Answer{})
+	r.tb.StopTask(r.w, r.task(), 0)
+	o := r.report(0)
+	if r.task().State != jobs.Stopping || o.Epoch != ident.MakeEpoch(term, 1) {
+		t.Fatalf("a report with the old token: task %v, token %x", r.task().State, o.Epoch)
+	}
+	r.report(1)
+	if r.task().State != jobs.Waiting {
+		t.Errorf("a report with the new token: task %v", r.task().State)
+	}
+}
+
+// TestClearAfterDurable: an end is durable before its attempt is cleared from
+// the worker, for after that a repeated launch would start it again.
+func TestClearAfterDurable(t *testing.T) {
+	r := newRig(t)
+	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Tenure: 1, Serial: 50, Epoch: ident.MakeEpoch(term, 0)}})
+	r.serial = 50
+	if got := verbs(r.report(0, r.piece(api.Ended, api.CauseDone))); got != "" {
+		t.Errorf("orders before the end is durable: %q", got)
+	}
+	if got := verbs(r.report(0, r.piece(api.Ended, api.CauseDone))); got != "" {
+		t.Errorf("orders before the end is durable: %q", got)
+	}
+	r.settle()
+	if n := len(r.sent); n != 2 || r.sent[1].Orders[0].Verb != api.Clear {
+		t.Fatalf("sent %+v", r.sent)
+	}
+	if r.task().State != jobs.Finished || r.job.Done != 1 {
+		t.Errorf("task %v", r.task().State)
+	}
+}
+
+// TestOldReports have no effect, but count as answered: their answer renews the
+// lease all the same.
+func TestOldReports(t *testing.T) {
+	r := newRig(t)
+	r.report(0, r.piece(api.Running, ""))
+	r.serial -= 2
+	r.now = r.now.Add(15 * time.Second) // an earlier leader's grace is over
+	if o := r.report(0); o == nil || len(o.Orders) > 0 || r.task().State != jobs.Assigned || r.task().Seen != api.Running {
+		t.Errorf("orders %+v, task %v %v", o, r.task().State, r.task().Seen)
+	}
+	r.now = r.now.Add(30 * time.Second)
+	if r.tb.Expired(r.w) {
+		t.Error("expired 30 s after the answer to an old report")
+	}
+	r.now = r.now.Add(2 * time.Second)
+	if !r.tb.Expired(r.w) {
+		t.Error("not expired 32 s after the last answer")
+	}
+}
+
+// TestGrace: an earlier leader may have answered for a while into the term.
+func TestGrace(t *testing.T) {
+	r := newRig(t)
+	w := r.tb.Add("other", "m8", "east", false, r.now)
+	r.now = r.now.Add(40 * time.Second)
+	if r.tb.Expired(w) {
+		t.Error("expired within lease and grace")
+	}
+	r.now = r.now.Add(2 * time.Second)
+	if !r.tb.Expired(w) {
+		t.Error("not expired after both")
+	}
+}
+
+// TestNewTenure: a newer session has forgotten everything, and a late report of
+// the old one changes nothing.
+func TestNewTenure(t *testing.T) {
+	r := newRig(t)
+	r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 2, Serial: 1})
+	if r.task().State != jobs.Waiting {
+		t.Errorf("task %v", r.task().State)
+	}
+	if o := r.report(0, r.piece(api.Running, "")); o != nil {
+		t.Errorf("a report of the old session is answered %+v", o)
+	}
+}
+
+// TestOrphans: a try that we don't know of is killed, and its piece starts
+// nowhere else while it is there.
+func TestOrphans(t *testing.T) {
+	r := newRig(t)
+	stray := api.PieceReport{Piece: ident.Piece{Job: "j-1", Index: 1}, Try: 3, Status: api.Running}
+	if got := verbs(r.report(0, stray)); got != "kill " || !r.tb.Orphan(stray.Piece) {
+		t.Errorf("orders %q", got)
+	}
+	stray.Status, stray.Cause = api.Ended, api.CauseStopped
+	if got := verbs(r.report(0, stray)); got != "clear " || r.tb.Orphan(stray.Piece) {
+		t.Errorf("orders %q", got)
+	}
+}
