--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,7 +80,9 @@
 	listing bool
 	listed  ident.Mono
 	fences  []ident.Mono // of late
-	excess  ident.Mono   // since when there is more room than needed, 0: there isn't
+	ticked  ident.Mono
+	stalled ident.Mono // when we were last found to have stalled
+	excess  ident.Mono // since when there is more room than needed, 0: there isn't
 	began   ident.Mono
 	started ident.Mono    // of the term
 	silent  time.Duration // a worker not heard of for so long is fenced
@@ -100,7 +102,7 @@
 		silent = settings.Seconds(2.2 * cfg.Workers.ReportS)
 	}
 	return &Manager{silent: silent, cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
-		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now, started: now}
+		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now, started: now, ticked: now, stalled: now.Add(-time.Hour)}
 }
 
 // Close ends the manager with its term.
@@ -196,14 +198,22 @@
 	return true
 }
 
+// stall is a gap between two ticks by which a node is known to have been slow.
+const stall = 2 * time.Second
+
 // watch finds machines that are silent, doomed, faulty or never came up.
 func (m *Manager) watch() {
 	now := m.port.Now()
+	// After a stall of our own, reports wait to be read: nobody is silent yet.
+	if now.Sub(m.ticked) > stall {
+		m.stalled = now
+	}
+	m.ticked = now
 	t := m.cfg.Tuning
 	var silent []*workers.Worker
 	up := 0
 	for _, w := range m.machine.Sorted() {
-		quiet := m.machine.Silence(w)
+		quiet := min(m.machine.Silence(w), now.Sub(m.stalled))
 		switch w.State {
 		case workers.Booting:
 			startup := m.startup(w)
@@ -257,7 +267,7 @@
 		return
 	}
 	for _, w := range silent {
-		if mass && m.machine.Silence(w) < 2*m.silent {
+		if mass && min(m.machine.Silence(w), now.Sub(m.stalled)) < 2*m.silent {
 			continue
 		}
 		m.Fenced++
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -83,8 +83,10 @@
 		Commit: func(w *workers.Worker) {
 			w.Doc = &commit.Doc{Path: "fleet/" + string(w.Host), Render: func() json.RawMessage { return json.RawMessage("{}") }}
 		}})
+	tuning := settings.DefaultTuning()
+	tuning.IdleKeep = time.Hour // these tests are about other reasons to return
 	teams := placement.NewTeams([]settings.Team{{Name: "red", CPUs: 100, CPUsMax: 100}})
-	r.m = New(r, r.table, r.jobs, teams, rand.New(rand.NewPCG(1, 1)), Config{Term: 3, Tuning: settings.DefaultTuning(),
+	r.m = New(r, r.table, r.jobs, teams, rand.New(rand.NewPCG(1, 1)), Config{Term: 3, Tuning: tuning,
 		Cloud: settings.Cloud{RPS: 5, ListLagS: 10}, Workers: settings.Workers{ReportS: 3},
 		Catalog: func() []cloud.Model { return []cloud.Model{kind} },
 		Reached: func() bool { return r.reached },
@@ -176,6 +178,22 @@
 	}
 }
 
+// TestStall: a node that was slow itself gives the machines time to be heard.
+func TestStall(t *testing.T) {
+	r := newRig()
+	r.up(1)
+	r.pass(2*time.Second, r.m)
+	r.now = r.now.Add(30 * time.Second)
+	r.pass(2*time.Second, r.m)
+	if r.count(cloud.Return) > 0 {
+		t.Error("fenced right after a stall")
+	}
+	r.pass(8*time.Second, r.m)
+	if r.count(cloud.Return) == 0 {
+		t.Error("a silent machine is never fenced after a stall")
+	}
+}
+
 // TestOneSilent: a single silent machine is fenced after about two reports.
 func TestOneSilent(t *testing.T) {
 	r := newRig()
