--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -71,7 +71,7 @@
 	l.teams = placement.NewTeams(c.set.Cluster.Teams)
 	w := c.set.Cluster.Workers
 	l.workers = workers.NewTable(c.env, l.jobs, workers.Config{
-		Term: t, LeaseS: settings.Seconds(w.LeaseS), Report: settings.Seconds(w.ReportS), Grace: c.grace,
+		Term: t, LeaseS: settings.Seconds(w.LeaseS), Grace: c.grace,
 		Catalog: func(m string) *cloud.Model { return l.kinds[m] },
 		Deposed: func() { c.elect.Deposed("a worker has seen a later term") },
 		Changed: func() { l.dirty = true },
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -34,8 +34,6 @@
 	// machines of a zone, for services to come.
 	Reserve map[string]float64
 
-	round  uint64
-	last   ident.Mono
 	Stats  Stats
 	within map[*jobs.Job]bool
 	held   map[*jobs.Job]bool // whether a machine that the job may use holds its image, of this dispatch
@@ -429,8 +427,6 @@
 // that hold their image and could fit them, and runs ASM1.
 func (p *Planner) plan() {
 	began := time.Now()
-	p.round++
-	p.last = p.now()
 	p.Stats.Rounds++
 	for _, w := range p.fleet.Workers {
 		for _, t := range w.Plan {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -185,7 +185,6 @@
 type Config struct {
 	Term    ident.Term
 	LeaseS  time.Duration
-	Report  time.Duration
 	Grace   time.Duration // for which an earlier leader may have answered on
 	Catalog func(model string) *cloud.Model
 	// Deposed is called when a worker has seen a later term.
