--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -58,7 +58,11 @@
 		// on it cordoned most of a fleet within a second of the end of a peak, and
 		// rented it again.)
 		moving := replicas(b.w)
-		if total-b.v-b.w.VCPUs < all+arrays {
+		keep := arrays
+		if b.pool.standby {
+			keep *= spotKeep
+		}
+		if total-b.v-b.w.VCPUs < all+keep {
 			continue
 		}
 		if !b.pool.standby && free[b.pool.site]-b.v-borrowed(b.w)-moving < services[b.pool.site] {
@@ -84,6 +88,10 @@
 	}
 }
 
+// spotKeep is how many times the room for arrays is kept before a spot machine is
+// returned: idle they cost little, and a boot is paid for as well.
+const spotKeep = 1.7
+
 // price is what a bin's machine costs at present.
 func (m *Manager) price(b *bin) float64 {
 	if b.pool.standby {
