Stop and move nothing while the state service takes no transactions

Found by reading: a replica moved, or work stopped for a service, at the start of an outage would stay down until its end.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -84,7 +84,9 @@
 		Catalog: func() []cloud.Model { return l.models },
 		Reached: l.reached,
 		Aim:     l.planner.Aim,
-		Movable: func(t *jobs.Task, from *workers.Worker) bool { return l.planner.Movable(t, from) },
+		Movable: func(t *jobs.Task, from *workers.Worker) bool {
+			return !l.commits.Down() && l.planner.Movable(t, from)
+		},
 		Drain:   l.drain,
 		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
 	})
@@ -381,7 +383,9 @@
 	if l.dead {
 		return
 	}
-	if l.ready && l.dirty && l.c.elect.Valid() {
+	// While nothing gets durable nothing can be launched, and what would be stopped
+	// for it would be stopped for nothing.
+	if l.ready && l.dirty && l.c.elect.Valid() && !l.commits.Down() {
 		l.dirty = false
 		l.planner.Dispatch()
 	}
