--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -369,7 +369,11 @@
 		w.queue = nil
 		w.images = nil
 		clear(w.orphans)
-		for _, t := range w.Tasks {
+		// Its lease has its full time from when the session began, which was not
+		// after this: nobody need have answered it yet. (A placement learned of by
+		// a probe was thought lost with the lease before, and ran twice.)
+		w.answered, w.everAns = now, true
+		for _, t := range tb.TasksOf(w) {
 			if t.Tenure < r.Tenure {
 				tb.lose(w, t, "newer tenure")
 			}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -211,6 +211,26 @@
 	}
 }
 
+// TestNewSessionLease: a session that nobody has answered yet has its full lease,
+// however long ago the one before was answered.
+func TestNewSessionLease(t *testing.T) {
+	r := newRig(t)
+	r.now = r.now.Add(10 * time.Minute)
+	// Learned from the answer to a command, which renews nothing.
+	r.answers[0](Answer{Status: 409, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 2, Serial: 1}})
+	if r.w.Tenure != 2 || r.tb.Expired(r.w) {
+		t.Errorf("tenure %d, expired %v", r.w.Tenure, r.tb.Expired(r.w))
+	}
+	r.now = r.now.Add(30 * time.Second)
+	if r.tb.Expired(r.w) {
+		t.Error("expired within the session's first lease")
+	}
+	r.now = r.now.Add(2 * time.Second)
+	if !r.tb.Expired(r.w) {
+		t.Error("not expired after it")
+	}
+}
+
 // TestOrphans: a try that we don't know of is killed, and its piece starts
 // nowhere else while it is there.
 func TestOrphans(t *testing.T) {
