--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sort"
 	"time"
 
@@ -101,27 +102,22 @@
 }
 
 // replicas returns the CPUs of the services on a machine.
-func replicas(w *workers.Worker) float64 {
-	sum := 0.0
-	for _, t := range w.Tasks {
-		if t.Job.Spec.Shape == api.Service {
-			sum += t.Job.Spec.VCPUs
-		}
-	}
-	return sum
-}
+func replicas(w *workers.Worker) float64 { return shaped(w, api.Service) }
 
 // borrowed returns the CPUs of the arrays on a machine, nil for one to come.
-func borrowed(w *workers.Worker) float64 {
+func borrowed(w *workers.Worker) float64 { return shaped(w, api.Batch) }
+
+func shaped(w *workers.Worker, shape api.Shape) float64 {
 	sum := 0.0
 	if w != nil {
 		for _, t := range w.Tasks {
-			if t.Job.Spec.Shape == api.Batch {
+			if t.Job.Spec.Shape == shape {
 				sum += t.Job.Spec.VCPUs
 			}
 		}
 	}
-	return sum
+	// Rounded, so that the order of the sum can't change what is decided by it.
+	return math.Round(sum*1e6) / 1e6
 }
 
 // settled is how long a start must last to count for the aims.
