--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -245,6 +245,11 @@
 				m.machine.Expire(w)
 				m.Return(w, "lease over")
 			}
+		case workers.Returning:
+			// The cloud may be down; the lease ends all the same.
+			if len(w.Tasks) > 0 && m.machine.Expired(w) {
+				m.machine.Expire(w)
+			}
 		case workers.Gone:
 			if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && w.Doc.Idle() {
 				m.machine.Forget(w)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -194,6 +194,34 @@
 	}
 }
 
+// TestReturnWhileCloudIsDown: a silent machine that can't be returned holds its
+// tasks until its lease is surely over, and not for ever.
+func TestReturnWhileCloudIsDown(t *testing.T) {
+	r := newRig()
+	r.reply = func(cloud.Request) cloud.Reply { return cloud.Reply{Outcome: cloud.Refused} }
+	r.up(1)
+	w := r.table.Workers["host-000000"]
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 1}, func() {}, nil)
+	r.commits.Flush()
+	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
+		if to.Held() {
+			r.table.Hold(w, task)
+		} else {
+			r.table.Release(w, task)
+		}
+	}
+	r.jobs.Place(&j.Tasks[0], w.Host, 1, func() {})
+	r.commits.Flush()
+	r.pass(25*time.Second, r.m)
+	if w.State != workers.Returning || j.Held != 1 {
+		t.Fatalf("after 25 s: machine %v, %d tasks held", w.State, j.Held)
+	}
+	r.pass(20*time.Second, r.m)
+	if j.Held != 0 {
+		t.Error("the task is still held after the lease")
+	}
+}
+
 // TestOneSilent: a single silent machine is fenced after about two reports.
 func TestOneSilent(t *testing.T) {
 	r := newRig()
