Dispatch and sizing rest four times as long as they took

Cause: with 2,400 jobs waiting (1,500 times the arrivals for 15 s) dispatches took the whole processor, and the lease was lost over it. Four and a half thousand open polls and submissions ask for more than the processor has; refusing them more cheaply is left to do.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -41,7 +41,9 @@
 	onLoaded func()
 	dead     bool
 	began    ident.Mono
-	dirty    bool // something may be placed
+	rested   ident.Mono // no dispatch before
+	waking   bool       // a timer will bring the next
+	dirty    bool       // something may be placed
 	// pending holds the users whose answers wait for the state service.
 	pending map[uint64]func(Reply)
 	lastReq uint64
@@ -57,6 +59,7 @@
 	catalogEvery = 30 * time.Second
 	loadTime     = 3 * time.Second
 	restAfter    = 12 * time.Second
+	restFactor   = 4
 	aloneAfter   = 2500 * time.Millisecond
 )
 
@@ -350,15 +353,18 @@
 	if l.dead {
 		return
 	}
+	next := tickEvery
 	if l.c.elect.Valid() {
 		if l.alone() {
 			l.c.elect.Resign(restAfter, "nobody is heard")
 			return
 		}
+		began := l.c.env.Now()
 		l.fleet.Tick()
 		l.dirty = true
+		next = max(next, restFactor*l.c.env.Now().Sub(began))
 	}
-	l.c.env.After(tickEvery, l.tick)
+	l.c.env.After(next, l.tick)
 }
 
 func (l *lead) roundLater() {
@@ -386,8 +392,19 @@
 	// While nothing gets durable nothing can be launched, and what would be stopped
 	// for it would be stopped for nothing.
 	if l.ready && l.dirty && l.c.elect.Valid() && !l.commits.Down() {
-		l.dirty = false
-		l.planner.Dispatch()
+		now := l.c.env.Now()
+		switch {
+		case now >= l.rested:
+			l.dirty = false
+			l.planner.Dispatch()
+			// With thousands of jobs waiting a dispatch is long. It may take a
+			// part of the time only, or the lease is not renewed for it.
+			done := l.c.env.Now()
+			l.rested = done.Add(restFactor * done.Sub(now))
+		case !l.waking:
+			l.waking = true
+			l.c.env.After(l.rested.Sub(now), func() { l.waking = false })
+		}
 	}
 	l.commits.Flush()
 }
