Read once more: one short answer, headroom worked out once a tick, dead code

The answer {id, status} was written four times and is now ack. The wanted headroom was worked out twice a tick, for renting and for returning. A leader's load kept a callback in its state that is now part of the load; its log line said 0 jobs and 0 machines, being written before they were taken in. Table.Save had no caller, and Heard a condition within the same condition. Behaviour is otherwise as it was.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -37,13 +37,11 @@
 
 	ready   bool
 	loading bool
-	// onLoaded takes in what was read, once all of it has been.
-	onLoaded func()
-	dead     bool
-	began    ident.Mono
-	rested   ident.Mono // no dispatch before
-	waking   bool       // a timer will bring the next
-	dirty    bool       // something may be placed
+	dead    bool
+	began   ident.Mono
+	rested  ident.Mono // no dispatch before
+	waking  bool       // a timer will bring the next
+	dirty   bool       // something may be placed
 	// pending holds the users whose answers wait for the state service.
 	pending map[uint64]func(Reply)
 	lastReq uint64
@@ -142,18 +140,11 @@
 func (l *lead) load() {
 	began := l.c.env.Now()
 	left := 3
+	var live, machines []statesvc.Pair
 	done := func() {
-		if left--; left == 0 {
-			slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
-				"took_ms", l.c.env.Now().Sub(began).Milliseconds())
-			l.begin()
+		if left--; left > 0 {
+			return
 		}
-	}
-	var live, machines []statesvc.Pair
-	l.readAll(jobs.LivePrefix, "", &live, done)
-	l.readAll(fleetPrefix, "", &machines, done)
-	l.readCatalog(done)
-	l.onLoaded = func() {
 		for _, p := range machines {
 			l.restoreWorker(p)
 		}
@@ -162,7 +153,13 @@
 				slog.Error("unreadable record", "err", err)
 			}
 		}
+		slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
+			"took_ms", l.c.env.Now().Sub(began).Milliseconds())
+		l.begin()
 	}
+	l.readAll(jobs.LivePrefix, "", &live, done)
+	l.readAll(fleetPrefix, "", &machines, done)
+	l.readCatalog(done)
 }
 
 func (l *lead) readAll(prefix, since string, into *[]statesvc.Pair, done func()) {
@@ -310,7 +307,6 @@
 
 // begin takes over from the term before.
 func (l *lead) begin() {
-	l.onLoaded()
 	for _, j := range l.jobs.Sorted() {
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
@@ -567,13 +563,10 @@
 
 // submit takes a job in.
 func (l *lead) submit(s *api.Spec, reply func(Reply)) {
-	known := func(v api.View) { reply(answer(http.StatusOK, api.Ack{ID: v.ID, Status: v.Status})) }
+	known := func(v api.View) { reply(ack(v)) }
 	if j := l.jobs.Jobs[s.ID]; j != nil {
 		reply := l.wait(reply)
-		j.WhenKnown(func() {
-			v := j.View()
-			reply(answer(http.StatusOK, api.Ack{ID: v.ID, Status: v.Status}))
-		})
+		j.WhenKnown(func() { reply(ack(j.View())) })
 		return
 	}
 	if e, ok := l.jobs.Ended(s.ID); ok {
@@ -661,16 +654,13 @@
 func (l *lead) cancel(id ident.JobID, reply func(Reply)) {
 	if j := l.jobs.Jobs[id]; j != nil {
 		reply = l.wait(reply)
-		l.jobs.Cancel(j, func() {
-			v := j.View()
-			reply(answer(http.StatusOK, api.Ack{ID: id, Status: v.Status}))
-		})
+		l.jobs.Cancel(j, func() { reply(ack(j.View())) })
 		if j.Phase == jobs.Cancelled {
 			l.stopAll(j)
 		}
 		return
 	}
-	say := func(v api.View) { reply(answer(http.StatusOK, api.Ack{ID: id, Status: v.Status})) }
+	say := func(v api.View) { reply(ack(v)) }
 	if e, ok := l.jobs.Ended(id); ok {
 		say(e.View(id))
 		return
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -129,11 +129,8 @@
 	if m.state == Leading && t > m.term {
 		m.stepDown("a later term is known")
 	}
-	if t > m.known.Term || t == m.known.Term && m.knownDown {
-		if t > m.known.Term {
-			m.known = record{Node: node, Term: t}
-			m.knownDown = false
-		}
+	if t > m.known.Term {
+		m.known, m.knownDown = record{Node: node, Term: t}, false
 	}
 }
 
--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -16,8 +16,7 @@
 // headroom needs. A machine is seldom idle by itself: tasks come and go on it,
 // and replicas stay. So the one that is easiest to empty is cordoned: its tasks
 // end, its replicas move, and nothing new is placed there.
-func (m *Manager) shrink(bins []*bin, now ident.Mono) {
-	services, arrays := m.wanted(now)
+func (m *Manager) shrink(bins []*bin, services map[string]float64, arrays float64, now ident.Mono) {
 	total := 0.0
 	free := map[string]float64{}
 	var cand []*bin
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -207,11 +207,12 @@
 			lay(j, n, sites)
 		}
 	}
-	m.headroom(bins, open, now)
+	services, arrays := m.wanted(now)
+	m.headroom(bins, open, services, arrays)
 	for _, p := range sortedPools(rent) {
 		m.rent(p, rent[p])
 	}
-	m.shrink(bins, now)
+	m.shrink(bins, services, arrays, now)
 }
 
 func (m *Manager) waiting(services bool) []*jobs.Job {
@@ -429,8 +430,7 @@
 }
 
 // headroom keeps room for the jobs to be expected while a machine boots.
-func (m *Manager) headroom(bins []*bin, open func(*api.Spec, ask) *bin, now ident.Mono) {
-	services, arrays := m.wanted(now)
+func (m *Manager) headroom(bins []*bin, open func(*api.Spec, ask) *bin, services map[string]float64, arrays float64) {
 	free := map[string]float64{}
 	spare := 0.0
 	for _, b := range bins {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -309,9 +309,6 @@
 // save queues a task's document.
 func (tb *Table) save(t *Task, then func()) { tb.commits.Mark(tb.doc(t), then) }
 
-// Save queues a task as it is; then is called once it is durable.
-func (tb *Table) Save(t *Task, then func()) { tb.save(t, then) }
-
 // to is the one place where a task changes its state.
 func (tb *Table) to(t *Task, s State) {
 	from := t.State
