--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -1,11 +1,19 @@
 // Package commit writes the leader's documents to the state service: in groups,
 // within its limits, and each change at most once however often a transaction is
 // repeated, late or lost.
+//
+// Small and frequent changes go to a log instead of their documents: a record of
+// the log holds the changes of many documents in one put. Its slot is used again
+// when all of them have been put as a whole, or deleted, since.
 package commit
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"opaldale/internal/ident"
@@ -22,19 +30,33 @@
 	flyingDirty              // in such a transaction, and changed again since
 )
 
+// urgency says in which queue a document waits.
+type urgency uint8
+
+const (
+	unqueued urgency = iota
+	lazy             // when there is room to spare
+	urgent           // with the next transaction
+)
+
 // Doc is one key that only the leader writes.
 type Doc struct {
 	Path  string
 	Stamp ident.Stamp // of the last change known to be carried out
+	LSN   uint64      // records of the log up to it are part of what was put
 
 	Render func() json.RawMessage   // the value to put; nil deletes the key
 	Also   func() []statesvc.Change // further changes of the same transaction, may be nil
 	Absent []string                 // keys that must not exist; only for a first put
 	Exists func()                   // called if one of Absent does exist: nothing was put
 
-	state   state
-	waiting []func() // to call when the present content is carried out
-	riding  []func() // to call when the open transaction is carried out
+	state    state
+	queued   urgency
+	rendered uint64   // LSN of the value in the open transaction
+	slots    []*slot  // records whose changes it has not taken over yet
+	gone     bool     // deleted for good
+	waiting  []func() // to call when the present content is carried out
+	riding   []func() // to call when the open transaction is carried out
 }
 
 // Idle says whether nothing of the document is queued or open.
@@ -42,6 +64,35 @@
 
 func (d *Doc) to(s state) { d.state = s }
 
+// Entry is something small of a document whose changes go to the log.
+type Entry interface {
+	// Line is its present content.
+	Line() any
+	// Home is the document that it is part of.
+	Home() *Doc
+}
+
+// LineBytes bounds a line in JSON, comma included.
+const LineBytes = 130
+
+// LogPrefix is where the records of the log are.
+const LogPrefix = "log/"
+
+// record is the value of a slot of the log.
+type record struct {
+	LSN   uint64 `json:"n"`
+	Lines []any  `json:"l"`
+}
+
+// slot is a key of the log.
+type slot struct {
+	path  string
+	stamp ident.Stamp
+	lsn   uint64
+	left  int    // documents that have not taken over their lines
+	homes []*Doc // of its lines
+}
+
 // Port is what the committer needs of the world.
 type Port interface {
 	Now() ident.Mono
@@ -52,12 +103,16 @@
 // Limits are those of the state service, already reduced by what other requests
 // need.
 type Limits struct {
-	Ops       int     // puts and deletes in a transaction
-	PerSecond float64 // puts and deletes a second
+	Ops        int     // puts and deletes in a transaction
+	PerSecond  float64 // puts and deletes a second
+	ValueBytes int     // of a value
 }
 
 const (
 	maxOpen   = 3        // transactions whose outcome is open
+	maxLog    = 2        // records of the log in a transaction
+	logShare  = 0.25     // part of the puts that records may take
+	logLength = 200      // records kept before documents are put to free them
 	maxBytes  = 48 << 10 // of a transaction, below the service's 64 KiB
 	perChange = 200      // bytes around a value
 	firstWait = 100 * time.Millisecond
@@ -72,7 +127,8 @@
 	leader statesvc.Cond // holds as long as we are the leader
 	onLost func(why string)
 
-	queue  []*Doc
+	queue  []*Doc // urgent
+	lazy   []*Doc
 	open   int
 	tokens float64
 	filled ident.Mono
@@ -80,17 +136,26 @@
 	dead   bool
 	down   bool // the service refused or did not answer last time
 
+	entries []Entry            // changed, not yet in a record
+	then    map[Entry][]func() // to call when they are durable
+	lsn     uint64             // of the newest record
+	logged  ident.Mono         // when it was built
+	slots   int                // keys of the log ever used
+	free    []*slot
+	used    []*slot // durable, oldest first, some of them free again
+	live    int     // those of them that are not
+
 	// OnDown is called when the service doesn't take a transaction.
 	OnDown func()
 
-	Txns, Puts, Repeats uint64
+	Txns, Puts, Repeats, Records uint64
 }
 
 // New makes the committer of a term. onLost is called when the leader key is not
 // ours any more, or when the service contradicts what we know.
 func New(port Port, limits Limits, leader statesvc.Cond, onLost func(string)) *Committer {
 	return &Committer{port: port, limits: limits, leader: leader, onLost: onLost,
-		tokens: limits.PerSecond, filled: port.Now()}
+		tokens: limits.PerSecond, filled: port.Now(), logged: port.Now().Add(-time.Hour), then: map[Entry][]func(){}}
 }
 
 // Stop ends the committer; nothing of it is called any more.
@@ -99,28 +164,137 @@
 // Down says whether the service did not take the last transaction.
 func (c *Committer) Down() bool { return c.down }
 
-// Backlog is the number of documents not yet carried out.
+// Backlog is the number of urgent documents not yet carried out.
 func (c *Committer) Backlog() int { return len(c.queue) }
 
+// LSN is the number of the newest record of the log: for documents to put beside
+// their content, which has all lines up to it.
+func (c *Committer) LSN() uint64 { return c.lsn }
+
 // Mark queues the document's present content; then is called once that, or later
 // content, has been carried out.
-func (c *Committer) Mark(d *Doc, then func()) {
+func (c *Committer) Mark(d *Doc, then func()) { c.mark(d, urgent, then) }
+
+// MarkLazy is Mark for what may wait until there is room to spare.
+func (c *Committer) MarkLazy(d *Doc, then func()) { c.mark(d, lazy, then) }
+
+func (c *Committer) mark(d *Doc, u urgency, then func()) {
 	if then != nil {
 		d.waiting = append(d.waiting, then)
 	}
 	switch d.state {
 	case clean:
 		d.to(dirty)
-		c.queue = append(c.queue, d)
 	case flying:
 		d.to(flyingDirty)
 	}
+	if u <= d.queued {
+		return
+	}
+	d.queued = u
+	if d.state == dirty {
+		c.enqueue(d)
+	}
+}
+
+// enqueue puts a dirty document at the end of its queue. One that was in the lazy
+// queue before is passed over there.
+func (c *Committer) enqueue(d *Doc) {
+	if d.queued == urgent {
+		c.queue = append(c.queue, d)
+	} else {
+		c.lazy = append(c.lazy, d)
+	}
+}
+
+// Append queues an entry's present content for the log; then is called once that,
+// or later content, is durable.
+func (c *Committer) Append(e Entry, then func()) {
+	fs, queued := c.then[e]
+	if !queued {
+		c.entries = append(c.entries, e)
+	}
+	if then != nil {
+		fs = append(fs, then)
+	}
+	c.then[e] = fs
+}
+
+// Restore takes in a record that an earlier term left, with those of its
+// documents that were not put since.
+func (c *Committer) Restore(path string, stamp ident.Stamp, lsn uint64, homes []*Doc) {
+	c.lsn = max(c.lsn, lsn)
+	// There may be gaps, of slots whose first record never came to be.
+	if n, err := strconv.Atoi(strings.TrimPrefix(path, LogPrefix)); err == nil {
+		c.slots = max(c.slots, n+1)
+	}
+	c.keep(&slot{path: path, stamp: stamp, lsn: lsn}, homes)
+}
+
+// keep notes a durable record, until all its documents have its lines.
+func (c *Committer) keep(s *slot, homes []*Doc) {
+	s.left, s.homes = 0, nil
+	seen := map[*Doc]bool{}
+	for _, d := range homes {
+		if !d.gone && d.LSN < s.lsn && !seen[d] {
+			seen[d] = true
+			d.slots = append(d.slots, s)
+			s.homes = append(s.homes, d)
+		}
+	}
+	s.left = len(s.homes)
+	if s.left == 0 {
+		c.free = append(c.free, s)
+		return
+	}
+	c.used = append(c.used, s)
+	c.live++
+}
+
+// cover notes that a document has taken over all lines up to its LSN.
+func (c *Committer) cover(d *Doc) {
+	rest := d.slots[:0]
+	for _, s := range d.slots {
+		if !d.gone && s.lsn > d.LSN {
+			rest = append(rest, s)
+			continue
+		}
+		if s.left--; s.left == 0 {
+			// A new one: this is still in its place among the used.
+			c.free = append(c.free, &slot{path: s.path, stamp: s.stamp})
+			s.homes = nil
+			c.live--
+		}
+	}
+	d.slots = rest
+}
+
+// fold has the documents put that hold up the oldest records of a log that has
+// become long: a successor reads all of it.
+func (c *Committer) fold() {
+	if len(c.used) > 2*c.live+logLength {
+		c.used = slices.DeleteFunc(c.used, func(s *slot) bool { return s.left == 0 })
+	}
+	over := c.live - logLength
+	for i := 0; i < len(c.used) && over > 0; i++ {
+		if c.used[i].left == 0 {
+			continue
+		}
+		over--
+		for _, d := range c.used[i].homes {
+			if d.state == clean && d.LSN < c.used[i].lsn {
+				c.MarkLazy(d, nil)
+			}
+		}
+	}
 }
 
 // txn is one transaction on its way. Its content never changes: a repeat is the
 // same transaction, so the stamps it compares let it apply at most once.
 type txn struct {
 	docs   []*Doc
+	slots  []*slot
+	lines  [][]line // by slot
 	req    statesvc.Request
 	unsure bool // a copy may have been carried out, or may yet be
 	wait   time.Duration
@@ -128,10 +302,17 @@
 
 // Flush sends what is queued, as far as the limits allow.
 func (c *Committer) Flush() {
-	for !c.dead && c.open < maxOpen && len(c.queue) > 0 {
+	for !c.dead && c.open < maxOpen {
 		now := c.port.Now()
 		c.tokens = min(c.limits.PerSecond, c.tokens+c.limits.PerSecond*now.Sub(c.filled).Seconds())
 		c.filled = now
+		due, wait := c.due(now)
+		if !due {
+			if wait > 0 {
+				c.wake(wait)
+			}
+			return
+		}
 		if c.tokens < float64(min(c.limits.Ops, 4)) {
 			c.wake(50 * time.Millisecond)
 			return
@@ -145,6 +326,27 @@
 	}
 }
 
+// due says whether a transaction should be sent now, else when to look again.
+func (c *Committer) due(now ident.Mono) (bool, time.Duration) {
+	if len(c.queue) > 0 {
+		return true, 0
+	}
+	if len(c.entries) > 0 {
+		// Records are paced, so that puts are left for documents; what comes
+		// meanwhile goes into the same one.
+		pace := time.Duration(float64(time.Second) / (logShare * c.limits.PerSecond))
+		wait := c.logged.Add(pace).Sub(now)
+		return wait <= 0, wait
+	}
+	if len(c.lazy) > 0 {
+		return c.spare(), 100 * time.Millisecond
+	}
+	return false, 0
+}
+
+// spare says whether there are puts left for what may wait.
+func (c *Committer) spare() bool { return c.tokens > c.limits.PerSecond/2 }
+
 // wake flushes again later.
 func (c *Committer) wake(d time.Duration) {
 	if c.timer {
@@ -157,12 +359,87 @@
 	})
 }
 
+// line is an entry in a record that is under way.
+type line struct {
+	entry Entry
+	then  []func()
+}
+
+// draft is a transaction while it is put together.
+type draft struct {
+	t       *txn
+	conds   []statesvc.Cond
+	changes []statesvc.Change
+	size    int
+}
+
 func (c *Committer) build() *txn {
-	t := &txn{wait: firstWait}
-	conds := []statesvc.Cond{c.leader}
-	var changes []statesvc.Change
-	size, n := 0, 0
-	for _, d := range c.queue {
+	b := &draft{t: &txn{wait: firstWait}, conds: []statesvc.Cond{c.leader}}
+	c.addLog(b)
+	c.queue = c.addDocs(b, c.queue, urgent)
+	if len(c.queue) == 0 && c.spare() {
+		c.lazy = c.addDocs(b, c.lazy, lazy)
+	}
+	if len(b.t.docs) == 0 && len(b.t.slots) == 0 {
+		return nil
+	}
+	b.t.req = statesvc.Request{Op: statesvc.Txn, If: b.conds, Then: b.changes, Timeout: txnTime}
+	return b.t
+}
+
+// addLog packs the lines that wait into records.
+func (c *Committer) addLog(b *draft) {
+	per := max(1, (c.limits.ValueBytes-64)/LineBytes)
+	for n := 0; n < maxLog && len(c.entries) > 0; n++ {
+		take := c.entries[:min(per, len(c.entries))]
+		c.entries = c.entries[len(take):]
+		c.lsn++
+		c.logged = c.port.Now()
+		c.Records++
+		rec := record{LSN: c.lsn}
+		lines := make([]line, len(take))
+		for i, e := range take {
+			rec.Lines = append(rec.Lines, e.Line())
+			lines[i] = line{e, c.then[e]}
+			delete(c.then, e)
+		}
+		value, err := json.Marshal(rec)
+		if err != nil {
+			panic(err)
+		}
+		s := c.slot()
+		s.lsn = c.lsn
+		b.t.slots = append(b.t.slots, s)
+		b.t.lines = append(b.t.lines, lines)
+		b.conds = append(b.conds, statesvc.Cond{Path: s.path, Stamp: s.stamp})
+		b.changes = append(b.changes, statesvc.Change{Put: s.path, Value: value})
+		b.size += len(value) + perChange
+	}
+	if len(c.entries) == 0 {
+		c.entries = nil
+	}
+}
+
+// slot takes a key of the log that is free, or a new one.
+func (c *Committer) slot() *slot {
+	if n := len(c.free); n > 0 {
+		s := c.free[n-1]
+		c.free = c.free[:n-1]
+		return s
+	}
+	c.slots++
+	return &slot{path: fmt.Sprintf("%s%05d", LogPrefix, c.slots-1)}
+}
+
+// addDocs adds documents from the front of a queue as far as the limits allow,
+// and returns the rest of it.
+func (c *Committer) addDocs(b *draft, queue []*Doc, u urgency) []*Doc {
+	n := 0
+	for _, d := range queue {
+		if d.queued != u || d.state != dirty {
+			n++ // went with the other queue
+			continue
+		}
 		var own []statesvc.Change
 		value := d.Render()
 		if value == nil {
@@ -176,27 +453,24 @@
 			own = append(own, d.Also()...)
 		}
 		add := len(value) + perChange*len(own)
-		if n > 0 && (len(changes)+len(own) > c.limits.Ops || size+add > maxBytes ||
-			float64(len(changes)+len(own)) > c.tokens || len(conds)+len(d.Absent)+1 > 4*c.limits.Ops) {
+		if len(b.changes) > 0 && (len(b.changes)+len(own) > c.limits.Ops || b.size+add > maxBytes ||
+			float64(len(b.changes)+len(own)) > c.tokens || len(b.conds)+len(d.Absent)+1 > 4*c.limits.Ops) {
 			break
 		}
 		n++
-		size += add
-		conds = append(conds, statesvc.Cond{Path: d.Path, Stamp: d.Stamp})
+		b.size += add
+		b.conds = append(b.conds, statesvc.Cond{Path: d.Path, Stamp: d.Stamp})
 		for _, p := range d.Absent {
-			conds = append(conds, statesvc.Cond{Path: p})
+			b.conds = append(b.conds, statesvc.Cond{Path: p})
 		}
-		changes = append(changes, own...)
+		b.changes = append(b.changes, own...)
 		d.riding, d.waiting = d.waiting, nil
+		d.rendered = c.lsn
+		d.queued = unqueued
 		d.to(flying)
-		t.docs = append(t.docs, d)
-	}
-	c.queue = append(c.queue[:0], c.queue[n:]...)
-	if len(t.docs) == 0 {
-		return nil
+		b.t.docs = append(b.t.docs, d)
 	}
-	t.req = statesvc.Request{Op: statesvc.Txn, If: conds, Then: changes, Timeout: txnTime}
-	return t
+	return append(queue[:0], queue[n:]...)
 }
 
 func (c *Committer) send(t *txn) {
@@ -281,8 +555,17 @@
 		for _, d := range rest {
 			d.waiting = append(d.riding, d.waiting...)
 			d.riding = nil
+			d.queued = urgent
 			d.to(dirty)
-			c.queue = append(c.queue, d)
+			c.enqueue(d)
+		}
+		// The lines go into new records; their slots are as they were.
+		for i, s := range t.slots {
+			c.free = append(c.free, s)
+			for _, l := range t.lines[i] {
+				c.Append(l.entry, nil)
+				c.then[l.entry] = append(l.then, c.then[l.entry]...)
+			}
 		}
 		c.Flush()
 		return
@@ -331,17 +614,31 @@
 		d.Stamp = 0
 		if put[d.Path] {
 			d.Stamp = stamp
+			d.LSN = max(d.LSN, d.rendered)
+		} else {
+			d.gone = true
 		}
+		c.cover(d)
 		d.Absent = nil
 		then = append(then, d.riding...)
 		d.riding = nil
 		if d.state == flyingDirty {
 			d.to(dirty)
-			c.queue = append(c.queue, d)
+			c.enqueue(d)
 		} else {
 			d.to(clean)
 		}
 	}
+	for i, s := range t.slots {
+		s.stamp = stamp
+		var homes []*Doc
+		for _, l := range t.lines[i] {
+			homes = append(homes, l.entry.Home())
+			then = append(then, l.then...)
+		}
+		c.keep(s, homes)
+	}
+	c.fold()
 	for _, f := range then {
 		f()
 	}
--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,7 +119,7 @@
 	for seed := range uint64(60) {
 		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1,
 			puts: map[string][]string{}}
-		c := New(f, Limits{Ops: 8, PerSecond: 100}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
+		c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
 		called := map[string]int{}
 		values := make([]int, 12)
 		docs := make([]*Doc, 12)
@@ -179,7 +181,7 @@
 func TestOtherLeader(t *testing.T) {
 	f := steady{&flaky{t: t, keys: map[string]statesvc.Pair{"leader": {Stamp: 5}}, ledger: 5, puts: map[string][]string{}}}
 	lost := 0
-	c := New(f, Limits{Ops: 8, PerSecond: 100}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) { lost++ })
+	c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) { lost++ })
 	c.Mark(&Doc{Path: "d", Render: func() json.RawMessage { return json.RawMessage("1") }}, func() { t.Error("called durable") })
 	c.Flush()
 	f.run(time.Minute)
@@ -192,7 +194,7 @@
 // of the transaction are written.
 func TestExists(t *testing.T) {
 	f := steady{&flaky{t: t, keys: map[string]statesvc.Pair{"leader": {Stamp: 1}, "over/1": {Stamp: 1}}, ledger: 1, puts: map[string][]string{}}}
-	c := New(f, Limits{Ops: 8, PerSecond: 100}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
+	c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
 	exists, stored := 0, 0
 	one := func() json.RawMessage { return json.RawMessage("1") }
 	c.Mark(&Doc{Path: "live/1", Render: one, Absent: []string{"over/1"}, Exists: func() { exists++ }}, func() { t.Error("called durable") })
@@ -203,3 +205,106 @@
 		t.Errorf("exists %d, stored %d", exists, stored)
 	}
 }
+
+// part is one value of a document that has several.
+type part struct {
+	home  *Doc
+	n     int
+	value int
+}
+
+type partLine struct {
+	Doc, N, Value int
+}
+
+func (p *part) Line() any  { return partLine{int(p.home.Path[2] - '0'), p.n, p.value} }
+func (p *part) Home() *Doc { return p.home }
+
+// TestLog: what is durable of a document's parts is what the document, as last
+// put, and the records of the log after it say together, however requests get
+// lost or late; and a long log is folded into the documents.
+func TestLog(t *testing.T) {
+	const docs, parts = 5, 4
+	type whole struct {
+		LSN    uint64
+		Values [parts]int
+	}
+	for seed := range uint64(5) {
+		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 2)), keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1,
+			puts: map[string][]string{}}
+		c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 1024}, statesvc.Cond{Path: "leader", Stamp: 1},
+			func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
+		var all [docs][parts]*part
+		for d := range docs {
+			doc := &Doc{Path: fmt.Sprintf("d/%d", d)}
+			for n := range parts {
+				all[d][n] = &part{home: doc, n: n}
+			}
+			doc.Render = func() json.RawMessage {
+				w := whole{LSN: c.LSN()}
+				for n := range parts {
+					w.Values[n] = all[d][n].value
+				}
+				b, _ := json.Marshal(w)
+				return b
+			}
+		}
+		load := func() (out [docs]whole, records int) {
+			for d := range docs {
+				json.Unmarshal(f.keys[fmt.Sprintf("d/%d", d)].Value, &out[d])
+			}
+			type rec struct {
+				N uint64
+				L []partLine
+			}
+			var recs []rec
+			for k, p := range f.keys {
+				if strings.HasPrefix(k, LogPrefix) {
+					var r rec
+					json.Unmarshal(p.Value, &r)
+					recs = append(recs, r)
+				}
+			}
+			sort.Slice(recs, func(i, k int) bool { return recs[i].N < recs[k].N })
+			for _, r := range recs {
+				for _, l := range r.L {
+					if out[l.Doc].LSN < r.N {
+						out[l.Doc].Values[l.N] = l.Value
+					}
+				}
+			}
+			return out, len(recs)
+		}
+		called := 0
+		const steps = 1500
+		for range steps {
+			f.After(time.Duration(f.rng.IntN(200_000))*time.Millisecond, func() {
+				p := all[f.rng.IntN(docs)][f.rng.IntN(parts)]
+				p.value++
+				v := p.value
+				c.Append(p, func() {
+					called++
+					if have, _ := load(); have[p.home.Path[2]-'0'].Values[p.n] < v {
+						t.Errorf("seed %d: %s/%d is called durable at %d, is %v", seed, p.home.Path, p.n, v, have)
+					}
+				})
+				if f.rng.IntN(20) == 0 {
+					c.Mark(p.home, nil)
+				}
+				c.Flush()
+			})
+		}
+		f.run(10 * time.Minute)
+		have, records := load()
+		for d := range docs {
+			for n := range parts {
+				if have[d].Values[n] != all[d][n].value {
+					t.Errorf("seed %d: %d/%d ends as %d, want %d", seed, d, n, have[d].Values[n], all[d][n].value)
+				}
+			}
+		}
+		if called != steps || records > 2*logLength {
+			t.Errorf("seed %d: %d of %d called back, %d records are left", seed, called, steps, records)
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -104,9 +104,9 @@
 	pollTime    = 700 * time.Millisecond
 	commitTime  = time.Second
 	graceMargin = 2 * time.Second
-	// readShare is the part of the state service's rate that one node's polls
-	// may use.
-	readShare = 0.25
+	// readShare is the part of the state service's rate that polls may use, each
+	// node's a like part of it.
+	readShare = 0.6
 )
 
 // New makes a node.
@@ -120,7 +120,7 @@
 	for _, s := range set.Siblings {
 		c.peers[s.Node] = &peer{}
 	}
-	rate := readShare * set.Cluster.State.RPS
+	rate := readShare * set.Cluster.State.RPS / float64(max(1, set.Cluster.Nodes))
 	c.reads = bucket{tokens: rate, perSecond: rate, filled: env.Now()}
 	c.elect = election.New(env, c, set.Node, set.Tuning.LeaderLease, rng)
 	return c
@@ -170,19 +170,21 @@
 	}
 }
 
-// Healthy says whether the node can take requests: it leads, or hears whom it
-// can pass them to, or at least nobody else is known to do better.
+// Healthy says whether the node can take requests: it leads, or hears the leader
+// to pass them to, or at least nobody is known to do better.
 func (c *Controller) Healthy() bool {
-	if c.elect.State() == election.Leading {
+	if c.elect.Valid() {
 		return true
 	}
+	if to, known := c.elect.Leader(); known && to != c.set.Node {
+		return c.reachable(to)
+	}
 	now := c.env.Now()
 	heard := false
 	for _, p := range c.peers {
 		heard = heard || p.ever && now.Sub(p.heard) < peerSilent
 	}
-	_, known := c.elect.Leader()
-	return heard || known || len(c.peers) == 0
+	return heard || len(c.peers) == 0
 }
 
 // reachable says whether frames to a sibling probably arrive.
@@ -259,10 +261,8 @@
 		}, func() { c.read(job, reply) })
 		return
 	case mesh.Checkin:
-		if _, err := api.ParseReport(body); err != nil {
-			reply(problem(http.StatusBadRequest, err.Error()))
-			return
-		}
+		// Read by whoever answers it; reading it here as well doubles the cost of
+		// what comes most often.
 		if known && !up {
 			reply(answer(http.StatusMisdirectedRequest, struct {
 				Home ident.NodeID `json:"home"`
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -35,13 +36,15 @@
 	kinds   map[string]*cloud.Model
 	catalog *commit.Doc
 
-	ready   bool
-	loading bool
-	dead    bool
-	began   ident.Mono
-	rested  ident.Mono // no dispatch before
-	waking  bool       // a timer will bring the next
-	dirty   bool       // something may be placed
+	groups    map[kindOf]*workers.Group // that new machines go into
+	lastGroup int
+
+	ready  bool
+	dead   bool
+	began  ident.Mono
+	rested ident.Mono // no dispatch before
+	waking bool       // a timer will bring the next
+	dirty  bool       // something may be placed
 	// pending holds the users whose answers wait for the state service.
 	pending map[uint64]func(Reply)
 	lastReq uint64
@@ -58,14 +61,16 @@
 	loadTime     = 3 * time.Second
 	restAfter    = 12 * time.Second
 	restFactor   = 4
-	aloneAfter   = 2500 * time.Millisecond
+	// dispatchEvery lets what comes in short order be placed together.
+	dispatchEvery = 30 * time.Millisecond
+	aloneAfter    = 2500 * time.Millisecond
 )
 
 func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
-	l := &lead{c: c, term: t, began: c.env.Now(), kinds: map[string]*cloud.Model{}, pending: map[uint64]func(Reply){}}
+	l := &lead{c: c, term: t, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){}}
 	st := c.set.Cluster.State
 	valueBytes := int(st.ValueKB * 1024)
-	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS},
+	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS, ValueBytes: valueBytes},
 		key, func(why string) { c.elect.Deposed(why) })
 	l.commits.OnDown = l.refusePending
 	l.jobs = jobs.NewTable(l.commits, valueBytes, c.env.Now, c.env.WallMS)
@@ -80,6 +85,7 @@
 		Commit:  l.commitWorker,
 	})
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
+	l.planner.MaxWait = c.set.Tuning.MaxWait
 	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
@@ -139,25 +145,29 @@
 // load reads what earlier terms left; only then does the leader act.
 func (l *lead) load() {
 	began := l.c.env.Now()
-	left := 3
-	var live, machines []statesvc.Pair
+	left := 4
+	var live, log, machines []statesvc.Pair
 	done := func() {
 		if left--; left > 0 {
 			return
 		}
 		for _, p := range machines {
-			l.restoreWorker(p)
+			l.restoreGroup(p)
 		}
 		for _, p := range live {
 			if err := l.jobs.Load(p.Path, p.Value, p.Stamp); err != nil {
 				slog.Error("unreadable record", "err", err)
 			}
 		}
+		if err := l.jobs.LoadLog(log); err != nil {
+			slog.Error("unreadable record", "err", err)
+		}
 		slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
 			"took_ms", l.c.env.Now().Sub(began).Milliseconds())
 		l.begin()
 	}
 	l.readAll(jobs.LivePrefix, "", &live, done)
+	l.readAll(commit.LogPrefix, "", &log, done)
 	l.readAll(fleetPrefix, "", &machines, done)
 	l.readCatalog(done)
 }
@@ -263,45 +273,92 @@
 	})
 }
 
-// machineRecord is the value of a machine's key.
+// groupRecord is the value of a key of machines, all of one kind.
+type groupRecord struct {
+	Model   string          `json:"model"`
+	Site    string          `json:"site"`
+	Standby bool            `json:"standby,omitempty"`
+	Hosts   []machineRecord `json:"hosts"`
+}
+
 type machineRecord struct {
-	Model   string `json:"model"`
-	Site    string `json:"site"`
-	Standby bool   `json:"standby,omitempty"`
-	Addr    string `json:"addr,omitempty"`
-	BornMS  int64  `json:"born_ms"`
+	Host   ident.HostID `json:"h"`
+	Addr   string       `json:"a,omitempty"`
+	BornMS int64        `json:"b"`
 }
 
+// groupSize bounds the machines on record under one key: what one request rents.
+const groupSize = 50
+
+// kindOf names what the machines of a group have in common.
+type kindOf struct {
+	model, site string
+	standby     bool
+}
+
+// commitWorker writes a machine's record, new or changed. A new machine is waited
+// for, as a successor must know it before anything runs there; the rest has time.
 func (l *lead) commitWorker(w *workers.Worker) {
-	if w.Doc == nil {
-		born := l.c.env.WallMS() - l.c.env.Now().Sub(w.Born).Milliseconds()
-		w.Doc = &commit.Doc{Path: fleetPrefix + string(w.Host)}
-		w.Doc.Render = func() json.RawMessage {
-			if w.State == workers.Gone {
-				return nil
+	fresh := w.Group == nil
+	if fresh {
+		k := kindOf{w.Model, w.Site, w.Standby}
+		g := l.groups[k]
+		if g == nil || len(g.Members) >= groupSize || g.Dropped {
+			l.lastGroup++
+			g = l.newGroup(fmt.Sprintf("%s%d-%d", fleetPrefix, l.term, l.lastGroup), k)
+			l.groups[k] = g
+		}
+		w.Group = g
+		g.Members = append(g.Members, w)
+	}
+	if w.State == workers.Gone {
+		g := w.Group
+		g.Members = slices.DeleteFunc(slices.Clone(g.Members), func(o *workers.Worker) bool { return o == w })
+		l.commits.MarkLazy(g.Doc, func() { w.Recorded = false })
+		return
+	}
+	if fresh {
+		l.commits.Mark(w.Group.Doc, func() {
+			if w.State != workers.Gone {
+				w.Recorded = true
+				l.dirty = true
 			}
-			return api.JSON(machineRecord{w.Model, w.Site, w.Standby, w.Addr, born})
-		}
+		})
+		return
 	}
-	if !l.loading {
-		l.commits.Mark(w.Doc, nil)
+	l.commits.MarkLazy(w.Group.Doc, nil)
+}
+
+func (l *lead) newGroup(path string, k kindOf) *workers.Group {
+	g := &workers.Group{Doc: &commit.Doc{Path: path}}
+	g.Doc.Render = func() json.RawMessage {
+		if len(g.Members) == 0 {
+			// Deleted, and not used again.
+			g.Dropped = true
+			return nil
+		}
+		r := groupRecord{Model: k.model, Site: k.site, Standby: k.standby}
+		for _, w := range g.Members {
+			r.Hosts = append(r.Hosts, machineRecord{w.Host, w.Addr, l.c.env.WallMS() - l.c.env.Now().Sub(w.Born).Milliseconds()})
+		}
+		return api.JSON(r)
 	}
+	return g
 }
 
-func (l *lead) restoreWorker(p statesvc.Pair) {
-	var m machineRecord
-	if err := json.Unmarshal(p.Value, &m); err != nil {
+func (l *lead) restoreGroup(p statesvc.Pair) {
+	var r groupRecord
+	if err := json.Unmarshal(p.Value, &r); err != nil {
 		slog.Error("unreadable record", "path", p.Path, "err", err)
 		return
 	}
+	g := l.newGroup(p.Path, kindOf{r.Model, r.Site, r.Standby})
+	g.Doc.Stamp = p.Stamp
 	now := l.c.env.Now()
-	age := time.Duration(l.c.env.WallMS()-m.BornMS) * time.Millisecond
-	l.loading = true
-	w := l.workers.Add(ident.HostID(p.Path[len(fleetPrefix):]), m.Model, m.Site, m.Standby, now.Add(-max(0, age)))
-	l.loading = false
-	w.Doc.Stamp = p.Stamp
-	if m.Addr != "" {
-		l.workers.Restore(w, m.Addr)
+	for _, m := range r.Hosts {
+		age := time.Duration(l.c.env.WallMS()-m.BornMS) * time.Millisecond
+		w := l.workers.Restore(m.Host, r.Model, r.Site, r.Standby, now.Add(-max(0, age)), m.Addr, g)
+		g.Members = append(g.Members, w)
 	}
 }
 
@@ -336,15 +393,35 @@
 		}
 	}
 	l.ready, l.dirty = true, true
+	l.ask()
+	l.tick()
+	l.roundLater()
+}
+
+// ask probes machines of the term before that have not reported yet, a few at a
+// time: nothing is placed on them until they are heard, and all at once would be a
+// storm.
+func (l *lead) ask() {
+	if l.dead {
+		return
+	}
+	n := maxAsked
 	for _, w := range l.workers.Sorted() {
-		if w.State == workers.Up {
+		if w.State == workers.Up && w.Tenure == 0 && w.Misses() == 0 {
+			if n--; n < 0 {
+				l.c.env.After(askEvery, l.ask)
+				return
+			}
 			l.workers.Probe(w)
 		}
 	}
-	l.tick()
-	l.roundLater()
 }
 
+const (
+	maxAsked = 16
+	askEvery = 200 * time.Millisecond
+)
+
 func (l *lead) tick() {
 	if l.dead {
 		return
@@ -391,12 +468,11 @@
 		now := l.c.env.Now()
 		switch {
 		case now >= l.rested:
-			l.dirty = false
-			l.planner.Dispatch()
+			l.dirty = l.planner.Dispatch()
 			// With thousands of jobs waiting a dispatch is long. It may take a
 			// part of the time only, or the lease is not renewed for it.
 			done := l.c.env.Now()
-			l.rested = done.Add(restFactor * done.Sub(now))
+			l.rested = done.Add(max(dispatchEvery, restFactor*done.Sub(now)))
 		case !l.waking:
 			l.waking = true
 			l.c.env.After(l.rested.Sub(now), func() { l.waking = false })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,6 +83,7 @@
 	began   ident.Mono
 	started ident.Mono    // of the term
 	silent  time.Duration // a worker not heard of for so long is fenced
+	moves   int           // replicas that this tick may still look at
 
 	services arrivals
 	arrays   arrivals
@@ -198,6 +199,10 @@
 // stall is a gap between two ticks by which a node is known to have been slow.
 const stall = 2 * time.Second
 
+// maxProbes bounds the probes of a tick before machines are late: with a thousand
+// machines, each would be asked between any two of its reports.
+const maxProbes = 10
+
 // watch finds machines that are silent, doomed, faulty or never came up.
 func (m *Manager) watch() {
 	now := m.port.Now()
@@ -208,7 +213,7 @@
 	m.ticked = now
 	t := m.cfg.Tuning
 	var silent []*workers.Worker
-	up := 0
+	up, probes := 0, maxProbes
 	for _, w := range m.machine.Sorted() {
 		quiet := min(m.machine.Silence(w), now.Sub(m.stalled))
 		switch w.State {
@@ -220,10 +225,11 @@
 		case workers.Up, workers.Silent:
 			up++
 			limit := m.silent
-			if replicas(w) > 0 {
+			if w.Replicas > 0 {
 				// Users miss replicas at once: don't wait for reports to fail.
 				limit = m.silent / 2
-				if quiet > limit/2 {
+				if quiet > limit/2 && probes > 0 {
+					probes--
 					m.machine.Probe(w)
 				}
 			}
@@ -231,10 +237,16 @@
 				m.machine.Quiet(w)
 				m.machine.Probe(w)
 			}
+			deaf := w.Deaf()
+			if deaf > m.silent/2 && probes > 0 {
+				probes--
+				m.machine.Probe(w)
+			}
 			switch {
 			case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
 				m.Return(w, "taken")
-			case quiet > limit && w.Misses() > 1 || quiet > m.silent && w.Misses() > 0:
+			case quiet > limit && w.Misses() > 1 || quiet > m.silent && w.Misses() > 0,
+				deaf > m.silent && w.Misses() > 1:
 				silent = append(silent, w)
 			case w.Errors >= 2:
 				m.Return(w, "faulty")
@@ -251,7 +263,7 @@
 				m.machine.Expire(w)
 			}
 		case workers.Gone:
-			if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && w.Doc.Idle() {
+			if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && !w.Recorded {
 				m.machine.Forget(w)
 			}
 		}
@@ -395,11 +407,10 @@
 	}
 }
 
-// rent asks for n machines of a pool.
-func (m *Manager) rent(p pool, n int) {
-	n = min(n, maxRent)
-	if n <= 0 || !m.take() {
-		return
+// rent asks for n machines of a pool, unless that is over the cloud's rate.
+func (m *Manager) rent(p pool, n int) bool {
+	if !m.take() {
+		return false
 	}
 	// The term makes the name ours alone; names are never used again.
 	m.hires++
@@ -408,6 +419,7 @@
 	slog.Info("renting", "model", p.model, "site", p.site, "standby", p.standby, "number", n)
 	m.market(p).pending += n
 	m.hire(p, r, 500*time.Millisecond, 0)
+	return true
 }
 
 func (m *Manager) hire(p pool, r cloud.Request, wait time.Duration, tries int) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -75,13 +74,13 @@
 	r := &rig{world: &world{now: ident.Mono(time.Hour)}, reached: true}
 	r.reply = func(q cloud.Request) cloud.Reply { return cloud.Reply{Outcome: cloud.OK} }
 	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Sites: []string{"east"}}
-	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) {})
+	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) {})
 	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
 	r.table = workers.NewTable(r, r.jobs, workers.Config{Term: 3, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
 		Catalog: func(string) *cloud.Model { return &kind }, Deposed: func() {}, Changed: func() {},
 		Failed: func(*jobs.Task, *workers.Worker, api.Cause) {},
 		Commit: func(w *workers.Worker) {
-			w.Doc = &commit.Doc{Path: "fleet/" + string(w.Host), Render: func() json.RawMessage { return json.RawMessage("{}") }}
+			w.Recorded = w.State != workers.Gone
 		}})
 	tuning := settings.DefaultTuning()
 	tuning.IdleKeep = time.Hour // these tests are about other reasons to return
@@ -228,7 +227,7 @@
 	r.up(6)
 	for i := range 20 {
 		for n := range 5 {
-			r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(2 + i)})
+			r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(2 + i), Epoch: ident.MakeEpoch(3, 0)})
 		}
 		r.pass(500*time.Millisecond, r.m)
 	}
@@ -239,3 +238,53 @@
 		t.Errorf("a reporting machine is %v", w.State)
 	}
 }
+
+// TestFaultyIsNoRoom: an idle machine on which a job's task failed doesn't keep
+// another from being rented for the job.
+func TestFaultyIsNoRoom(t *testing.T) {
+	r := newRig()
+	r.up(1)
+	r.reply = func(q cloud.Request) cloud.Reply {
+		if q.Op == cloud.Rent {
+			return cloud.Reply{Outcome: cloud.OK, Rented: []ident.HostID{"host-000777"}}
+		}
+		return cloud.Reply{Outcome: cloud.OK}
+	}
+	r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Batch, Pieces: 1, VCPUs: 2, MemoryGB: 2, Bundle: "img", RuntimeS: 5}, func() {}, nil)
+	r.commits.Flush()
+	r.pass(2*time.Second, r.m)
+	if n := r.count(cloud.Rent); n != 0 {
+		t.Fatalf("%d rentals while a machine is idle", n)
+	}
+	r.table.Workers["host-000000"].Errors = 1
+	r.pass(2*time.Second, r.m)
+	if r.count(cloud.Rent) == 0 {
+		t.Error("nothing is rented for a job that the idle machine fails")
+	}
+}
+
+// TestDeaf: a machine whose reports arrive, but which neither answers nor commands
+// reach, is fenced; one that hears the answers is not, though commands get lost.
+func TestDeaf(t *testing.T) {
+	r := newRig()
+	r.up(6)
+	epochs := map[ident.HostID]ident.Epoch{}
+	for i := range 40 {
+		for n := range 6 {
+			h := ident.HostID(fmt.Sprintf("host-%06d", n))
+			if w := r.table.Workers[h]; w == nil || w.State != workers.Up {
+				continue
+			}
+			o := r.table.Checkin(&api.Report{Host: h, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(2 + i), Epoch: epochs[h]})
+			if n > 0 && o != nil {
+				epochs[h] = o.Epoch
+			}
+		}
+		r.pass(500*time.Millisecond, r.m)
+	}
+	for n := range 6 {
+		if w := r.table.Workers[ident.HostID(fmt.Sprintf("host-%06d", n))]; (w.State == workers.Up) != (n > 0) {
+			t.Errorf("machine %d is %v", n, w.State)
+		}
+	}
+}
--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"math"
 	"sort"
 	"time"
 
@@ -16,56 +15,63 @@
 // headroom needs. A machine is seldom idle by itself: tasks come and go on it,
 // and replicas stay. So the one that is easiest to empty is cordoned: its tasks
 // end, its replicas move, and nothing new is placed there.
-func (m *Manager) shrink(bins []*bin, services map[string]float64, arrays float64, now ident.Mono) {
-	total := 0.0
-	free := map[string]float64{}
-	var cand []*bin
-	for _, b := range bins {
-		if b.rent || b.w == nil || b.w.State == workers.Booting {
+func (m *Manager) shrink(l *layout, services map[string]float64, arrays float64, now ident.Mono) {
+	m.moves = maxMoves
+	spare := l.spare()
+	var smallest float64
+	var cand []*workers.Worker
+	for _, w := range m.machine.Sorted() {
+		if w.State != workers.Up || w.Kind == nil || w.Doomed > 0 || w.Shun > now {
 			continue
 		}
-		if b.w.Cordoned {
-			total -= b.w.VCPUs
-			m.empty(b.w, now)
+		if w.Cordoned {
+			spare -= w.VCPUs
+			m.empty(w, now)
 			continue
 		}
-		total += b.v
-		if !b.pool.standby {
-			free[b.pool.site] += b.v + borrowed(b.w)
+		cand = append(cand, w)
+		if smallest == 0 || w.Kind.VCPUs < smallest {
+			smallest = w.Kind.VCPUs
 		}
-		if b.w.State == workers.Up {
-			cand = append(cand, b)
+	}
+	// What boots can't take the place of what is returned.
+	free := l.zones()
+	for p, v := range l.later {
+		spare -= v
+		if !p.standby {
+			free[p.site] -= v
 		}
 	}
+	spare = round(spare)
+	all := total(services)
+	if spare-smallest < all+arrays {
+		m.excess = 0
+		return
+	}
 	sort.SliceStable(cand, func(i, k int) bool {
 		a, b := cand[i], cand[k]
-		if x, y := m.price(a), m.price(b); x != y {
+		if x, y := price(a), price(b); x != y {
 			return x > y
 		}
-		if x, y := replicas(a.w), replicas(b.w); x != y {
-			return x < y
+		if a.Replicas != b.Replicas {
+			return a.Replicas < b.Replicas
 		}
-		return a.v > b.v
+		return a.VCPUs < b.VCPUs
 	})
-	all := 0.0
-	for _, v := range services {
-		all += v
-	}
 	excess := false
-	for _, b := range cand {
+	for _, w := range cand {
 		// Its replicas move, and its arrays end where they are; but while work goes
 		// on as it does, others come in their place. (Counting only what was free
 		// on it cordoned most of a fleet within a second of the end of a peak, and
 		// rented it again.)
-		moving := replicas(b.w)
 		keep := arrays
-		if b.pool.standby {
+		if w.Standby {
 			keep *= spotKeep
 		}
-		if total-b.v-b.w.VCPUs < all+keep {
+		if spare-w.Kind.VCPUs < all+keep {
 			continue
 		}
-		if !b.pool.standby && free[b.pool.site]-b.v-borrowed(b.w)-moving < services[b.pool.site] {
+		if !w.Standby && free[w.Site]-w.Kind.VCPUs < services[w.Site] {
 			continue
 		}
 		excess = true
@@ -75,13 +81,13 @@
 		if now.Sub(m.excess) < m.cfg.Tuning.IdleKeep {
 			return
 		}
-		total -= b.v + b.w.VCPUs
-		if !b.pool.standby {
-			free[b.pool.site] -= b.v + borrowed(b.w) + moving
+		spare -= w.Kind.VCPUs
+		if !w.Standby {
+			free[w.Site] -= w.Kind.VCPUs
 		}
-		slog.Info("cordoning machine", "host", string(b.w.Host), "tasks", len(b.w.Tasks), "replicas_cpus", moving)
-		b.w.Cordoned = true
-		m.empty(b.w, now)
+		slog.Info("cordoning machine", "host", string(w.Host), "tasks", len(w.Tasks), "replicas_cpus", w.Replicas)
+		w.Cordoned = true
+		m.empty(w, now)
 	}
 	if !excess {
 		m.excess = 0
@@ -92,32 +98,16 @@
 // returned: idle they cost little, and a boot is paid for as well.
 const spotKeep = 1.7
 
-// price is what a bin's machine costs at present.
-func (m *Manager) price(b *bin) float64 {
-	if b.pool.standby {
-		return b.kind.MarketPrice
+// price is what a machine costs at present.
+func price(w *workers.Worker) float64 {
+	if w.Standby {
+		return w.Kind.MarketPrice
 	}
-	return b.kind.Hourly
+	return w.Kind.Hourly
 }
 
-// replicas returns the CPUs of the services on a machine.
-func replicas(w *workers.Worker) float64 { return shaped(w, api.Service) }
-
-// borrowed returns the CPUs of the arrays on a machine, nil for one to come.
-func borrowed(w *workers.Worker) float64 { return shaped(w, api.Batch) }
-
-func shaped(w *workers.Worker, shape api.Shape) float64 {
-	sum := 0.0
-	if w != nil {
-		for _, t := range w.Tasks {
-			if t.Job.Spec.Shape == shape {
-				sum += t.Job.Spec.VCPUs
-			}
-		}
-	}
-	// Rounded, so that the order of the sum can't change what is decided by it.
-	return math.Round(sum*1e6) / 1e6
-}
+// maxMoves bounds the replicas that a tick looks for another place for.
+const maxMoves = 20
 
 // settled is how long a start must last to count for the aims.
 const settled = 35 * time.Second
@@ -143,6 +133,9 @@
 	// One replica each time, and only while there is room for it where its image
 	// is: it is gone for no longer than a command and a transaction take.
 	for _, t := range m.machine.TasksOf(w) {
+		if m.moves--; m.moves < 0 {
+			return
+		}
 		if m.cfg.Movable(t, w) {
 			slog.Info("moving replica", "piece", t.Piece().String(), "host", string(w.Host))
 			m.machine.StopTask(w, t, 0)
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -15,27 +15,32 @@
 	"opaldale/internal/workers"
 )
 
-// bin is a machine, there or to come, while demand is laid out.
+// bin is a number of machines that are alike, there or to come, while demand is
+// laid out. A fleet of thousands has some hundred different ones.
 type bin struct {
-	w       *workers.Worker
 	kind    *cloud.Model
 	pool    pool
-	v, c, g float64 // free CPUs, cards, memory
-	rent    bool
-	soon    []*jobs.Task // arrays' tasks that will probably end before a machine rented now is up
+	n       int
+	v, c, g float64 // free CPUs, cards, memory of each
+	class   class
+	workers []*workers.Worker // of cordoned ones
 }
 
-// use takes the place of one task that will end soon, if there is one as large.
-func (b *bin) use(s *api.Spec) bool {
-	for i, t := range b.soon {
-		o := t.Job.Spec
-		if o.VCPUs >= s.VCPUs && o.Cards >= s.Cards && o.MemoryGB >= s.MemoryGB {
-			b.soon = slices.Delete(b.soon, i, i+1)
-			return true
-		}
-	}
-	return false
-}
+// class orders the bins: which room is used first.
+type class uint8
+
+const (
+	spotRoom     class = iota // as the planner has it
+	ordinaryRoom              //
+	cordonedRoom              // taken back into use before another machine is rented
+	endingRoom                // of array tasks that will probably end before a machine rented now is up
+	classes
+)
+
+// quantum is what free amounts are rounded down to, so that machines are alike.
+const quantum = 0.25
+
+func floor(x float64) float64 { return math.Floor(x/quantum+1e-6) * quantum }
 
 func (b *bin) fit(s *api.Spec) int {
 	n := math.MaxInt32
@@ -47,18 +52,74 @@
 	return n
 }
 
-func (b *bin) take(s *api.Spec, n int) {
-	f := float64(n)
-	b.v -= f * s.VCPUs
-	b.c -= f * s.Cards
-	b.g -= f * s.MemoryGB
-}
-
 func (b *bin) allows(s *api.Spec) bool {
 	return (s.Site == nil || *s.Site == b.pool.site) && (!b.pool.standby || s.Standby) &&
+		(b.class != endingRoom || s.Shape == api.Batch) &&
 		workers.AllowsModel(s, b.pool.model) && workers.Could(b.kind, s)
 }
 
+// layout is what there is, and is coming, while demand is laid out over it.
+type layout struct {
+	bins  [classes][]*bin
+	free  map[pool]float64 // CPUs free on machines that are not cordoned
+	lent  map[pool]float64 // CPUs that arrays have there
+	later map[pool]float64 // CPUs of machines that are not up yet, part of free
+	count map[pool]int     // machines
+	least jobs.Need        // that anything waiting takes of a machine
+}
+
+func newLayout() *layout {
+	return &layout{free: map[pool]float64{}, lent: map[pool]float64{}, later: map[pool]float64{}, count: map[pool]int{},
+		least: jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}}
+}
+
+// useful says whether anything that waits could find room in a bin.
+func (l *layout) useful(b *bin) bool {
+	return b.n > 0 && b.v+1e-6 >= l.least.VCPUs && b.c+1e-6 >= l.least.Cards && b.g+1e-6 >= l.least.MemoryGB
+}
+
+// put takes room for up to n tasks in a bin and returns how many found it, and
+// the machines that were cordoned and are needed after all.
+func (l *layout) put(b *bin, s *api.Spec, n int) (int, []*workers.Worker) {
+	per := b.fit(s)
+	if per == 0 || b.n == 0 {
+		return 0, nil
+	}
+	k := min(n, per*b.n)
+	full, rest := k/per, k%per
+	left := func(machines, tasks int) {
+		f := float64(tasks)
+		r := &bin{kind: b.kind, pool: b.pool, n: machines, v: b.v - f*s.VCPUs, c: b.c - f*s.Cards, g: b.g - f*s.MemoryGB, class: b.class}
+		if r.class == cordonedRoom {
+			r.class = ordinaryRoom
+			if r.pool.standby {
+				r.class = spotRoom
+			}
+		}
+		if l.useful(r) {
+			l.bins[r.class] = append(l.bins[r.class], r)
+		}
+	}
+	used := full
+	if rest > 0 {
+		used++
+		left(1, rest)
+	}
+	if full > 0 {
+		left(full, per)
+	}
+	b.n -= used
+	var back []*workers.Worker
+	switch b.class {
+	case cordonedRoom:
+		back, b.workers = b.workers[:used], b.workers[used:]
+		l.free[b.pool] += float64(used)*b.v - float64(k)*s.VCPUs
+	case spotRoom, ordinaryRoom:
+		l.free[b.pool] -= float64(k) * s.VCPUs
+	}
+	return k, back
+}
+
 // ask narrows down which machine is opened.
 type ask struct {
 	zone string   // only this zone, if given
@@ -68,15 +129,17 @@
 
 // oneZone returns the zone that all tasks of a job must be in: where it has some,
 // else where most of them would find room. "" for jobs that don't care.
-func oneZone(s *api.Spec, sites map[string]int, bins []*bin) string {
+func (l *layout) oneZone(s *api.Spec, sites map[string]int) string {
 	if !s.OneZone {
 		return ""
 	}
 	best, most := "", 0
 	room := map[string]int{}
-	for _, b := range bins {
-		if b.allows(s) {
-			room[b.pool.site] += b.fit(s)
+	for _, bins := range l.bins {
+		for _, b := range bins {
+			if b.allows(s) {
+				room[b.pool.site] += b.fit(s) * b.n
+			}
 		}
 	}
 	for z, n := range room {
@@ -121,104 +184,124 @@
 		return
 	}
 	now := m.port.Now()
-	bins := m.bins(catalog, now)
+	l := m.layout(catalog, now)
 	rent := map[pool]int{}
-	var late float64
 	open := func(s *api.Spec, a ask) *bin {
-		b := m.newBin(catalog, bins, s, a, now)
+		b := m.newBin(catalog, l, s, a, now)
 		if b != nil {
 			rent[b.pool]++
-			bins = append(bins, b)
+			l.count[b.pool]++
+			l.free[b.pool] += b.v
+			l.later[b.pool] += b.v
+			l.bins[b.class] = append(l.bins[b.class], b)
 		}
 		return b
 	}
-	lay := func(j *jobs.Job, n int, sites map[string]int) {
-		s := j.Spec
-		limit := s.Pieces
+	late := m.late(l, now)
+	for _, services := range []bool{true, false} {
+		for _, j := range m.waiting(services) {
+			if n := min(j.Waits(), m.teams.Room(j.Spec)); n > 0 {
+				m.lay(l, j, n, &late, open, now)
+			}
+		}
+	}
+	services, arrays := m.wanted(now)
+	m.headroom(l, open, services, arrays)
+	m.rentAll(rent)
+	m.shrink(l, services, arrays, now)
+}
+
+// lay finds room for n tasks of a job, and opens machines for what finds none.
+func (m *Manager) lay(l *layout, j *jobs.Job, n int, late *float64, open func(*api.Spec, ask) *bin, now ident.Mono) {
+	s := j.Spec
+	limit := s.Pieces
+	if s.Apart {
+		limit = (s.Pieces + 1) / 2
+	}
+	sites := maps.Clone(j.Zones)
+	if sites == nil {
+		sites = map[string]int{}
+	}
+	a := ask{zone: l.oneZone(s, sites)}
+	put := func(b *bin) {
+		if !b.allows(s) || a.zone != "" && a.zone != b.pool.site {
+			return
+		}
+		k := n
 		if s.Apart {
-			limit = (s.Pieces + 1) / 2
+			k = min(k, limit-sites[b.pool.site])
+		}
+		if k <= 0 {
+			return
+		}
+		k, back := l.put(b, s, k)
+		for _, w := range back {
+			w.Cordoned = false
+			m.machine.Uncordoned()
 		}
-		a := ask{zone: oneZone(s, sites, bins)}
-		put := func(b *bin) {
-			if n <= 0 || !b.allows(s) || a.zone != "" && a.zone != b.pool.site {
-				return
+		sites[b.pool.site] += k
+		n -= k
+	}
+	for c := range l.bins {
+		kept := l.bins[c][:0]
+		for i := 0; i < len(l.bins[c]); i++ {
+			b := l.bins[c][i]
+			if n > 0 {
+				put(b)
 			}
-			k := min(n, b.fit(s))
-			if s.Apart {
-				k = min(k, limit-sites[b.pool.site])
+			if b.n > 0 {
+				kept = append(kept, b)
 			}
-			if k > 0 {
-				if b.w != nil && b.w.Cordoned {
-					b.w.Cordoned = false
-					m.machine.Uncordoned()
+		}
+		l.bins[c] = kept
+	}
+	for n > 0 {
+		if s.Apart {
+			a.full = nil
+			for z, k := range sites {
+				if k >= limit {
+					a.full = append(a.full, z)
 				}
-				b.take(s, k)
-				sites[b.pool.site] += k
-				n -= k
 			}
 		}
-		for _, b := range bins {
-			put(b)
+		dear := s.Standby && now.Sub(j.Arrived) < patience*m.slowest()
+		// An ordinary machine costs several times as much, and spot ones that are
+		// refused now are mostly to be had a little later.
+		a.spot = dear && *late <= 0
+		b := open(s, a)
+		if b == nil {
+			return
 		}
-		if s.Shape == api.Batch {
-			for _, b := range bins {
-				for n > 0 && b.allows(s) && b.use(s) {
-					n--
-				}
-			}
+		if dear && !b.pool.standby {
+			*late -= b.v
 		}
-		for n > 0 {
-			if s.Apart {
-				a.full = nil
-				for z, k := range sites {
-					if k >= limit {
-						a.full = append(a.full, z)
-					}
-				}
-			}
-			dear := s.Standby && now.Sub(j.Arrived) < patience*m.slowest()
-			// An ordinary machine costs several times as much, and spot ones that
-			// are refused now are mostly to be had a little later.
-			a.spot = dear && late <= 0
-			b := open(s, a)
-			if b == nil {
-				return
-			}
-			if dear && !b.pool.standby {
-				late -= b.v
-			}
-			before := n
-			if put(b); n == before {
-				return
-			}
+		before := n
+		if put(b); n == before {
+			return
 		}
 	}
-	late = m.late(bins, now)
-	for _, services := range []bool{true, false} {
-		for _, j := range m.waiting(services) {
-			n := min(j.Waits(), m.teams.Room(j.Spec))
-			if n <= 0 {
-				continue
-			}
-			sites := map[string]int{}
-			for z, k := range j.Zones {
-				sites[z] = k
+}
+
+// rentAll asks for what is missing, of each pool in turn, as far as the cloud's
+// rate allows.
+func (m *Manager) rentAll(rent map[pool]int) {
+	pools := sortedPools(rent)
+	for again := true; again; {
+		again = false
+		for _, p := range pools {
+			if n := min(rent[p], maxRent); n > 0 && m.rent(p, n) {
+				rent[p] -= n
+				again = true
 			}
-			lay(j, n, sites)
 		}
 	}
-	services, arrays := m.wanted(now)
-	m.headroom(bins, open, services, arrays)
-	for _, p := range sortedPools(rent) {
-		m.rent(p, rent[p])
-	}
-	m.shrink(bins, services, arrays, now)
 }
 
+// waiting lists the jobs with tasks to be placed, by arrival.
 func (m *Manager) waiting(services bool) []*jobs.Job {
 	var out []*jobs.Job
-	for _, j := range m.jobs.Jobs {
-		if j.Known && j.Waits() > 0 && (j.Spec.Shape == api.Service) == services && j.Backoff < time.Minute {
+	for j := range m.jobs.Waiting {
+		if (j.Spec.Shape == api.Service) == services && j.Backoff < time.Minute {
 			out = append(out, j)
 		}
 	}
@@ -226,80 +309,138 @@
 	return out
 }
 
-// bins lists the machines that can take work now or soon, standby ones first
-// as the planner has them.
-func (m *Manager) bins(catalog []cloud.Model, now ident.Mono) []*bin {
-	var out []*bin
+// layout counts the machines that can take work now or soon.
+func (m *Manager) layout(catalog []cloud.Model, now ident.Mono) *layout {
+	l := newLayout()
+	for j := range m.jobs.Waiting {
+		l.least.Least(j.Spec)
+	}
+	type alike struct {
+		pool    pool
+		class   class
+		v, c, g float64
+	}
+	all := map[alike]*bin{}
+	var order []*bin
+	add := func(k *cloud.Model, p pool, cl class, v, c, g float64) *bin {
+		key := alike{p, cl, floor(v), floor(c), floor(g)}
+		b := all[key]
+		if b == nil {
+			b = &bin{kind: k, pool: p, class: cl, v: key.v, c: key.c, g: key.g}
+			all[key] = b
+			order = append(order, b)
+		}
+		b.n++
+		return b
+	}
+	classOf := func(p pool) class {
+		if p.standby {
+			return spotRoom
+		}
+		return ordinaryRoom
+	}
 	for _, w := range m.machine.Sorted() {
-		if w.Kind == nil || w.Doomed > 0 || w.Shun > now {
+		// A machine where a task failed is no room to count on: the job keeps off it.
+		// (A job waited for ever while the only idle machine was one that it shunned.)
+		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Errors > 0 {
 			continue
 		}
-		b := &bin{w: w, kind: w.Kind, pool: pool{w.Model, w.Site, w.Standby},
-			v: w.Kind.VCPUs, c: w.Kind.Cards, g: w.Kind.MemoryGB}
+		p := pool{w.Model, w.Site, w.Standby}
+		v, c, g := w.Kind.VCPUs, w.Kind.Cards, w.Kind.MemoryGB
 		switch w.State {
 		case workers.Booting:
 			if now.Sub(w.Born) > 2*m.startup(w) {
 				continue // late: don't count on it
 			}
+			l.later[p] += v
 		case workers.Up, workers.Silent:
-			b.v -= w.VCPUs
-			b.c -= w.Cards
-			b.g -= w.MemoryGB
-			if !w.Cordoned {
-				b.soon = m.ending(w, now)
-			}
+			v, c, g = v-w.VCPUs, c-w.Cards, g-w.MemoryGB
 		default:
 			continue
 		}
-		out = append(out, b)
+		l.count[p]++
+		if w.Cordoned {
+			b := add(w.Kind, p, cordonedRoom, v, c, g)
+			b.workers = append(b.workers, w)
+			continue
+		}
+		l.free[p] += v
+		l.lent[p] += w.Arrays
+		add(w.Kind, p, classOf(p), v, c, g)
 	}
 	for i := range catalog {
-		for _, site := range catalog[i].Sites {
+		k := &catalog[i]
+		for _, site := range k.Sites {
 			for _, standby := range []bool{true, false} {
-				p := pool{catalog[i].SKU, site, standby}
-				if mk := m.markets[p]; mk != nil {
-					for range mk.pending {
-						out = append(out, &bin{kind: &catalog[i], pool: p, v: catalog[i].VCPUs,
-							c: catalog[i].Cards, g: catalog[i].MemoryGB})
-					}
+				p := pool{k.SKU, site, standby}
+				if mk := m.markets[p]; mk != nil && mk.pending > 0 {
+					add(k, p, classOf(p), k.VCPUs, k.Cards, k.MemoryGB).n += mk.pending - 1
+					l.count[p] += mk.pending
+					l.free[p] += float64(mk.pending) * k.VCPUs
+					l.later[p] += float64(mk.pending) * k.VCPUs
 				}
 			}
 		}
 	}
-	// Cordoned machines come last, and are taken back into use before another
-	// one is rented.
-	order := func(b *bin) int {
-		switch {
-		case b.w != nil && b.w.Cordoned:
-			return 2
-		case b.pool.standby:
-			return 0
+	m.running(now, func(t *jobs.Task, w *workers.Worker, left time.Duration) {
+		if !w.Cordoned && w.Kind != nil && left < m.startup(w) {
+			s := t.Job.Spec
+			add(w.Kind, pool{w.Model, w.Site, w.Standby}, endingRoom, s.VCPUs, s.Cards, s.MemoryGB)
+		}
+	})
+	for _, b := range order {
+		if l.useful(b) {
+			l.bins[b.class] = append(l.bins[b.class], b)
+		}
+	}
+	return l
+}
+
+// running calls f for every array task seen running, with how long it will
+// probably go on.
+func (m *Manager) running(now ident.Mono, f func(t *jobs.Task, w *workers.Worker, left time.Duration)) {
+	m.arraysOpen(func(j *jobs.Job) {
+		if j.Runs == 0 {
+			return
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.State == jobs.Assigned && t.RunsAt > 0 {
+				if w := m.machine.Workers[t.Host]; w != nil {
+					f(t, w, settings.Seconds(j.Spec.RuntimeS)-now.Sub(t.RunsAt))
+				}
+			}
+		}
+	})
+}
+
+// arraysOpen calls f for every open array, in a fixed order.
+func (m *Manager) arraysOpen(f func(*jobs.Job)) {
+	for _, name := range slices.Sorted(maps.Keys(m.jobs.Teams)) {
+		for _, j := range m.jobs.Teams[name].Jobs {
+			if j.Spec.Shape == api.Batch {
+				f(j)
+			}
 		}
-		return 1
 	}
-	sort.SliceStable(out, func(i, k int) bool { return order(out[i]) < order(out[k]) })
-	return out
 }
 
 // late returns how many CPUs are missing for the arrays that wait to be started
 // in time for the first of their aims, 0 if the machines that are there or coming
 // can still do it. A backlog is seen by its work, not by waiting until it is late.
-func (m *Manager) late(bins []*bin, now ident.Mono) float64 {
+func (m *Manager) late(l *layout, now ident.Mono) float64 {
 	room, work, slack, weight := 0.0, 0.0, 0.0, 0.0
-	for _, b := range bins {
-		if b.pool.standby {
-			room += b.kind.VCPUs
+	for p, n := range l.count {
+		if k := m.kind(p.model); p.standby && k != nil {
+			room += float64(n) * k.VCPUs
 		} else {
-			room += b.v + borrowed(b.w)
+			room += l.free[p] + l.lent[p]
 		}
 	}
-	var open []*jobs.Job
-	for _, j := range m.jobs.Sorted() {
+	m.arraysOpen(func(j *jobs.Job) {
 		s := j.Spec
-		if !j.Known || j.Phase != jobs.Open || s.Shape != api.Batch || !s.Standby {
-			continue
+		if !s.Standby || j.Waits() == 0 {
+			return
 		}
-		open = append(open, j)
 		waits := float64(min(j.Waits(), m.teams.Room(s))) * s.VCPUs * s.RuntimeS
 		// What can't be done in time by any machine goes last, and doesn't count.
 		if left := (m.cfg.Aim(s.Lane) - now.Sub(j.Arrived)).Seconds() - s.RuntimeS; left > 0 && waits > 0 {
@@ -307,15 +448,15 @@
 			slack += waits * left
 			weight += waits
 		}
-	}
+	})
 	if weight == 0 {
 		return 0
 	}
 	// A part of the slack, since arrivals go on and estimates are often short.
 	within := max(0.85*slack/weight, m.slowest().Seconds())
-	for _, j := range open {
-		if j.Held == 0 {
-			continue
+	m.arraysOpen(func(j *jobs.Job) {
+		if j.Held == 0 || !j.Spec.Standby {
+			return
 		}
 		for i := range j.Tasks {
 			if t := &j.Tasks[i]; t.State.Held() {
@@ -326,22 +467,19 @@
 				work += j.Spec.VCPUs * min(max(left, 5), within)
 			}
 		}
-	}
+	})
 	return max(0, work/within-room)
 }
 
-// ending lists a machine's array tasks that will probably end before a machine
-// rented now would be up: what waits gets their places as soon, and cheaper.
-func (m *Manager) ending(w *workers.Worker, now ident.Mono) []*jobs.Task {
-	var out []*jobs.Task
-	for _, t := range m.machine.TasksOf(w) {
-		s := t.Job.Spec
-		if s.Shape == api.Batch && t.RunsAt > 0 && t.State == jobs.Assigned &&
-			settings.Seconds(s.RuntimeS)-now.Sub(t.RunsAt) < m.startup(w) {
-			out = append(out, t)
+// kind returns a machine type of the catalog, nil for an unknown one.
+func (m *Manager) kind(model string) *cloud.Model {
+	catalog := m.cfg.Catalog()
+	for i := range catalog {
+		if catalog[i].SKU == model {
+			return &catalog[i]
 		}
 	}
-	return out
+	return nil
 }
 
 // patience, in boot times, is how long work that may use spot machines waits for
@@ -359,11 +497,7 @@
 
 // newBin opens a machine of the cheapest pool that allows the job, in the zone
 // that has the fewest of its kind.
-func (m *Manager) newBin(catalog []cloud.Model, bins []*bin, s *api.Spec, a ask, now ident.Mono) *bin {
-	count := map[pool]int{}
-	for _, b := range bins {
-		count[b.pool]++
-	}
+func (m *Manager) newBin(catalog []cloud.Model, l *layout, s *api.Spec, a ask, now ident.Mono) *bin {
 	var best *bin
 	cheapest, fewest := math.Inf(1), 0
 	for i := range catalog {
@@ -377,7 +511,10 @@
 					continue
 				}
 				p := pool{k.SKU, z, standby}
-				b := &bin{kind: k, pool: p, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, rent: true}
+				b := &bin{kind: k, pool: p, n: 1, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, class: ordinaryRoom}
+				if standby {
+					b.class = spotRoom
+				}
 				if !b.allows(s) || m.market(p).closed > now {
 					continue
 				}
@@ -386,7 +523,7 @@
 					price = k.MarketPrice
 				}
 				price /= float64(max(b.fit(s), 1))
-				n := count[p]
+				n := l.count[p]
 				if best == nil || price < cheapest-1e-9 || price < cheapest+1e-9 && n < fewest {
 					best, cheapest, fewest = b, price, n
 				}
@@ -430,31 +567,23 @@
 }
 
 // headroom keeps room for the jobs to be expected while a machine boots.
-func (m *Manager) headroom(bins []*bin, open func(*api.Spec, ask) *bin, services map[string]float64, arrays float64) {
-	free := map[string]float64{}
-	spare := 0.0
-	for _, b := range bins {
-		if b.w != nil && b.w.Cordoned {
-			continue
-		}
-		spare += b.v
-		if !b.pool.standby {
-			// Room that arrays have there comes back by itself, since they keep off
-			// the reserve: renting for it too, and letting arrays have that as
-			// well, made the ordinary fleet grow without services.
-			free[b.pool.site] += b.v + borrowed(b.w)
-		}
-	}
+func (m *Manager) headroom(l *layout, open func(*api.Spec, ask) *bin, services map[string]float64, arrays float64) {
+	// Room that arrays have on ordinary machines comes back by itself, since they
+	// keep off the reserve: renting for it too, and letting arrays have that as
+	// well, made the ordinary fleet grow without services.
+	free := l.zones()
 	for _, z := range slices.Sorted(maps.Keys(services)) {
 		m.cfg.Reserve(z, services[z])
-		spare -= services[z]
-		if free[z] < services[z] && services[z] > 0 {
-			if b := open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, ask{zone: z}); b != nil {
-				spare += b.v
+		for n := 0; n < maxOpened && free[z] < services[z]; n++ {
+			b := open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, ask{zone: z})
+			if b == nil {
+				break
 			}
+			free[z] += b.v
 		}
 	}
-	for n := 0; n < 4 && spare < arrays; n++ {
+	spare := l.spare() - total(services)
+	for n := 0; n < maxOpened && spare < arrays; n++ {
 		// Ordinary machines are not rented just in case.
 		b := open(&api.Spec{Shape: api.Batch, Pieces: 1, Standby: true}, ask{spot: true})
 		if b == nil {
@@ -463,3 +592,41 @@
 		spare += b.v
 	}
 }
+
+// maxOpened bounds the machines opened for headroom at a time.
+const maxOpened = 8
+
+// zones returns the CPUs of ordinary machines that services could have, by zone.
+func (l *layout) zones() map[string]float64 {
+	out := map[string]float64{}
+	for p, v := range l.free {
+		if !p.standby {
+			out[p.site] += v + l.lent[p]
+		}
+	}
+	for z, v := range out {
+		out[z] = round(v)
+	}
+	return out
+}
+
+// spare returns all CPUs free.
+func (l *layout) spare() float64 {
+	sum := 0.0
+	for _, v := range l.free {
+		sum += v
+	}
+	return round(sum)
+}
+
+// total adds up. Rounded, so that the order of the sum can't change what is
+// decided by it.
+func total(m map[string]float64) float64 {
+	sum := 0.0
+	for _, v := range m {
+		sum += v
+	}
+	return round(sum)
+}
+
+func round(x float64) float64 { return math.Round(x*1e6) / 1e6 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -106,10 +107,23 @@
 	RetryAt ident.Mono // the job backs off until then
 	Backoff time.Duration
 
-	head  *commit.Doc
-	segs  []*commit.Doc // of larger jobs; nil for tasks kept in the header
-	over  bool
-	wants []func() // called once the submission is durable
+	// Within says whether the job fits into its team's guarantee along with the
+	// team's earlier unfinished jobs; the planner keeps it.
+	Within bool
+
+	head   *commit.Doc
+	segs   []*commit.Doc // of larger jobs; nil for tasks kept in the header
+	perSeg int
+	over   bool
+	wants  []func() // called once the submission is durable
+}
+
+// Need is what a task takes of its machine.
+type Need struct{ VCPUs, Cards, MemoryGB float64 }
+
+// Least lowers each amount to what a task of the job needs.
+func (n *Need) Least(s *api.Spec) {
+	n.VCPUs, n.Cards, n.MemoryGB = min(n.VCPUs, s.VCPUs), min(n.Cards, s.Cards), min(n.MemoryGB, s.MemoryGB)
 }
 
 // Waits returns how many tasks wait to be placed.
@@ -164,9 +178,23 @@
 	Seq   uint64    `json:"seq"`
 	AtMS  int64     `json:"at_ms"`
 	Phase Phase     `json:"phase"`
+	LSN   uint64    `json:"lsn,omitempty"` // records of the log up to it are part of this
 	Tasks []record  `json:"tasks,omitempty"`
 }
 
+// segment is the value of a segment's key.
+type segment struct {
+	LSN   uint64   `json:"lsn,omitempty"`
+	Tasks []record `json:"tasks"`
+}
+
+// line is a task's change in the log.
+type line struct {
+	Job   ident.JobID `json:"j"`
+	Index int         `json:"i,omitempty"`
+	record
+}
+
 // record is a task in the state service. A task that was never placed is empty.
 type record struct {
 	Try    ident.Try    `json:"t,omitempty"`
@@ -186,6 +214,11 @@
 	Jobs map[ident.JobID]*Job
 	Seq  uint64 // of the newest job
 
+	// Waiting holds the jobs with tasks to be placed, and Teams the open jobs of
+	// each team: what decides about placing must not walk over everything else.
+	Waiting map[*Job]struct{}
+	Teams   map[string]*Team
+
 	// Ended remembers jobs that went over in this term, for as long as it has
 	// room; the state service has them all.
 	ended   map[ident.JobID]Ended
@@ -204,12 +237,18 @@
 	OnMove func(t *Task, from, to State)
 }
 
+// Team is what a team has open.
+type Team struct {
+	Jobs    []*Job // in the order of arrival
+	Changed bool   // since the planner looked at it
+}
+
 // maxEnded bounds the memory kept for jobs that are over.
 const maxEnded = 20_000
 
 // NewTable makes an empty table.
 func NewTable(commits *commit.Committer, valueBytes int, now func() ident.Mono, wall func() int64) *Table {
-	return &Table{Jobs: map[ident.JobID]*Job{}, ended: map[ident.JobID]Ended{}, commits: commits, now: now, wall: wall,
+	return &Table{Jobs: map[ident.JobID]*Job{}, Waiting: map[*Job]struct{}{}, Teams: map[string]*Team{}, ended: map[ident.JobID]Ended{}, commits: commits, now: now, wall: wall,
 		perSeg: max(1, (valueBytes-64)/recordBytes), inline: max(0, (valueBytes-headerBytes)/recordBytes),
 		OnMove: func(*Task, State, State) {}, OnWaiting: func(*Task) {}}
 }
@@ -229,6 +268,7 @@
 	tb.Jobs[s.ID] = j
 	tb.commits.Mark(j.head, func() {
 		j.Known = true
+		tb.open(j)
 		for _, f := range j.wants {
 			f()
 		}
@@ -240,6 +280,46 @@
 	return j
 }
 
+// open takes a job into the indexes.
+func (tb *Table) open(j *Job) {
+	if j.Phase != Open {
+		return
+	}
+	t := tb.Teams[j.Spec.Desk]
+	if t == nil {
+		t = &Team{}
+		tb.Teams[j.Spec.Desk] = t
+	}
+	i := len(t.Jobs)
+	for i > 0 && t.Jobs[i-1].Seq > j.Seq {
+		i--
+	}
+	t.Jobs = slices.Insert(t.Jobs, i, j)
+	t.Changed = true
+	tb.index(j)
+}
+
+// close is the one place where a job leaves its open phase.
+func (tb *Table) close(j *Job, p Phase) {
+	j.Phase = p
+	if t := tb.Teams[j.Spec.Desk]; t != nil {
+		if i := slices.Index(t.Jobs, j); i >= 0 {
+			t.Jobs = slices.Delete(t.Jobs, i, i+1)
+			t.Changed = true
+		}
+	}
+	tb.index(j)
+}
+
+// index keeps Waiting in step with a job.
+func (tb *Table) index(j *Job) {
+	if j.Known && j.Waits() > 0 {
+		tb.Waiting[j] = struct{}{}
+	} else {
+		delete(tb.Waiting, j)
+	}
+}
+
 // WhenKnown calls f once the job's submission is durable.
 func (j *Job) WhenKnown(f func()) {
 	if j.Known {
@@ -262,12 +342,13 @@
 		if j.over {
 			return nil
 		}
-		h := header{Spec: j.Spec, Seq: j.Seq, AtMS: j.AtMS, Phase: j.Phase}
+		h := header{Spec: j.Spec, Seq: j.Seq, AtMS: j.AtMS, Phase: j.Phase, LSN: tb.commits.LSN()}
 		if len(j.segs) == 0 {
 			h.Tasks = records(j.Tasks)
 		}
 		return api.JSON(h)
 	}
+	j.perSeg = tb.perSeg
 	if len(j.Tasks) <= tb.inline {
 		return
 	}
@@ -278,7 +359,7 @@
 			if j.over {
 				return nil
 			}
-			return api.JSON(records(part))
+			return api.JSON(segment{LSN: tb.commits.LSN(), Tasks: records(part)})
 		}
 		j.segs = append(j.segs, d)
 	}
@@ -289,25 +370,33 @@
 func records(tasks []Task) []record {
 	out := make([]record, len(tasks))
 	for i := range tasks {
-		t := &tasks[i]
-		out[i] = record{Try: t.Try, Done: t.State == Finished}
-		if t.State.Held() {
-			out[i].Host, out[i].Tenure = t.Host, t.Tenure
-		}
+		out[i] = tasks[i].record()
 	}
 	return out
 }
 
-// doc returns the document that holds a task.
-func (tb *Table) doc(t *Task) *commit.Doc {
+func (t *Task) record() record {
+	r := record{Try: t.Try, Done: t.State == Finished}
+	if t.State.Held() {
+		r.Host, r.Tenure = t.Host, t.Tenure
+	}
+	return r
+}
+
+// Line is the task in the log of changes.
+func (t *Task) Line() any { return line{t.Job.Spec.ID, t.Index, t.record()} }
+
+// Home is the document that holds the task.
+func (t *Task) Home() *commit.Doc {
 	if len(t.Job.segs) == 0 {
 		return t.Job.head
 	}
-	return t.Job.segs[t.Index/tb.perSeg]
+	return t.Job.segs[t.Index/t.Job.perSeg]
 }
 
-// save queues a task's document.
-func (tb *Table) save(t *Task, then func()) { tb.commits.Mark(tb.doc(t), then) }
+// save makes a task's state durable. A put for each change of a task, or of its
+// job, would take all puts there are while a large fleet starts.
+func (tb *Table) save(t *Task, then func()) { tb.commits.Append(t, then) }
 
 // to is the one place where a task changes its state.
 func (tb *Table) to(t *Task, s State) {
@@ -330,6 +419,7 @@
 	}
 	tb.OnMove(t, from, s)
 	t.State, t.Since = s, tb.now()
+	tb.index(j)
 	if !s.Held() {
 		t.see(tb, "")
 	}
@@ -402,7 +492,7 @@
 	tb.to(t, Finished)
 	j := t.Job
 	if j.Phase == Open && j.Done == len(j.Tasks) && j.Spec.Shape == api.Batch {
-		j.Phase = Done
+		tb.close(j, Done)
 		// The job goes over as a whole, and its segments go with it.
 		if then != nil {
 			j.wants = append(j.wants, then)
@@ -416,7 +506,7 @@
 // Cancel ends a job at its user's wish; then is called once that is durable.
 func (tb *Table) Cancel(j *Job, then func()) {
 	if j.Phase == Open {
-		j.Phase = Cancelled
+		tb.close(j, Cancelled)
 	}
 	tb.commits.Mark(j.head, func() {
 		if j.Durable == Open {
@@ -490,7 +580,7 @@
 		age := time.Duration(max(0, tb.wall()-h.AtMS)) * time.Millisecond
 		j := &Job{Spec: h.Spec, Seq: h.Seq, AtMS: h.AtMS, Arrived: tb.now().Add(-age), Phase: h.Phase, Durable: h.Phase, Known: true}
 		tb.shape(j)
-		j.head.Stamp = stamp
+		j.head.Stamp, j.head.LSN = stamp, h.LSN
 		tb.Jobs[h.Spec.ID] = j
 		tb.Seq = max(tb.Seq, h.Seq)
 		return tb.restore(j, 0, h.Tasks)
@@ -501,14 +591,14 @@
 		tb.commits.Mark(d, nil)
 		return nil
 	}
-	var recs []record
-	if err := json.Unmarshal(value, &recs); err != nil {
+	var s segment
+	if err := json.Unmarshal(value, &s); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	for i, d := range j.segs {
 		if d.Path == path {
-			d.Stamp = stamp
-			return tb.restore(j, i*tb.perSeg, recs)
+			d.Stamp, d.LSN = stamp, s.LSN
+			return tb.restore(j, i*tb.perSeg, s.Tasks)
 		}
 	}
 	return fmt.Errorf("%s: no such segment %s", path, seg)
@@ -519,17 +609,62 @@
 		return fmt.Errorf("%s: more tasks than pieces", j.Spec.ID)
 	}
 	for i, r := range recs {
-		t := &j.Tasks[at+i]
-		t.Try = r.Try
-		switch {
-		case r.Done:
-			t.State = Finished
-			j.Done++
-		case r.Host != "":
-			t.Host, t.Tenure = r.Host, r.Tenure
-			t.State = Assigned
-			j.Held++
+		j.Tasks[at+i].restore(r)
+	}
+	return nil
+}
+
+// restore sets a task to what was durable of it.
+func (t *Task) restore(r record) {
+	j := t.Job
+	if t.State == Finished {
+		j.Done--
+	}
+	if t.State.Held() {
+		j.Held--
+	}
+	t.Try, t.State, t.Host, t.Tenure = r.Try, Waiting, "", 0
+	switch {
+	case r.Done:
+		t.State = Finished
+		j.Done++
+	case r.Host != "":
+		t.Host, t.Tenure, t.State = r.Host, r.Tenure, Assigned
+		j.Held++
+	}
+}
+
+// LoadLog takes in the records of the log, after all jobs.
+func (tb *Table) LoadLog(pairs []statesvc.Pair) error {
+	type logged struct {
+		LSN   uint64 `json:"n"`
+		Lines []line `json:"l"`
+	}
+	recs := make([]logged, len(pairs))
+	order := make([]int, len(pairs))
+	for i, p := range pairs {
+		order[i] = i
+		if err := json.Unmarshal(p.Value, &recs[i]); err != nil {
+			return fmt.Errorf("%s: %w", p.Path, err)
+		}
+	}
+	// Slots are used again in any order.
+	sort.Slice(order, func(i, k int) bool { return recs[order[i]].LSN < recs[order[k]].LSN })
+	for _, i := range order {
+		r := recs[i]
+		var homes []*commit.Doc
+		for _, l := range r.Lines {
+			j := tb.Jobs[l.Job]
+			if j == nil || l.Index >= len(j.Tasks) {
+				continue // over since
+			}
+			t := &j.Tasks[l.Index]
+			if d := t.Home(); d.LSN < r.LSN {
+				t.restore(l.record)
+				homes = append(homes, d)
+			}
 		}
+		tb.commits.Restore(pairs[i].Path, pairs[i].Stamp, r.LSN, homes)
 	}
 	return nil
 }
@@ -547,8 +682,9 @@
 // Loaded is called after the last Load: jobs that need nothing more go over.
 func (tb *Table) Loaded() {
 	for _, j := range tb.Sorted() {
+		tb.open(j)
 		if j.Phase == Open && j.Spec.Shape == api.Batch && j.Done == len(j.Tasks) {
-			j.Phase = Done
+			tb.close(j, Done)
 		}
 		tb.settle(j)
 	}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -18,10 +18,16 @@
 	keys   map[string]statesvc.Pair
 	ledger uint64
 	queue  []func()
+	now    ident.Mono
 }
 
-func (k *keep) Now() ident.Mono                 { return 1 }
-func (k *keep) After(d time.Duration, f func()) { k.queue = append(k.queue, f) }
+func (k *keep) Now() ident.Mono { return k.now }
+func (k *keep) After(d time.Duration, f func()) {
+	k.queue = append(k.queue, func() {
+		k.now = k.now.Add(d)
+		f()
+	})
+}
 func (k *keep) State(r statesvc.Request, f func(statesvc.Reply)) {
 	k.ledger++
 	for _, c := range r.Then {
@@ -47,7 +53,7 @@
 }
 
 func table(k *keep) (*Table, *commit.Committer) {
-	c := commit.New(k, commit.Limits{Ops: 16, PerSecond: 1e9}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { panic(why) })
+	c := commit.New(k, commit.Limits{Ops: 16, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { panic(why) })
 	return NewTable(c, 16<<10, k.Now, func() int64 { return 5 }), c
 }
 
@@ -90,11 +96,19 @@
 				}
 			}
 		}
+		var log []statesvc.Pair
 		for _, p := range paths {
+			if strings.HasPrefix(p, commit.LogPrefix) {
+				log = append(log, k.keys[p])
+				continue
+			}
 			if err := next.Load(p, k.keys[p].Value, k.keys[p].Stamp); err != nil {
 				t.Fatal(err)
 			}
 		}
+		if err := next.LoadLog(log); err != nil {
+			t.Fatal(err)
+		}
 		next.Loaded()
 		j = next.Jobs["j-1"]
 		if j.Done != pieces/2 || j.Held != pieces-pieces/2 || j.Tasks[pieces-1].Host != "host-999999" || j.Tasks[pieces-1].Tenure != 1<<40 {
@@ -110,6 +124,11 @@
 		}
 		c2.Flush()
 		k.run()
+		for p := range k.keys {
+			if strings.HasPrefix(p, commit.LogPrefix) {
+				delete(k.keys, p) // slots are kept, and used again
+			}
+		}
 		var e Ended
 		if len(k.keys) != 1 || json.Unmarshal(k.keys["over/j-1"].Value, &e) != nil || e.Phase != Done {
 			t.Errorf("%d pieces: %d keys are left, over: %+v", pieces, len(k.keys), e)
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"log/slog"
@@ -19,6 +20,8 @@
 	quietTime = 4 * time.Second
 	redial    = 300 * time.Millisecond
 	queued    = 512
+	// readBuffer takes in several reports with one call of the system.
+	readBuffer = 32 << 10
 	// maxInbound bounds the connections of siblings.
 	maxInbound = 32
 )
@@ -74,9 +77,10 @@
 	broken := make(chan struct{})
 	go func() {
 		defer close(broken)
+		rd := bufio.NewReader(conn)
 		for {
 			conn.SetReadDeadline(time.Now().Add(quietTime))
-			if _, err := Read(conn); err != nil {
+			if _, err := Read(rd); err != nil {
 				return
 			}
 		}
@@ -127,9 +131,10 @@
 func (t *Transport) receive(conn net.Conn) {
 	echo := (&Frame{Kind: Beat}).Append(nil)
 	var from ident.NodeID
+	rd := bufio.NewReaderSize(conn, readBuffer)
 	for {
 		conn.SetReadDeadline(time.Now().Add(quietTime))
-		f, err := Read(conn)
+		f, err := Read(rd)
 		if err != nil {
 			if errors.Is(err, ErrFrame) {
 				slog.Error("mesh connection closed", "from", string(from), "err", err)
--- a/internal/placement/asm1_test.go
+++ b/internal/placement/asm1_test.go
@@ -5,19 +5,6 @@
 	"testing"
 )
 
-// graph makes a random graph of tasks and machines, as lists by machine.
-func graph(r *rand.Rand, tasks, machines int, p float64) [][]int32 {
-	out := make([][]int32, machines)
-	for t := range tasks {
-		for m := range machines {
-			if r.Float64() < p {
-				out[m] = append(out[m], int32(t))
-			}
-		}
-	}
-	return out
-}
-
 // loads counts the tasks of each machine, and checks that each has an edge.
 func loads(t *testing.T, g [][]int32, owner []int32) []int {
 	t.Helper()
@@ -86,14 +73,111 @@
 	return
 }
 
+// plain is the algorithm as the paper has it, over single tasks.
+func plain(n int, machines [][]int32) []int32 {
+	owner := make([]int32, n)
+	for i := range owner {
+		owner[i] = -1
+	}
+	augment := func(p int32) bool {
+		via, from, seen := map[int32]int32{}, map[int32]int32{p: -1}, []int32{p}
+		for head := 0; head < len(seen); head++ {
+			m := seen[head]
+			for _, t := range machines[m] {
+				if _, ok := via[t]; ok || owner[t] == m {
+					continue
+				}
+				via[t] = m
+				o := owner[t]
+				if o < 0 {
+					for t >= 0 {
+						m := via[t]
+						owner[t] = m
+						t = from[m]
+					}
+					return true
+				}
+				if _, ok := from[o]; !ok {
+					from[o] = t
+					seen = append(seen, o)
+				}
+			}
+		}
+		return false
+	}
+	var active []int32
+	for p := range machines {
+		active = append(active, int32(p))
+	}
+	for len(active) > 0 {
+		var kept []int32
+		for _, p := range active {
+			if augment(p) {
+				kept = append(kept, p)
+			}
+		}
+		active = kept
+	}
+	return owner
+}
+
+// grouped makes random groups, and the same tasks one by one.
+func grouped(r *rand.Rand, groups, machines, most int, p float64) (gs []Group, single [][]int32, tasks int) {
+	single = make([][]int32, machines)
+	for range groups {
+		g := Group{Tasks: 1 + r.IntN(most)}
+		for m := range machines {
+			if r.Float64() < p {
+				g.Machines = append(g.Machines, int32(m))
+				for t := range g.Tasks {
+					single[m] = append(single[m], int32(tasks+t))
+				}
+			}
+		}
+		tasks += g.Tasks
+		gs = append(gs, g)
+	}
+	return
+}
+
+// ungroup turns the outcome for groups into one for single tasks.
+func ungroup(t *testing.T, gs []Group, owners [][]Share, tasks int) []int32 {
+	t.Helper()
+	out := make([]int32, 0, tasks)
+	for g, shares := range owners {
+		n := 0
+		for _, s := range shares {
+			for range s.Tasks {
+				out = append(out, s.Machine)
+				n++
+			}
+		}
+		if n > gs[g].Tasks {
+			t.Fatalf("group %d of %d tasks got %d", g, gs[g].Tasks, n)
+		}
+		for ; n < gs[g].Tasks; n++ {
+			out = append(out, -1)
+		}
+	}
+	return out
+}
+
 // TestASM1AgainstBruteForce compares both of the paper's objectives (Theorem 10)
-// with the best of all assignments on small random graphs.
+// with the best of all assignments on small random graphs, and with the algorithm
+// over single tasks on larger ones.
 func TestASM1AgainstBruteForce(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
-	for range 600 {
-		tasks, machines := 1+r.IntN(8), 1+r.IntN(4)
-		g := graph(r, tasks, machines, 0.2+0.6*r.Float64())
-		owner := ASM1(tasks, g)
+	for i := range 900 {
+		small := i%3 > 0
+		groups, machines, most := 1+r.IntN(4), 1+r.IntN(4), 3
+		if !small {
+			groups, machines, most = 1+r.IntN(30), 1+r.IntN(25), 12
+		}
+		gs, g, tasks := grouped(r, groups, machines, most, 0.1+0.6*r.Float64())
+		if small && tasks > 8 {
+			continue
+		}
+		owner := ungroup(t, gs, ASM1(machines, gs), tasks)
 		placed := 0
 		for _, m := range owner {
 			if m >= 0 {
@@ -101,9 +185,12 @@
 			}
 		}
 		l, e := figures(loads(t, g, owner), placed)
-		bl, be := best(g, tasks, placed)
+		bl, be := figures(loads(t, g, plain(tasks, g)), placed)
+		if small {
+			bl, be = best(g, tasks, placed)
+		}
 		if l != bl || e != be {
-			t.Fatalf("%d tasks, %v: largest %d, excess %d; best %d, %d", tasks, g, l, e, bl, be)
+			t.Fatalf("%d tasks, %v: largest %d, excess %d; best %d, %d", tasks, gs, l, e, bl, be)
 		}
 	}
 }
@@ -113,9 +200,9 @@
 func TestNoCostReducingPath(t *testing.T) {
 	r := rand.New(rand.NewPCG(3, 4))
 	for range 60 {
-		tasks, machines := 50+r.IntN(150), 2+r.IntN(20)
-		g := graph(r, tasks, machines, 3/float64(machines))
-		owner := ASM1(tasks, g)
+		machines := 2 + r.IntN(20)
+		gs, g, tasks := grouped(r, 10+r.IntN(40), machines, 6, 3/float64(machines))
+		owner := ungroup(t, gs, ASM1(machines, gs), tasks)
 		load := loads(t, g, owner)
 		for start := range g {
 			seen := map[int]bool{start: true}
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -1,15 +1,187 @@
 package placement
 
 import (
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
 )
 
-// BenchmarkASM1 plans as many tasks as a plan may cover for the machines of a
-// large deployment, each image on a third of them.
+// BenchmarkASM1 plans for fleets of growing size, each image on a third of the
+// machines and twenty tasks a job.
 func BenchmarkASM1(b *testing.B) {
-	g := graph(rand.New(rand.NewPCG(5, 6)), maxPlanned, 64, 0.33)
+	for _, machines := range []int{64, 500, 2000} {
+		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
+			gs, _, _ := grouped(rand.New(rand.NewPCG(5, 6)), 3*machines/20, machines, 39, 0.33)
+			for b.Loop() {
+				ASM1(machines, gs)
+			}
+		})
+	}
+}
+
+// still is a world in which everything is carried out at once.
+type still struct{ now ident.Mono }
+
+func (s *still) Now() ident.Mono             { return s.now }
+func (s *still) After(time.Duration, func()) {}
+func (s *still) State(r statesvc.Request, f func(statesvc.Reply)) {
+	f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 5})
+}
+func (s *still) Worker(string, api.Commands, func(workers.Answer)) {}
+
+// large is a fleet with three waiting tasks a machine.
+type large struct {
+	still
+	jobs    *jobs.Table
+	fleet   *workers.Table
+	planner *Planner
+	commits *commit.Committer
+	serial  ident.Serial
+	next    int
+}
+
+func newLarge(machines int) *large {
+	l := &large{still: still{now: ident.Mono(time.Hour)}}
+	kind := cloud.Model{SKU: "m16", VCPUs: 16, MemoryGB: 32, LocalGB: 25, PullGBPerS: 0.3}
+	l.commits = commit.New(l, commit.Limits{Ops: 24, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader"}, func(string) {})
+	l.jobs = jobs.NewTable(l.commits, 16<<10, l.Now, func() int64 { return 0 })
+	l.fleet = workers.NewTable(l, l.jobs, workers.Config{Term: 1, LeaseS: time.Minute, Catalog: func(string) *cloud.Model { return &kind },
+		Deposed: func() {}, Changed: func() {}, Failed: func(*jobs.Task, *workers.Worker, api.Cause) {},
+		Commit: func(w *workers.Worker) { w.Recorded = true }})
+	teams := NewTeams([]settings.Team{{Name: "red", CPUs: 1e6, CPUsMax: 1e6}})
+	l.planner = NewPlanner(teams, l.jobs, l.fleet, l, l.Now, true, nil)
+	l.jobs.OnMove = func(t *jobs.Task, from, to jobs.State) {
+		w := l.fleet.Workers[t.Host]
+		if !from.Held() && to.Held() {
+			l.fleet.Hold(w, t)
+		} else if from.Held() && !to.Held() {
+			l.fleet.Release(w, t)
+		}
+	}
+	for i := range machines {
+		w := l.fleet.Add(ident.HostID(fmt.Sprintf("host-%06d", i)), "m16", "east", i%3 == 0, l.now)
+		l.report(w)
+	}
+	for range 3 * machines / 20 {
+		l.submit(api.Batch, 20, 4)
+	}
+	return l
+}
+
+func (l *large) report(w *workers.Worker) {
+	l.serial++
+	r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: "east", Standby: w.Standby, Tenure: 1, Serial: l.serial}
+	for _, t := range l.fleet.TasksOf(w) {
+		r.Pieces = append(r.Pieces, api.PieceReport{Piece: t.Piece(), Try: t.Try, Status: api.Running})
+	}
+	l.fleet.Checkin(r)
+}
+
+func (l *large) submit(shape api.Shape, pieces int, vcpus float64) {
+	l.next++
+	l.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", l.next)), Desk: "red", Shape: shape, Rank: api.Standard, Pieces: pieces,
+		VCPUs: vcpus, MemoryGB: 2, Bundle: fmt.Sprintf("img-%d", l.next%16), ImageGB: 1, Standby: shape == api.Batch, RuntimeS: 60}, func() {}, nil)
+	l.commits.Flush()
+}
+
+// Place and Preempt carry out what the planner decides.
+func (l *large) Place(t *jobs.Task, w *workers.Worker) {
+	l.jobs.Place(t, w.Host, 1, func() {})
+}
+func (l *large) Preempt(t *jobs.Task, w *workers.Worker, d time.Duration) { l.fleet.StopTask(w, t, d) }
+
+// fill places all there is, in as many dispatches as it takes.
+func (l *large) fill() {
+	for l.planner.Dispatch() {
+		l.now = l.now.Add(time.Second)
+		l.commits.Flush()
+	}
+	l.now = l.now.Add(time.Second)
+	l.commits.Flush()
+}
+
+var sizes = []int{64, 500, 2000}
+
+// BenchmarkFill places three tasks a machine on an empty fleet.
+func BenchmarkFill(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("%d machines", n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				l := newLarge(n)
+				b.StartTimer()
+				l.fill()
+			}
+		})
+	}
+}
+
+// BenchmarkDispatch looks for room for one job on a fleet that has some, and on
+// one that has none.
+func BenchmarkDispatch(b *testing.B) {
+	for _, n := range sizes {
+		for _, full := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d machines, full %v", n, full), func(b *testing.B) {
+				l := newLarge(n)
+				for i := 0; full && i < 2*n/20; i++ {
+					l.submit(api.Batch, 20, 4)
+				}
+				l.fill()
+				for _, w := range l.fleet.Sorted() {
+					l.report(w)
+				}
+				for b.Loop() {
+					l.submit(api.Service, 8, 2)
+					l.planner.Dispatch()
+					b.StopTimer()
+					l.cancel()
+					b.StartTimer()
+				}
+			})
+		}
+	}
+}
+
+func (l *large) cancel() {
+	j := l.jobs.Jobs[ident.JobID(fmt.Sprintf("j-%d", l.next))]
+	l.now = l.now.Add(time.Second)
+	l.commits.Flush()
+	l.jobs.Cancel(j, func() {})
+	for i := range j.Tasks {
+		l.jobs.Gone(&j.Tasks[i], nil)
+	}
+	l.commits.Flush()
+}
+
+// BenchmarkCheckin reads and answers the report of a machine with four tasks that
+// has nothing new to say.
+func BenchmarkCheckin(b *testing.B) {
+	l := newLarge(500)
+	l.fill()
+	w := l.fleet.Sorted()[1]
+	r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: "east", Tenure: 1, Epoch: ident.MakeEpoch(1, 0)}
+	for _, t := range l.fleet.TasksOf(w) {
+		r.Pieces = append(r.Pieces, api.PieceReport{Piece: t.Piece(), Try: t.Try, Status: api.Running})
+	}
+	body, _ := json.Marshal(r)
 	for b.Loop() {
-		ASM1(maxPlanned, g)
+		got, err := api.ParseReport(body)
+		if err != nil {
+			b.Fatal(err)
+		}
+		l.serial++
+		got.Serial = l.serial
+		api.JSON(l.fleet.Checkin(got))
 	}
 }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -34,29 +35,63 @@
 	// machines of a zone, for services to come.
 	Reserve map[string]float64
 
-	Stats  Stats
-	within map[*jobs.Job]bool
-	held   map[*jobs.Job]bool // whether a machine that the job may use holds its image, of this dispatch
-	open   map[ident.HostID]bool
-	order  []*workers.Worker
-	arrays []*jobs.Job
-	cursor map[*jobs.Job]int
-	free   map[string]float64 // free CPUs of ordinary machines, by zone
+	// MaxWait is how long a job may wait for its first task before it goes first.
+	MaxWait time.Duration
+
+	Stats Stats
+
+	// What follows is of one dispatch.
+	order    []*workers.Worker // the open machines, by name
+	roomy    []*workers.Worker // those in which some waiting task fits
+	arrays   []*jobs.Job       // with tasks to place, in the order of their right
+	byImage  map[string][]int  // their places in arrays
+	first    map[string]int    // the first of an image that may still have something to place
+	unheld   []*jobs.Job       // whose image no machine holds that may take them, oldest first
+	holders  map[string][]*workers.Worker
+	held     map[*jobs.Job]bool
+	cursor   map[*jobs.Job]int
+	plans    []*stock           // fullest first
+	free     map[string]float64 // free CPUs of ordinary machines, by zone
+	reserved map[*workers.Worker]*jobs.Job
+	blocked  map[string]*jobs.Job // jobs that wait too long for their team's limit
+	placed   int
+	searched int // machines looked at for work to stop
+	from     int // where the next such search begins
 }
 
+// stock is a machine's plan while others steal from it.
+type stock struct {
+	w    *workers.Worker
+	left int
+	at   int // earlier tasks of the plan are placed
+}
+
+const (
+	// maxPlaced bounds what one dispatch places, and with it for how long reports
+	// and the renewal of the lease wait for it.
+	maxPlaced = 300
+	// maxSearched bounds the machines that a dispatch looks at for work to stop.
+	maxSearched = 1000
+	// maxStocks bounds the plans that a machine looks into for something to steal.
+	maxStocks = 64
+	// maxReserved bounds the machines kept free for jobs that wait too long.
+	maxReserved = 4
+)
+
 // Stats counts what the planner did.
 type Stats struct {
 	Rounds, Extra               uint64
 	Planned, Local, New, Stolen uint64 // array tasks by the rule that placed them
 	Services, Preempted         uint64
+	Overdue                     uint64  // first tasks of jobs that waited too long
 	FetchedGB                   float64 // images placed where they were not held
 	Took                        time.Duration
 }
 
 // NewPlanner makes a planner without a plan.
 func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool, aims []settings.Objective) *Planner {
-	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{},
-		aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
+	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}, MaxWait: time.Hour,
+		reserved: map[*workers.Worker]*jobs.Job{}, aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
 	for _, o := range aims {
 		switch o.Kind {
 		case "finished":
@@ -74,61 +109,90 @@
 // maxPlanned bounds the tasks that a plan covers, and with it its time.
 const maxPlanned = 4000
 
+// waiting is a job with what its place in the order depends on.
+type waiting struct {
+	j       *jobs.Job
+	level   int
+	urgency urgency
+	work    float64
+}
+
+func (a *waiting) before(b *waiting) bool {
+	switch {
+	case (a.urgency == overdue) != (b.urgency == overdue):
+		return a.urgency == overdue
+	case a.urgency == overdue:
+		return a.j.Seq < b.j.Seq
+	case a.j.Within != b.j.Within:
+		return a.j.Within
+	case a.level != b.level:
+		return a.level < b.level
+	case a.urgency != b.urgency:
+		return a.urgency < b.urgency
+	case a.urgency == reachable && a.work != b.work:
+		return a.work < b.work
+	}
+	return a.j.Seq < b.j.Seq
+}
+
 // prepare sorts the waiting jobs and the machines for this dispatch.
 func (p *Planner) prepare() (services []*jobs.Job) {
 	now := p.now()
-	byTeam := map[string][]*jobs.Job{}
-	p.arrays = p.arrays[:0]
-	for _, j := range p.jobs.Jobs {
-		if j.Phase != jobs.Open || !j.Known {
-			continue
-		}
-		byTeam[j.Spec.Desk] = append(byTeam[j.Spec.Desk], j)
-		if j.Waits() == 0 || now < j.RetryAt {
+	p.teams.Guarantee(p.jobs)
+	var arr, srv []waiting
+	need := jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}
+	for j := range p.jobs.Waiting {
+		if now < j.RetryAt {
 			continue
 		}
+		need.Least(j.Spec)
+		w := waiting{j, j.Spec.Rank.Level(), p.urgency(j), work(j)}
 		if j.Spec.Shape == api.Service {
-			services = append(services, j)
+			srv = append(srv, w)
 		} else {
-			p.arrays = append(p.arrays, j)
-		}
-	}
-	p.within = p.teams.Guaranteed(byTeam)
-	before := func(a, b *jobs.Job) bool {
-		if p.within[a] != p.within[b] {
-			return p.within[a]
-		}
-		if la, lb := a.Spec.Rank.Level(), b.Spec.Rank.Level(); la != lb {
-			return la < lb
+			arr = append(arr, w)
 		}
-		ua, ub := p.urgency(a), p.urgency(b)
-		if ua != ub {
-			return ua < ub
-		}
-		if wa, wb := work(a), work(b); ua == reachable && wa != wb {
-			return wa < wb
-		}
-		return a.Seq < b.Seq
 	}
-	sort.Slice(services, func(i, k int) bool {
-		a, b := services[i], services[k]
-		if la, lb := a.Spec.Rank.Level(), b.Spec.Rank.Level(); la != lb {
-			return la < lb
+	sort.Slice(srv, func(i, k int) bool {
+		a, b := &srv[i], &srv[k]
+		if a.level != b.level && (a.urgency == overdue) == (b.urgency == overdue) {
+			return a.level < b.level
 		}
-		return before(a, b)
+		return a.before(b)
 	})
-	sort.Slice(p.arrays, func(i, k int) bool { return before(p.arrays[i], p.arrays[k]) })
-	p.order = p.order[:0]
-	p.held = map[*jobs.Job]bool{}
-	p.open = map[ident.HostID]bool{}
+	sort.Slice(arr, func(i, k int) bool { return arr[i].before(&arr[k]) })
+	for i := range srv {
+		services = append(services, srv[i].j)
+	}
+	p.arrays = p.arrays[:0]
+	p.byImage, p.first = map[string][]int{}, map[string]int{}
+	for i := range arr {
+		j := arr[i].j
+		p.arrays = append(p.arrays, j)
+		p.byImage[j.Spec.Bundle] = append(p.byImage[j.Spec.Bundle], i)
+	}
+	p.order, p.roomy, p.plans, p.unheld = p.order[:0], p.roomy[:0], nil, nil
+	p.held, p.holders = map[*jobs.Job]bool{}, nil
 	p.free = map[string]float64{}
 	p.cursor = map[*jobs.Job]int{}
+	p.placed, p.searched = 0, 0
+	p.blocked = map[string]*jobs.Job{}
+	for w, j := range p.reserved {
+		if j.Waits() == 0 || j.Held > 0 || !w.Open(now) {
+			delete(p.reserved, w)
+		}
+	}
+	if len(p.jobs.Waiting) == 0 {
+		return nil
+	}
 	for _, w := range p.fleet.Sorted() {
 		if !w.Open(now) || w.Kind == nil {
 			continue
 		}
 		p.order = append(p.order, w)
-		p.open[w.Host] = true
+		if w.Room(need) {
+			p.roomy = append(p.roomy, w)
+		}
 		if !w.Standby {
 			p.free[w.Site] += w.Kind.VCPUs - w.VCPUs
 		}
@@ -136,6 +200,19 @@
 	return services
 }
 
+// holding returns the open machines that hold an image.
+func (p *Planner) holding(bundle string) []*workers.Worker {
+	if p.holders == nil {
+		p.holders = map[string][]*workers.Worker{}
+		for _, w := range p.order {
+			for _, im := range w.Images() {
+				p.holders[im.Bundle] = append(p.holders[im.Bundle], w)
+			}
+		}
+	}
+	return p.holders[bundle]
+}
+
 // Aim returns the shortest time within which jobs of a lane should be done, 0 if
 // nothing is said.
 func (p *Planner) Aim(lane string) time.Duration {
@@ -151,12 +228,19 @@
 type urgency uint8
 
 const (
-	pressing  urgency = iota // the last aim is about to be missed
+	overdue   urgency = iota // waits for longer than any job may
+	pressing                 // the last aim is about to be missed
 	reachable                // the first aim can be met
 	late                     // the first aim is lost, the last is far
 )
 
 func (p *Planner) urgency(j *jobs.Job) urgency {
+	age := p.now().Sub(j.Arrived)
+	// The order below puts off what is large or late for as long as other work
+	// comes; nothing else bounds how long.
+	if age > overdueFactor*p.MaxWait && j.Spec.Shape == api.Batch || j.Spec.Shape == api.Service && p.unbegun(j) {
+		return overdue
+	}
 	aims := p.aims[j.Spec.Lane]
 	if j.Spec.DueS != nil {
 		aims = append(slices.Clone(aims), settings.Seconds(*j.Spec.DueS))
@@ -165,7 +249,7 @@
 	if len(aims) == 0 {
 		return reachable
 	}
-	end := p.now().Sub(j.Arrived) + settings.Seconds(j.Spec.RuntimeS)
+	end := age + settings.Seconds(j.Spec.RuntimeS)
 	last := aims[len(aims)-1]
 	switch {
 	case end <= aims[0]:
@@ -176,23 +260,31 @@
 	return late
 }
 
+// overdueFactor is how many times the bound for its first task an array may take
+// before its other tasks go first as well.
+const overdueFactor = 3
+
 // work is what a job still has to start, in CPU seconds as estimated.
 func work(j *jobs.Job) float64 {
 	return float64(j.Waits()) * j.Spec.VCPUs * max(j.Spec.RuntimeS, 1)
 }
 
 // Dispatch places what can be placed now. Nothing waits for a round that could
-// start at once.
-func (p *Planner) Dispatch() {
+// start at once. It returns true if it stopped early: there may be more to place.
+func (p *Planner) Dispatch() bool {
 	services := p.prepare()
 	for _, j := range services {
+		if p.placed >= maxPlaced {
+			return true
+		}
 		p.placeService(j)
 	}
 	if len(p.arrays) == 0 {
-		return
+		return false
 	}
+	p.begin()
 	p.idle()
-	if p.stranded() {
+	if p.placed < maxPlaced && p.stranded() {
 		// Waiting tasks whose holders are full and that no plan names yet could
 		// not be stolen: an extra round lets the idle machines have them.
 		p.Stats.Extra++
@@ -200,6 +292,7 @@
 		p.idle()
 	}
 	p.claimGuarantees()
+	return p.placed >= maxPlaced
 }
 
 // Round makes a new plan.
@@ -208,6 +301,77 @@
 	p.plan()
 }
 
+// begin gives arrays that wait too long for their first task a place for it, and
+// sees to it that there is one: smaller tasks would take each time what becomes
+// free, of a machine or of the team's limit, before it is enough. The largest jobs
+// come first, since one task of each is all they take here; their others go in the
+// usual order.
+func (p *Planner) begin() {
+	var late []*jobs.Job
+	for _, j := range p.arrays {
+		if p.unbegun(j) && p.next(j) != nil {
+			late = append(late, j)
+		}
+	}
+	size := func(j *jobs.Job) float64 { return float64(j.Spec.Pieces) * j.Spec.VCPUs }
+	sort.Slice(late, func(i, k int) bool {
+		if a, b := size(late[i]), size(late[k]); a != b {
+			return a > b
+		}
+		return late[i].Seq < late[k].Seq
+	})
+	for _, j := range late {
+		if !p.teams.Allows(j.Spec, 1) {
+			if p.blocked[j.Spec.Desk] == nil {
+				p.blocked[j.Spec.Desk] = j
+			}
+			continue
+		}
+		var fit, wait *workers.Worker
+		for _, w := range p.roomy {
+			if p.fits(j, w) && p.may(j, w) {
+				if fit == nil || w.Holds(j.Spec.Bundle) {
+					fit = w
+				}
+				if w.Holds(j.Spec.Bundle) {
+					break
+				}
+			}
+		}
+		if fit != nil {
+			p.Stats.Overdue++
+			p.place(p.next(j), fit)
+			continue
+		}
+		if len(p.reserved) >= maxReserved || p.holdsBack(j) {
+			continue
+		}
+		for _, w := range p.order {
+			if p.reserved[w] == nil && p.may(j, w) && (wait == nil || w.Kind.VCPUs-w.VCPUs > wait.Kind.VCPUs-wait.VCPUs+slack) {
+				wait = w
+			}
+		}
+		if wait != nil {
+			p.reserved[wait] = j
+		}
+	}
+}
+
+// unbegun says whether a job has waited too long for its first task.
+func (p *Planner) unbegun(j *jobs.Job) bool {
+	return j.Held+j.Done == 0 && p.now().Sub(j.Arrived) > p.MaxWait
+}
+
+// holdsBack says whether a machine is kept for the job already.
+func (p *Planner) holdsBack(j *jobs.Job) bool {
+	for _, o := range p.reserved {
+		if o == j {
+			return true
+		}
+	}
+	return false
+}
+
 // next returns the job's first waiting task that may be placed now.
 func (p *Planner) next(j *jobs.Job) *jobs.Task {
 	now := p.now()
@@ -228,8 +392,8 @@
 func (p *Planner) isHeld(j *jobs.Job) bool {
 	held, ok := p.held[j]
 	if !ok {
-		for _, w := range p.order {
-			if w.Holds(j.Spec.Bundle) && w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) {
+		for _, w := range p.holding(j.Spec.Bundle) {
+			if w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) {
 				held = true
 				break
 			}
@@ -254,6 +418,12 @@
 
 // may checks everything but room.
 func (p *Planner) may(j *jobs.Job, w *workers.Worker) bool {
+	if o := p.reserved[w]; o != nil && o != j {
+		return false
+	}
+	if o := p.blocked[j.Spec.Desk]; o != nil && o != j && j.Spec.Shape == api.Batch {
+		return false
+	}
 	return w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) && p.teams.Allows(j.Spec, 1)
 }
 
@@ -273,35 +443,42 @@
 	if !w.Standby {
 		p.free[w.Site] -= t.Job.Spec.VCPUs
 	}
+	if p.reserved[w] == t.Job {
+		delete(p.reserved, w)
+	}
+	p.placed++
 	p.act.Place(t, w)
 }
 
 // placeService goes first-fit: over the machines that hold the image, then over
 // the others, then where work of less right can be stopped.
 func (p *Planner) placeService(j *jobs.Job) {
-	for {
+	at := 0 // room only shrinks, so a holder that was passed over needs no second look
+	for p.placed < maxPlaced {
 		t := p.next(j)
 		if t == nil || !p.teams.Allows(j.Spec, 1) {
 			return
 		}
 		var found *workers.Worker
-		for _, w := range p.order {
-			if p.may(j, w) && p.fits(j, w) {
-				if w.Holds(j.Spec.Bundle) {
-					found = w
-					break
-				}
-				// Where the image must be fetched anyway, on the machine with the most
-				// room: the next ones then find it there.
-				if found == nil || w.Kind.VCPUs-w.VCPUs > found.Kind.VCPUs-found.VCPUs+slack {
+		for ; at < len(p.roomy); at++ {
+			if w := p.roomy[at]; w.Holds(j.Spec.Bundle) && p.may(j, w) && p.fits(j, w) {
+				found = w
+				break
+			}
+		}
+		if found == nil {
+			// Where the image must be fetched anyway, on the machine with the most
+			// room: the next ones then find it there.
+			for _, w := range p.roomy {
+				if (found == nil || w.Kind.VCPUs-w.VCPUs > found.Kind.VCPUs-found.VCPUs+slack) && p.may(j, w) && p.fits(j, w) {
 					found = w
 				}
 			}
-		}
-		if found != nil && !found.Holds(j.Spec.Bundle) && p.impatient(j, found) && p.preempt(t, true) {
-			// Fetching would take longer than its users want to wait.
-			p.Stats.Services++
-			continue
+			// Unless fetching would take longer than its users want to wait.
+			if found != nil && p.impatient(j, found) && p.preempt(t, true) {
+				p.Stats.Services++
+				continue
+			}
 		}
 		if found == nil {
 			if !p.preempt(t, false) {
@@ -318,12 +495,22 @@
 // idle lets every machine with room take work, the cheap ones first.
 func (p *Planner) idle() {
 	clear(p.cursor)
+	clear(p.first)
+	p.unheld = p.unheld[:0]
+	for _, j := range p.arrays {
+		if j.Waits() > 0 && !p.isHeld(j) {
+			p.unheld = append(p.unheld, j)
+		}
+	}
+	sort.Slice(p.unheld, func(i, k int) bool { return p.unheld[i].Seq < p.unheld[k].Seq })
+	p.stock()
+	need := p.least()
 	for _, standby := range []bool{true, false} {
-		for _, w := range p.order {
+		for _, w := range p.roomy {
 			if w.Standby != standby {
 				continue
 			}
-			for {
+			for w.Room(need) && p.placed < maxPlaced {
 				t, rule := p.pick(w)
 				if t == nil {
 					break
@@ -335,6 +522,63 @@
 	}
 }
 
+// least returns the least that any waiting array task needs.
+func (p *Planner) least() jobs.Need {
+	need := jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}
+	for _, j := range p.arrays {
+		if j.Waits() > 0 && p.teams.Allows(j.Spec, 1) {
+			need.Least(j.Spec)
+		}
+	}
+	return need
+}
+
+// stock sorts the plans for those who steal from them.
+func (p *Planner) stock() {
+	p.plans = p.plans[:0]
+	for _, w := range p.order {
+		n := 0
+		for _, t := range w.Plan {
+			if t.State == jobs.Waiting {
+				n++
+			}
+		}
+		if n > 0 {
+			p.plans = append(p.plans, &stock{w: w, left: n})
+		}
+	}
+	sort.SliceStable(p.plans, func(i, k int) bool { return p.plans[i].left > p.plans[k].left })
+}
+
+// steal finds a task for a machine in the fullest plan that has one, looking into
+// so many plans at the most.
+func (p *Planner) steal(w *workers.Worker, ready func(*jobs.Task) bool) *jobs.Task {
+	looked := 0
+	for i := 0; i < len(p.plans) && looked < maxStocks; i++ {
+		s := p.plans[i]
+		if s.w == w || s.left <= 0 {
+			continue
+		}
+		looked++
+		plan := s.w.Plan
+		for s.at < len(plan) && plan[s.at].State != jobs.Waiting {
+			s.at++
+		}
+		for _, t := range plan[s.at:] {
+			if !ready(t) {
+				continue
+			}
+			// One less, and back to its place in the order.
+			s.left--
+			for k := i + 1; k < len(p.plans) && p.plans[k].left > s.left; k++ {
+				p.plans[k-1], p.plans[k] = p.plans[k], s
+			}
+			return t
+		}
+	}
+	return nil
+}
+
 // pick chooses an array task for a machine: what is planned for it, then what it
 // holds the image of, then the oldest whose image nobody holds, then one from
 // the fullest plan.
@@ -342,61 +586,55 @@
 	now := p.now()
 	ready := func(t *jobs.Task) bool {
 		return t.State == jobs.Waiting && t.Job.Phase == jobs.Open && now >= t.RetryAt && now >= t.Job.RetryAt &&
-			p.may(t.Job, w) && p.fits(t.Job, w) && !p.fleet.Orphan(t.Piece())
+			p.fits(t.Job, w) && p.may(t.Job, w) && !p.fleet.Orphan(t.Piece())
+	}
+	if j := p.reserved[w]; j != nil {
+		if t := p.next(j); t != nil && ready(t) {
+			return t, &p.Stats.Local
+		}
+		return nil, nil
 	}
 	for _, t := range w.Plan {
 		if ready(t) {
 			return t, &p.Stats.Planned
 		}
 	}
-	var oldest *jobs.Job
-	for _, j := range p.arrays {
-		if j.Waits() == 0 || !p.may(j, w) || !p.fits(j, w) {
-			continue
+	can := func(j *jobs.Job) bool { return j.Waits() > 0 && p.fits(j, w) && p.may(j, w) && p.next(j) != nil }
+	best := len(p.arrays)
+	for _, im := range w.Images() {
+		list := p.byImage[im.Bundle]
+		at := p.first[im.Bundle]
+		for at < len(list) && p.arrays[list[at]].Waits() == 0 {
+			at++
 		}
-		if w.Holds(j.Spec.Bundle) {
-			if t := p.next(j); t != nil {
-				return t, &p.Stats.Local
+		p.first[im.Bundle] = at
+		for _, i := range list[at:] {
+			if i >= best {
+				break
+			}
+			if can(p.arrays[i]) {
+				best = i
 			}
-		} else if !p.isHeld(j) && (oldest == nil || j.Seq < oldest.Seq) && p.next(j) != nil {
-			oldest = j
 		}
 	}
-	if oldest != nil {
-		return p.next(oldest), &p.Stats.New
+	if best < len(p.arrays) {
+		return p.next(p.arrays[best]), &p.Stats.Local
+	}
+	for _, j := range p.unheld {
+		if can(j) {
+			return p.next(j), &p.Stats.New
+		}
 	}
 	// Steal. Without a plan, from the waiting tasks at large.
 	if !p.asm1 {
 		for _, j := range p.arrays {
-			if j.Waits() > 0 && p.may(j, w) && p.fits(j, w) {
-				if t := p.next(j); t != nil {
-					return t, &p.Stats.Stolen
-				}
+			if can(j) {
+				return p.next(j), &p.Stats.Stolen
 			}
 		}
 		return nil, nil
 	}
-	var best *jobs.Task
-	most := 0
-	for _, v := range p.order {
-		if v == w {
-			continue
-		}
-		n := 0
-		var first *jobs.Task
-		for _, t := range v.Plan {
-			if t.State == jobs.Waiting {
-				n++
-				if first == nil && ready(t) {
-					first = t
-				}
-			}
-		}
-		if first != nil && n > most {
-			most, best = n, first
-		}
-	}
-	return best, &p.Stats.Stolen
+	return p.steal(w, ready), &p.Stats.Stolen
 }
 
 // stranded says whether a waiting task that is in no plan, of an image that is
@@ -406,16 +644,30 @@
 		return false
 	}
 	clear(p.cursor)
+	planned := map[ident.HostID]bool{}
+	for _, s := range p.plans {
+		planned[s.w.Host] = true
+	}
+	need := p.least()
+	var room []*workers.Worker
+	for _, w := range p.roomy {
+		if w.Room(need) {
+			room = append(room, w)
+		}
+	}
+	if len(room) == 0 {
+		return false
+	}
 	for _, j := range p.arrays {
-		if j.Waits() == 0 || !p.isHeld(j) || !p.teams.Allows(j.Spec, 1) {
+		if j.Waits() == 0 || !p.teams.Allows(j.Spec, 1) || !p.isHeld(j) {
 			continue
 		}
 		t := p.next(j)
-		if t == nil || p.open[t.Planned] {
+		if t == nil || planned[t.Planned] {
 			continue
 		}
-		for _, w := range p.order {
-			if p.may(j, w) && p.fits(j, w) {
+		for _, w := range room {
+			if p.fits(j, w) && p.may(j, w) {
 				return true
 			}
 		}
@@ -437,42 +689,56 @@
 	if !p.asm1 {
 		return
 	}
-	var tasks []*jobs.Task
-	machines := make([][]int32, len(p.order))
+	place := make(map[*workers.Worker]int32, len(p.order))
+	for i, w := range p.order {
+		place[w] = int32(i)
+	}
+	var groups []Group
+	var tasks [][]*jobs.Task
 	room := map[string]int{}
+	total := 0
 	for _, j := range p.arrays {
 		left, ok := room[j.Spec.Desk]
 		if !ok {
 			left = p.teams.Room(j.Spec)
 		}
-		var holders []int
-		for i, w := range p.order {
-			if w.Holds(j.Spec.Bundle) && w.Allows(j.Spec) && !j.Shunned[w.Host] {
-				holders = append(holders, i)
-			}
-		}
+		var of []*jobs.Task
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
-			if left <= 0 || len(tasks) >= maxPlanned {
+			if left <= 0 || total >= maxPlanned {
 				break
 			}
 			if t.State != jobs.Waiting {
 				continue
 			}
 			left--
-			for _, h := range holders {
-				machines[h] = append(machines[h], int32(len(tasks)))
-			}
-			tasks = append(tasks, t)
+			total++
+			of = append(of, t)
 		}
 		room[j.Spec.Desk] = left
-	}
-	for i, m := range ASM1(len(tasks), machines) {
-		if m >= 0 {
-			w := p.order[m]
-			// Tasks come by priority, then arrival, and so does each plan.
-			w.Plan = append(w.Plan, tasks[i])
-			tasks[i].Planned = w.Host
+		if len(of) == 0 {
+			continue
+		}
+		g := Group{Tasks: len(of)}
+		for _, w := range p.holding(j.Spec.Bundle) {
+			if w.Allows(j.Spec) && !j.Shunned[w.Host] {
+				g.Machines = append(g.Machines, place[w])
+			}
+		}
+		groups = append(groups, g)
+		tasks = append(tasks, of)
+	}
+	for g, owners := range ASM1(len(p.order), groups) {
+		// Tasks come by priority, then arrival, and so does each plan.
+		at := 0
+		for _, o := range owners {
+			w := p.order[o.Machine]
+			for range o.Tasks {
+				t := tasks[g][at]
+				at++
+				w.Plan = append(w.Plan, t)
+				t.Planned = w.Host
+			}
 		}
 	}
 	p.Stats.Took += time.Since(began)
@@ -487,7 +753,7 @@
 	}
 	now := p.now()
 	for _, w := range p.fleet.Sorted() {
-		if w == from || !w.Open(now) || !w.Allows(j.Spec) || !w.Fits(j.Spec) || !w.Holds(j.Spec.Bundle) {
+		if w == from || !w.Fits(j.Spec) || !w.Open(now) || !w.Allows(j.Spec) || !w.Holds(j.Spec.Bundle) {
 			continue
 		}
 		// As if it had left its zone already.
@@ -506,11 +772,11 @@
 	if v.Job.Spec.Rank.Level() > j.Spec.Rank.Level() {
 		return true
 	}
-	return p.within[j] && !p.within[v.Job] && v.Job.Spec.Desk != j.Spec.Desk && v.Job.Spec.Shape == api.Batch
+	return j.Within && !v.Job.Within && v.Job.Spec.Desk != j.Spec.Desk && v.Job.Spec.Shape == api.Batch
 }
 
 // Within says whether a job lay within its team's guarantee at the last dispatch.
-func (p *Planner) Within(j *jobs.Job) bool { return p.within[j] }
+func (p *Planner) Within(j *jobs.Job) bool { return j.Within }
 
 // fetches estimates how long a machine would fetch a job's image.
 func (p *Planner) fetches(j *jobs.Job, w *workers.Worker) time.Duration {
@@ -525,14 +791,25 @@
 func (p *Planner) preempt(t *jobs.Task, holders bool) bool {
 	j := t.Job
 	now := p.now()
+	if p.searched >= maxSearched || !p.victims(j) {
+		return false
+	}
 	var best *workers.Worker
 	var stop []*jobs.Task
 	least := 0.0
-	for _, w := range p.order {
-		if !p.may(j, w) || holders && !w.Holds(j.Spec.Bundle) {
+	for i := range p.order {
+		if p.searched >= maxSearched {
+			break
+		}
+		// Each search begins where one that was cut short ended.
+		w := p.order[(p.from+i)%len(p.order)]
+		if w.Lesser(j.Spec.Rank) == 0 && (!j.Within || w.Arrays == 0) || holders && !w.Holds(j.Spec.Bundle) || !p.may(j, w) {
 			continue
 		}
-		victims, cost, ok := p.victims(w, j, now)
+		if p.searched++; p.searched >= maxSearched {
+			p.from = (p.from + i + 1) % len(p.order)
+		}
+		victims, cost, ok := p.choose(w, j, now)
 		if !ok {
 			continue
 		}
@@ -565,9 +842,17 @@
 	return true
 }
 
-// victims finds the cheapest set of tasks to stop on a machine so that a task of
+// victims says whether there is anything at all that must give way to a job.
+func (p *Planner) victims(j *jobs.Job) bool {
+	if p.fleet.Lesser(j.Spec.Rank) > 0 {
+		return true
+	}
+	return j.Within && p.teams.Borrow(p.jobs, j.Spec.Desk)
+}
+
+// choose finds the cheapest set of tasks to stop on a machine so that a task of
 // j fits, counting what is being stopped already as room.
-func (p *Planner) victims(w *workers.Worker, j *jobs.Job, now ident.Mono) ([]*jobs.Task, float64, bool) {
+func (p *Planner) choose(w *workers.Worker, j *jobs.Job, now ident.Mono) ([]*jobs.Task, float64, bool) {
 	s := j.Spec
 	vcpus, cards, mem := w.Kind.VCPUs-w.VCPUs, w.Kind.Cards-w.Cards, w.Kind.MemoryGB-w.MemoryGB
 	var cand []*jobs.Task
@@ -631,10 +916,10 @@
 	now := p.now()
 	clear(p.cursor)
 	for _, j := range p.arrays {
-		if !p.within[j] {
+		if !j.Within {
 			continue
 		}
-		for j.Waits() > 0 && p.teams.Allows(j.Spec, 1) {
+		for j.Waits() > 0 && p.placed < maxPlaced && p.teams.Allows(j.Spec, 1) {
 			t := p.next(j)
 			if t == nil || now.Sub(t.Since) < claimAfter || !p.preempt(t, false) {
 				break
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"sort"
+	"slices"
 
 	"opaldale/internal/api"
 	"opaldale/internal/jobs"
@@ -84,25 +84,40 @@
 	return most
 }
 
-// Guaranteed returns the jobs that fit into their team's guarantee along with
-// the team's earlier unfinished jobs.
-func (ts *Teams) Guaranteed(all map[string][]*jobs.Job) map[*jobs.Job]bool {
-	in := map[*jobs.Job]bool{}
-	for name, list := range all {
-		t := ts.byName[name]
-		if t == nil {
+// Guarantee notes which jobs fit into their team's guarantee along with the
+// team's earlier unfinished jobs, for teams that have changed.
+func (ts *Teams) Guarantee(all *jobs.Table) {
+	for name, list := range all.Teams {
+		if !list.Changed {
 			continue
 		}
-		sort.Slice(list, func(i, k int) bool { return list[i].Seq < list[k].Seq })
+		list.Changed = false
 		cpus, gpus := 0.0, 0.0
-		for _, j := range list {
+		t := ts.byName[name]
+		for _, j := range list.Jobs {
 			n := float64(j.Spec.Pieces)
 			cpus += n * j.Spec.VCPUs
 			gpus += n * j.Spec.Cards
-			if cpus <= t.CPUs+slack && gpus <= t.GPUs+slack {
-				in[j] = true
+			j.Within = t != nil && cpus <= t.CPUs+slack && gpus <= t.GPUs+slack
+		}
+	}
+}
+
+// Borrow says whether teams other than the named one run arrays beyond their
+// guarantee.
+func (ts *Teams) Borrow(all *jobs.Table, but string) bool {
+	for name, list := range all.Teams {
+		if name == but {
+			continue
+		}
+		for _, j := range slices.Backward(list.Jobs) {
+			if j.Within {
+				break // and so are all before it
+			}
+			if j.Held > 0 && j.Spec.Shape == api.Batch {
+				return true
 			}
 		}
 	}
-	return in
+	return false
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -34,7 +34,9 @@
 	state  *statesvc.Client
 	cloud  *cloud.Client
 	worker *http.Client
-	mesh   *mesh.Transport
+	// commands has room for the commands to workers that are under way.
+	commands chan struct{}
+	mesh     *mesh.Transport
 }
 
 // Run serves until the process is killed, or a socket can't be had.
@@ -45,17 +47,22 @@
 	debug.SetGCPercent(300)
 
 	s := &Server{loop: newLoop()}
-	transport := func(perHost int) *http.Transport {
+	transport := func(perHost, idle int) *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
 			MaxIdleConnsPerHost: perHost,
 			IdleConnTimeout:     90 * time.Second,
+			MaxIdleConns:        idle,
 			DisableCompression:  true,
 		}
 	}
-	s.state = statesvc.NewClient(set.Ends.State, transport(8))
-	s.cloud = cloud.NewClient(set.Ends.Cloud, transport(4))
-	s.worker = &http.Client{Transport: transport(1)}
+	s.state = statesvc.NewClient(set.Ends.State, transport(8, 0))
+	s.cloud = cloud.NewClient(set.Ends.Cloud, transport(4, 0))
+	// A connection kept to each machine, beside those they report on, would take
+	// more sockets than there are.
+	commands := max(8, set.Cluster.Resources.Sockets/5)
+	s.worker = &http.Client{Transport: transport(1, commands)}
+	s.commands = make(chan struct{}, commands)
 	s.mesh = mesh.NewTransport(set.Node, func(from ident.NodeID, f *mesh.Frame) {
 		s.loop.post(func() { s.ctl.Frame(from, f) })
 	})
@@ -121,6 +128,8 @@
 
 // command sends orders to a worker.
 func (s *Server) command(addr string, c api.Commands) workers.Answer {
+	s.commands <- struct{}{}
+	defer func() { <-s.commands }()
 	status, b, err := httpcall.Do(s.worker, commandTime, http.MethodPost, "http://"+addr+"/commands", c, maxReport)
 	if err != nil {
 		return workers.Answer{}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -24,6 +24,9 @@
 	toldAt     ident.Mono
 	cancelSent ident.Mono
 	cancelTold ident.Mono
+	sentAt     ident.Mono
+	begunAt    ident.Mono // when its first task started, 0: not yet
+	answered   ident.Mono // when a question about it was last answered
 }
 
 func jobOf(key string) (ident.JobID, bool) {
@@ -70,9 +73,7 @@
 		s.Shape, s.Rank, s.OneZone = api.Batch, api.Standard, false
 	}
 	j := &userJob{spec: s, runs: time.Duration(2000+r.IntN(40_000)) * time.Millisecond, done: make([]bool, s.Pieces)}
-	w.jobs[s.ID] = j
-	w.order = append(w.order, s.ID)
-	w.submit(j, w.now.Add(60*time.Second))
+	w.add(j)
 	if r.IntN(3) == 0 || s.Shape == api.Service && r.IntN(2) == 0 {
 		w.at(time.Duration(r.IntN(80_000))*time.Millisecond, func() {
 			if j.accepted {
@@ -83,6 +84,36 @@
 	}
 }
 
+// add submits a job.
+func (w *World) add(j *userJob) {
+	j.sentAt = w.now
+	w.jobs[j.spec.ID] = j
+	w.order = append(w.order, j.spec.ID)
+	w.submit(j, w.now.Add(60*time.Second))
+}
+
+// crowd submits more small jobs of a team than its limit can take, and now and
+// then a job whose tasks are large, and one of a team without a guarantee.
+func (w *World) crowd() {
+	if w.now > ident.Mono(w.cfg.Length) {
+		return
+	}
+	w.nextJob++
+	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Lane: "lane", Desk: "red", Shape: api.Batch, Rank: api.Standard,
+		Pieces: 2, VCPUs: 2, MemoryGB: 2, Bundle: "img-0", ImageGB: 1.5, Standby: true, RuntimeS: 10}
+	runs := 10 * time.Second
+	if w.nextJob%40 == 20 {
+		s.Pieces, s.VCPUs, s.RuntimeS, runs = 3, 7.5, 30, 30*time.Second
+		if w.nextJob%80 == 20 {
+			s.Apart = true
+		} else {
+			s.OneZone, s.Desk, s.VCPUs, s.Pieces = true, "grey", 8, 2
+		}
+	}
+	w.add(&userJob{spec: s, runs: runs, done: make([]bool, s.Pieces)})
+	w.at(600*time.Millisecond, w.crowd)
+}
+
 // services counts a team's replicas that nobody has cancelled.
 func (w *World) services(desk string) int {
 	n := 0
@@ -130,12 +161,20 @@
 
 func (w *World) poll(j *userJob) {
 	asked := w.now
+	if calm := ident.Mono(w.cfg.Length + faultsEnd); w.now > calm && w.now.Sub(max(j.answered, calm)) > knownWithin {
+		w.broken("forgotten: nothing about %s was answered for %v", j.spec.ID, w.now.Sub(max(j.answered, calm)))
+	}
+	if w.cfg.Mutation == StarvePolls && w.now > ident.Mono(w.cfg.Length) && j.spec.Pieces%2 == 0 {
+		w.at(5*time.Second, func() { w.poll(j) })
+		return
+	}
 	w.request("users", w.some(), mesh.Poll, string(j.spec.ID), nil, 2*time.Second, func(r *controller.Reply) {
 		if r != nil {
 			if r.Status == 404 {
 				w.broken("forgotten: %s got 404", j.spec.ID)
 			}
 			if r.Status == 200 {
+				j.answered = w.now
 				w.hear(j, r, asked)
 			}
 		}
@@ -208,11 +247,23 @@
 
 func finalStatus(s string) bool { return s == "done" || s == "cancelled" }
 
+const (
+	// faultsEnd is how long after the last fault's beginning all are over.
+	faultsEnd = 50 * time.Second
+	// knownWithin is how long a user may go without an answer then.
+	knownWithin = 75 * time.Second
+	// beginWithin is how long the largest jobs may wait for their first task.
+	beginWithin = 4 * time.Minute
+)
+
 // started checks the rules at the start of a task on k.
 func (w *World) started(k *worker, p *piece) {
 	w.Starts++
 	j := w.jobs[p.id.Job]
 	s := &j.spec
+	if j.begunAt == 0 {
+		j.begunAt = w.now
+	}
 	cpus := 0.0
 	zones := map[string]int{}
 	for _, o := range w.sortedWorkers() {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -74,11 +74,7 @@
 func (k *worker) lease() {
 	if k.w.now.Sub(k.leaseAt) > time.Duration(k.w.set.Workers.LeaseS*float64(time.Second)) {
 		k.w.logf("%s: lease over", k.host)
-		k.pieces = map[ident.Piece]map[ident.Try]*piece{}
-		k.images = map[string]bool{}
-		k.tenure++
-		k.serial = 0
-		k.leaseAt = k.w.now
+		k.session()
 	}
 }
 
@@ -122,7 +118,9 @@
 	k.last = k.w.now
 	sent, tenure := k.w.now, k.tenure
 	n := k.w.nodes[k.node]
-	k.w.request(string(k.host), n, mesh.Checkin, "", api.JSON(k.message()), 4*time.Second, func(r *controller.Reply) {
+	m := k.message()
+	k.copied(m)
+	k.w.request(string(k.host), n, mesh.Checkin, "", api.JSON(m), 4*time.Second, func(r *controller.Reply) {
 		if k.dead {
 			return
 		}
@@ -161,6 +159,41 @@
 	})
 }
 
+// copied has a copy of a report come late now and then, up to twice the lease,
+// whatever has become of the machine. Nobody waits for its answer.
+func (k *worker) copied(m *api.Report) {
+	w := k.w
+	if !w.cfg.Faults || w.now > ident.Mono(w.cfg.Length) || w.rng.IntN(30) > 0 {
+		return
+	}
+	m = &api.Report{Host: m.Host, Addr: m.Addr, Model: m.Model, Site: m.Site, Standby: m.Standby, Tenure: m.Tenure,
+		Serial: m.Serial, Epoch: m.Epoch, WarningS: m.WarningS, Pieces: m.Pieces}
+	late := time.Duration(w.rng.Float64() * 2 * w.set.Workers.LeaseS * float64(time.Second))
+	w.at(late, func() {
+		if w.cfg.Mutation == TrustCopies {
+			m.Serial += 1000
+		}
+		w.request("copies", w.nodes[w.rng.IntN(len(w.nodes))], mesh.Checkin, "", api.JSON(m), 4*time.Second, func(*controller.Reply) {})
+	})
+}
+
+// restart ends the worker with all its tasks; it is back at once, in its next
+// session.
+func (k *worker) restart() {
+	k.w.logf("%s restarts", k.host)
+	k.session()
+	k.last = 0
+}
+
+// session begins the next one, without any task.
+func (k *worker) session() {
+	k.pieces = map[ident.Piece]map[ident.Try]*piece{}
+	k.images = map[string]bool{}
+	k.tenure++
+	k.serial = 0
+	k.leaseAt = k.w.now
+}
+
 // entitled checks and notes a token.
 func (k *worker) entitled(e ident.Epoch) bool {
 	if e < k.epoch && k.w.cfg.Mutation != IgnoreEpochs {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -31,6 +31,9 @@
 	LaunchFirst           // launches are sent before the placement is durable
 	IgnoreEpochs          // workers carry out commands with any token
 	IgnoreStamps          // transactions are carried out whatever their stamps
+	StarvePolls           // polls for some jobs get no answer
+	TrustCopies           // late copies of reports have new serials, as if they were sent now
+	NoMaxWait             // nothing bounds how long a job waits for its first task
 )
 
 // Config sets a run up.
@@ -39,6 +42,7 @@
 	Mutation Mutation
 	Faults   bool
 	Length   time.Duration // of the part with faults and arrivals
+	Crowd    bool          // small jobs of one team all the time, and large ones now and then
 }
 
 // World is one run.
@@ -57,6 +61,7 @@
 	jobs    map[ident.JobID]*userJob
 	order   []ident.JobID
 	cuts    map[[2]string]*cut
+	deaf    map[string]ident.Mono // machines that nothing reaches until then
 	nextJob int
 
 	// Broken lists the rules broken, in words; Undone what was not brought to its
@@ -91,7 +96,7 @@
 // New makes a world of three controllers in two zones.
 func New(cfg Config) *World {
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), workers: map[ident.HostID]*worker{},
-		jobs: map[ident.JobID]*userJob{}, cuts: map[[2]string]*cut{}}
+		jobs: map[ident.JobID]*userJob{}, cuts: map[[2]string]*cut{}, deaf: map[string]ident.Mono{}}
 	w.set = settings.Cluster{
 		Nodes: 3, Zones: []string{"east", "west"}, TimeBoundMS: 200,
 		Teams: []settings.Team{{Name: "red", CPUs: 12, CPUsMax: 28}, {Name: "blue", CPUs: 8, CPUsMax: 20},
@@ -130,7 +135,11 @@
 // Run plays the world: cfg.Length with arrivals and faults, then a while of calm
 // in which everything must come to its end.
 func (w *World) Run() {
-	w.arrive()
+	if w.cfg.Crowd {
+		w.crowd()
+	} else {
+		w.arrive()
+	}
 	if w.cfg.Faults {
 		w.at(10*time.Second, w.fault)
 	}
@@ -192,6 +201,9 @@
 		}
 		return
 	}
+	if w.now < w.deaf[to] {
+		return
+	}
 	d := time.Duration(200+w.rng.IntN(3000)) * time.Microsecond
 	often := 200
 	if strings.HasPrefix(to, "host-") {
@@ -263,6 +275,9 @@
 	n.life++
 	n.alive = true
 	set := &settings.Settings{Node: ident.NodeID(n.name), Zone: n.zone, Cluster: n.w.set, Tuning: settings.DefaultTuning()}
+	if n.w.cfg.Mutation == NoMaxWait {
+		set.Tuning.MaxWait = 24 * time.Hour
+	}
 	for _, o := range n.w.nodes {
 		if o != n {
 			set.Siblings = append(set.Siblings, settings.Sibling{Node: ident.NodeID(o.name), Zone: o.zone})
@@ -434,7 +449,7 @@
 		back = 200 * time.Millisecond
 	}
 	k := w.anyWorker()
-	switch w.rng.IntN(14) {
+	switch w.rng.IntN(18) {
 	case 0, 1:
 		n.kill(back)
 	case 2:
@@ -474,6 +489,24 @@
 	case 13:
 		w.logf("cloud trouble")
 		w.cloud.downUntil = w.now.Add(sec(3, 20))
+	case 14:
+		if k != nil {
+			w.logf("nothing reaches %s", k.host)
+			w.deaf[string(k.host)] = w.now.Add(sec(3, 50))
+		}
+	case 15, 16:
+		// Its workers still reach it.
+		d := sec(3, 40)
+		w.sever(n.name, "state", hold, d)
+		for _, o := range w.nodes {
+			if o != n {
+				w.sever(n.name, o.name, hold, d)
+			}
+		}
+	case 17:
+		if k != nil {
+			k.restart()
+		}
 	}
 	w.at(time.Duration(1000+w.rng.IntN(14000))*time.Millisecond, w.fault)
 }
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -41,7 +41,7 @@
 // some seed breaks a rule.
 func TestMutationsAreCaught(t *testing.T) {
 	for name, m := range map[string]Mutation{"launch before durable": LaunchFirst, "no epoch fence": IgnoreEpochs,
-		"no stamp comparison": IgnoreStamps} {
+		"no stamp comparison": IgnoreStamps, "polls starve": StarvePolls, "copies count as new": TrustCopies} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(60) {
 				if w := play(seed, m); len(w.Broken) > 0 {
@@ -95,3 +95,37 @@
 		t.Errorf("%v %v", w.Broken, w.Undone)
 	}
 }
+
+// late lists the jobs of the largest tasks that did not begin in time.
+func late(w *World) (out []string, large int) {
+	for _, id := range w.order {
+		j := w.jobs[id]
+		if j.spec.VCPUs < 7 {
+			continue
+		}
+		large++
+		if j.begunAt == 0 || j.begunAt.Sub(j.sentAt) > beginWithin {
+			out = append(out, string(id))
+		}
+	}
+	return
+}
+
+// TestLargeJobsBegin: more small jobs than a team's limit takes don't keep large
+// ones waiting, nor those of a team without a guarantee, though small ones go
+// first as long as they can.
+func TestLargeJobsBegin(t *testing.T) {
+	w := New(Config{Seed: 2, Crowd: true, Length: 400 * time.Second})
+	w.Run()
+	if len(w.Broken) > 0 {
+		t.Fatalf("%v\n%s", w.Broken, w.Tail(30))
+	}
+	if ids, n := late(w); len(ids) > 0 || n < 10 {
+		t.Errorf("of %d large jobs, late: %v", n, ids)
+	}
+	w = New(Config{Seed: 2, Crowd: true, Length: 400 * time.Second, Mutation: NoMaxWait})
+	w.Run()
+	if ids, _ := late(w); len(ids) == 0 {
+		t.Error("without the bound no large job is late: the test shows nothing")
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -4,7 +4,10 @@
 package workers
 
 import (
+	"cmp"
 	"log/slog"
+	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -65,6 +68,7 @@
 	Tenure   ident.Tenure
 	serial   ident.Serial
 	seen     ident.Epoch // highest token that it reported
+	told     ident.Epoch // token in the newest answer to a report of this term
 	fence    uint32
 	heard    ident.Mono // newest report or answer
 	answered ident.Mono // last time a report was answered
@@ -81,11 +85,24 @@
 	queue   []api.Order
 	dull    bool // a command was not answered; wait for its report
 	probing bool
-	misses  int // commands and probes without an answer since it was last heard of
+	misses  int        // commands and probes without an answer since it last showed that it hears us
+	deaf    ident.Mono // since when its reports show that our answers don't arrive; 0: they do
 
 	VCPUs, Cards, MemoryGB float64 // taken by Tasks
+	Arrays, Replicas       float64 // CPUs of them, by the shape of their jobs
+	ranks                  [ranks]int
 
-	Doc *commit.Doc
+	Group    *Group // that it is on record with
+	Recorded bool   // its record is durable
+}
+
+// Group is a few machines whose records share one key: with a key each, a fleet
+// of a thousand machines takes all puts of half a minute before anything can be
+// placed.
+type Group struct {
+	Doc     *commit.Doc
+	Members []*Worker
+	Dropped bool // its key is deleted
 }
 
 // Fits says whether a task would find room now, and Could whether it would on
@@ -95,6 +112,32 @@
 		w.MemoryGB+s.MemoryGB <= w.Kind.MemoryGB+slack
 }
 
+// Room says whether as much is free.
+func (w *Worker) Room(n jobs.Need) bool {
+	return w.Kind != nil && w.VCPUs+n.VCPUs <= w.Kind.VCPUs+slack && w.Cards+n.Cards <= w.Kind.Cards+slack &&
+		w.MemoryGB+n.MemoryGB <= w.Kind.MemoryGB+slack
+}
+
+// Images returns what the machine surely or probably has cached.
+func (w *Worker) Images() []Image { return w.images }
+
+// ranks is the number of priorities.
+const ranks = 4
+
+func lesser(counts *[ranks]int, r api.Rank) int {
+	n := 0
+	for _, k := range counts[r.Level()+1:] {
+		n += k
+	}
+	return n
+}
+
+// Lesser returns how many tasks of a lower priority count on the machine.
+func (w *Worker) Lesser(r api.Rank) int { return lesser(&w.ranks, r) }
+
+// Lesser returns how many tasks of a lower priority count on any machine.
+func (tb *Table) Lesser(r api.Rank) int { return lesser(&tb.ranks, r) }
+
 // slack forgives rounding in sums of amounts.
 const slack = 1e-6
 
@@ -124,7 +167,7 @@
 // Open says whether tasks may be placed on the machine now.
 func (w *Worker) Open(now ident.Mono) bool {
 	return w.State == Up && w.Doomed == 0 && !w.Cordoned && now >= w.Shun && !w.dull && w.Tenure != 0 &&
-		w.Doc != nil && w.Doc.Stamp != 0 // a successor must know every machine that tasks may be on
+		w.Recorded // a successor must know every machine that tasks may be on
 }
 
 // Holds says whether the machine surely or probably has an image.
@@ -137,8 +180,17 @@
 	return false
 }
 
+// Deaf returns for how long the worker's reports have shown that our answers to
+// them don't arrive.
+func (w *Worker) Deaf() time.Duration {
+	if w.deaf == 0 {
+		return 0
+	}
+	return w.heard.Sub(w.deaf)
+}
+
 // Misses counts the commands and probes that went without an answer since the
-// worker was last heard of.
+// worker last showed that it hears us.
 func (w *Worker) Misses() int { return w.misses }
 
 // Heard returns when the worker was last heard of.
@@ -147,25 +199,29 @@
 // cache notes that an image was used: the workers keep the most recently used
 // ones, as far as their disk reaches.
 func (w *Worker) cache(bundle string, gb float64) {
-	if n := len(w.images); n > 0 && w.images[n-1].Bundle == bundle {
+	n := len(w.images)
+	i := slices.IndexFunc(w.images, func(im Image) bool { return im.Bundle == bundle })
+	if i >= 0 && i == n-1 {
 		return
 	}
-	keep := make([]Image, 0, len(w.images)+1)
-	for _, im := range w.images {
-		if im.Bundle != bundle {
-			keep = append(keep, im)
-		}
+	if i >= 0 {
+		// The others keep their order.
+		im := w.images[i]
+		copy(w.images[i:], w.images[i+1:])
+		w.images[n-1] = im
+		return
 	}
-	keep = append(keep, Image{bundle, gb})
+	w.images = append(w.images, Image{bundle, gb})
 	sum := 0.0
-	for _, im := range keep {
+	for _, im := range w.images {
 		sum += im.GB
 	}
-	for w.Kind != nil && len(keep) > 1 && sum > w.Kind.LocalGB {
-		sum -= keep[0].GB
-		keep = keep[1:]
+	drop := 0
+	for w.Kind != nil && drop < len(w.images)-1 && sum > w.Kind.LocalGB {
+		sum -= w.images[drop].GB
+		drop++
 	}
-	w.images = keep
+	w.images = slices.Delete(w.images, 0, drop)
 }
 
 // Port is what the table needs of the world.
@@ -200,11 +256,15 @@
 // Table holds all machines. It lives for one term.
 type Table struct {
 	Workers map[ident.HostID]*Worker
+	sorted  []*Worker           // in the order of their names
+	orphans map[ident.Piece]int // on how many machines
+	ranks   [ranks]int          // tasks that count on a machine, by priority
 	cfg     Config
 	port    Port
 	jobs    *jobs.Table
 	began   ident.Mono
 	dead    bool
+	asked   map[ident.HostID]bool // unknown machines that reported
 
 	Relocated uint64 // tasks proven gone without having ended
 	Fences    uint64
@@ -213,21 +273,19 @@
 
 // NewTable makes the machines' table of a term.
 func NewTable(port Port, j *jobs.Table, cfg Config) *Table {
-	return &Table{Workers: map[ident.HostID]*Worker{}, cfg: cfg, port: port, jobs: j, began: port.Now()}
+	return &Table{Workers: map[ident.HostID]*Worker{}, orphans: map[ident.Piece]int{}, asked: map[ident.HostID]bool{}, cfg: cfg, port: port, jobs: j, began: port.Now()}
 }
 
 // Close ends the table with its term.
 func (tb *Table) Close() { tb.dead = true }
 
 // Sorted returns the machines in the order of their names, which is that of
-// their creation.
-func (tb *Table) Sorted() []*Worker {
-	out := make([]*Worker, 0, len(tb.Workers))
-	for _, w := range tb.Workers {
-		out = append(out, w)
-	}
-	sort.Slice(out, func(i, k int) bool { return out[i].Host < out[k].Host })
-	return out
+// their creation. The slice must not be changed.
+func (tb *Table) Sorted() []*Worker { return tb.sorted }
+
+// place finds a name in the sorted machines.
+func (tb *Table) place(h ident.HostID) int {
+	return sort.Search(len(tb.sorted), func(i int) bool { return tb.sorted[i].Host >= h })
 }
 
 // to is the one place where a machine changes its state.
@@ -239,10 +297,15 @@
 	w.State, w.Since = s, tb.port.Now()
 }
 
-// Restore notes that a machine of an earlier term had come up.
-func (tb *Table) Restore(w *Worker, addr string) {
-	w.Addr = addr
-	tb.to(w, Up, "on record")
+// Restore takes in a machine that an earlier term has put on record. One with an
+// address had come up.
+func (tb *Table) Restore(h ident.HostID, model, site string, standby bool, born ident.Mono, addr string, g *Group) *Worker {
+	w := tb.insert(h, model, site, standby, born)
+	w.Group, w.Recorded, w.Addr = g, true, addr
+	if addr != "" {
+		tb.to(w, Up, "on record")
+	}
+	return w
 }
 
 // Add takes in a machine that was rented, loaded, listed or that reports.
@@ -250,12 +313,19 @@
 	if w := tb.Workers[h]; w != nil {
 		return w
 	}
+	w := tb.insert(h, model, site, standby, born)
+	tb.cfg.Commit(w)
+	return w
+}
+
+func (tb *Table) insert(h ident.HostID, model, site string, standby bool, born ident.Mono) *Worker {
 	now := tb.port.Now()
 	w := &Worker{Host: h, Model: model, Site: site, Standby: standby, Kind: tb.cfg.Catalog(model),
 		Born: born, Since: now, IdleFrom: now, heard: now, Tasks: map[ident.Piece]*jobs.Task{},
 		orphans: map[ident.Piece]ident.Try{}, unclear: map[attempt]bool{}}
 	tb.Workers[h] = w
-	tb.cfg.Commit(w)
+	// A copy: somebody may be walking over the old one.
+	tb.sorted = slices.Insert(slices.Clone(tb.sorted), tb.place(h), w)
 	return w
 }
 
@@ -279,7 +349,7 @@
 	delete(w.Tasks, t.Piece())
 	tb.count(w, t.Job.Spec, -1)
 	if len(w.Tasks) == 0 {
-		w.VCPUs, w.Cards, w.MemoryGB = 0, 0, 0
+		w.VCPUs, w.Cards, w.MemoryGB, w.Arrays, w.Replicas = 0, 0, 0, 0, 0
 		w.IdleFrom = tb.port.Now()
 	}
 	tb.cfg.Changed()
@@ -289,17 +359,36 @@
 	w.VCPUs += sign * s.VCPUs
 	w.Cards += sign * s.Cards
 	w.MemoryGB += sign * s.MemoryGB
+	// Rounded, so that the order of the sums can't change what is decided by them.
+	part := &w.Arrays
+	if s.Shape == api.Service {
+		part = &w.Replicas
+	}
+	*part = math.Round((*part+sign*s.VCPUs)*1e6) / 1e6
+	w.ranks[s.Rank.Level()] += int(sign)
+	tb.ranks[s.Rank.Level()] += int(sign)
 }
 
 // Orphan says whether a piece is on some machine in a try that we don't know
 // of. Then it must not start elsewhere.
-func (tb *Table) Orphan(p ident.Piece) bool {
-	for _, w := range tb.Workers {
-		if _, ok := w.orphans[p]; ok {
-			return true
+func (tb *Table) Orphan(p ident.Piece) bool { return tb.orphans[p] > 0 }
+
+// orphan notes a piece in a try that we don't know of.
+func (tb *Table) orphan(w *Worker, p ident.Piece, try ident.Try) {
+	if _, ok := w.orphans[p]; !ok {
+		tb.orphans[p]++
+	}
+	w.orphans[p] = try
+}
+
+// clearOrphans forgets a machine's orphans.
+func (tb *Table) clearOrphans(w *Worker) {
+	for p := range w.orphans {
+		if tb.orphans[p]--; tb.orphans[p] <= 0 {
+			delete(tb.orphans, p)
 		}
 	}
-	return false
+	clear(w.orphans)
 }
 
 // Checkin takes a worker's report and returns the answer to it, nil for a
@@ -311,7 +400,7 @@
 			// Held up on its way while its machine was being returned.
 			return nil
 		}
-		w = tb.Add(r.Host, r.Model, r.Site, r.Standby, tb.port.Now())
+		return tb.stranger(r)
 	}
 	now := tb.port.Now()
 	if !tb.take(w, r) {
@@ -322,17 +411,50 @@
 		w.answered, w.everAns = now, true
 		return &api.Orders{Epoch: tb.epoch(w), Orders: []api.Order{}}
 	}
-	w.dull = false
 	orders := tb.reconcile(w, r)
 	w.answered, w.everAns = now, true
-	return &api.Orders{Epoch: tb.epoch(w), Orders: orders}
+	w.told = tb.epoch(w)
+	return &api.Orders{Epoch: w.told, Orders: orders}
 }
 
+// stranger answers a report of a machine that we don't know. It may be a late
+// copy, from one long returned; so the machine is asked before it counts.
+func (tb *Table) stranger(r *api.Report) *api.Orders {
+	if r.Epoch.Term() > tb.cfg.Term {
+		tb.cfg.Deposed()
+		return nil
+	}
+	epoch := ident.MakeEpoch(tb.cfg.Term, 0)
+	if !tb.asked[r.Host] && len(tb.asked) < maxStrangers {
+		tb.asked[r.Host] = true
+		tb.port.Worker(r.Addr, api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}, func(a Answer) {
+			if tb.dead {
+				return
+			}
+			delete(tb.asked, r.Host)
+			if a.Report == nil || a.Report.Host != r.Host {
+				return
+			}
+			slog.Info("unexpected machine", "host", string(r.Host))
+			w := tb.Add(r.Host, r.Model, r.Site, r.Standby, tb.port.Now())
+			if w.State != Gone {
+				tb.take(w, a.Report)
+			}
+		})
+	}
+	return &api.Orders{Epoch: epoch, Orders: []api.Order{}}
+}
+
+// maxStrangers bounds the unknown machines that are asked at a time.
+const maxStrangers = 100
+
 // Renew answers a report without looking at it: for a leader that may not be one
 // any more, but whose workers had better keep their tasks.
 func (tb *Table) Renew(r *api.Report) *api.Orders {
 	w := tb.Workers[r.Host]
-	if w == nil || w.State == Gone {
+	if w == nil || w.State == Gone || r.Epoch > tb.epoch(w) {
+		// One that has seen a successor's token would have to drop our answer, and
+		// stay with us until its lease is over.
 		return nil
 	}
 	w.answered, w.everAns = tb.port.Now(), true
@@ -368,7 +490,7 @@
 		w.Tenure = r.Tenure
 		w.queue = nil
 		w.images = nil
-		clear(w.orphans)
+		tb.clearOrphans(w)
 		// Its lease has its full time from when the session began, which was not
 		// after this: nobody need have answered it yet. (A placement learned of by
 		// a probe was thought lost with the lease before, and ran twice.)
@@ -380,7 +502,17 @@
 		}
 	}
 	w.serial, w.seen, w.heard = r.Serial, r.Epoch, now
-	w.misses = 0
+	// To hear a machine is no proof that it hears us: our answers and commands may
+	// be lost on the way there. A token that we gave it is.
+	switch {
+	case r.Epoch >= w.told:
+		w.misses, w.deaf = 0, 0
+	case w.deaf == 0:
+		w.deaf = now
+	}
+	if r.Epoch == tb.epoch(w) {
+		w.dull = false
+	}
 	if w.State == Booting || w.State == Silent {
 		tb.to(w, Up, "reports")
 		w.probing = false
@@ -396,11 +528,11 @@
 		}
 		w.Doomed = max(at, 1)
 	}
-	clear(w.orphans)
+	tb.clearOrphans(w)
 	for _, p := range r.Pieces {
 		t := w.Tasks[p.Piece]
 		if p.Status != api.Ended && (t == nil || t.Try != p.Try) {
-			w.orphans[p.Piece] = p.Try
+			tb.orphan(w, p.Piece, p.Try)
 			continue
 		}
 		if t == nil || t.Try != p.Try {
@@ -456,20 +588,19 @@
 	// What a command under way or queued names is left to it: a launch repeated
 	// here could be carried out, end and be cleared before the command's own
 	// comes and starts the task again.
-	flying := map[attempt]bool{}
-	for _, os := range [][]api.Order{w.flying, w.queue} {
-		for _, o := range os {
-			flying[attempt{o.Piece, o.Try}] = true
-		}
+	flying := func(a attempt) bool {
+		named := func(o api.Order) bool { return o.Piece == a.piece && o.Try == a.try }
+		return slices.ContainsFunc(w.flying, named) || slices.ContainsFunc(w.queue, named)
+	}
+	listed := func(a attempt) bool {
+		return slices.ContainsFunc(r.Pieces, func(p api.PieceReport) bool { return p.Piece == a.piece && p.Try == a.try })
 	}
-	listed := make(map[attempt]bool, len(r.Pieces))
 	for _, p := range r.Pieces {
 		a := attempt{p.Piece, p.Try}
-		listed[a] = true
 		t := w.Tasks[p.Piece]
 		known := t != nil && t.Try == p.Try
 		switch {
-		case flying[a]:
+		case flying(a):
 		case p.Status == api.Ended:
 			if !known && !w.unclear[a] {
 				orders = append(orders, api.Order{Verb: api.Clear, Piece: p.Piece, Try: p.Try})
@@ -487,7 +618,7 @@
 	fresh := r.Epoch == tb.epoch(w)
 	for _, t := range tb.TasksOf(w) {
 		a := attempt{t.Piece(), t.Try}
-		if listed[a] || flying[a] {
+		if listed(a) || flying(a) {
 			continue
 		}
 		switch {
@@ -511,12 +642,8 @@
 	for _, t := range w.Tasks {
 		out = append(out, t)
 	}
-	sort.Slice(out, func(i, k int) bool {
-		a, b := out[i], out[k]
-		if a.Job.Seq != b.Job.Seq {
-			return a.Job.Seq < b.Job.Seq
-		}
-		return a.Index < b.Index
+	slices.SortFunc(out, func(a, b *jobs.Task) int {
+		return cmp.Or(cmp.Compare(a.Job.Seq, b.Job.Seq), cmp.Compare(a.Index, b.Index))
 	})
 	return out
 }
@@ -621,6 +748,7 @@
 			w.dull = true
 			return
 		}
+		w.misses = 0
 		tb.take(w, a.Report)
 		if len(w.queue) > 0 {
 			w.busy = true
@@ -638,14 +766,18 @@
 	for _, t := range tb.TasksOf(w) {
 		tb.lose(w, t, why)
 	}
-	clear(w.orphans)
+	tb.clearOrphans(w)
 	w.queue, w.Plan = nil, nil
 	tb.cfg.Commit(w)
 	tb.cfg.Changed()
 }
 
 // Forget removes a machine that is gone from the table.
-func (tb *Table) Forget(w *Worker) { delete(tb.Workers, w.Host) }
+func (tb *Table) Forget(w *Worker) {
+	delete(tb.Workers, w.Host)
+	i := tb.place(w.Host)
+	tb.sorted = slices.Delete(slices.Clone(tb.sorted), i, i+1)
+}
 
 // Silence returns for how long a worker has not been heard of; a new leader
 // gives everybody a little time to come.
@@ -676,7 +808,7 @@
 	for _, t := range tb.TasksOf(w) {
 		tb.lose(w, t, "lease over")
 	}
-	clear(w.orphans)
+	tb.clearOrphans(w)
 }
 
 // Pulls says whether a task on the machine waits for an image.
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -1,7 +1,6 @@
 package workers
 
 import (
-	"encoding/json"
 	"io"
 	"log/slog"
 	"os"
@@ -31,8 +30,13 @@
 	answers []func(Answer)
 }
 
-func (w *world) Now() ident.Mono                 { return w.now }
-func (w *world) After(d time.Duration, f func()) { w.timers = append(w.timers, f) }
+func (w *world) Now() ident.Mono { return w.now }
+func (w *world) After(d time.Duration, f func()) {
+	w.timers = append(w.timers, func() {
+		w.now = w.now.Add(min(d, time.Millisecond))
+		f()
+	})
+}
 func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
 	w.txns = append(w.txns, func() { f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 9}) })
 }
@@ -65,13 +69,13 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{world: &world{now: ident.Mono(time.Hour)}}
 	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, LocalGB: 10}
-	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
+	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
 	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
 	r.tb = NewTable(r, r.jobs, Config{Term: term, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
 		Catalog: func(string) *cloud.Model { return &kind }, Deposed: func() { t.Error("deposed") }, Changed: func() {},
 		Failed: func(*jobs.Task, *Worker, api.Cause) {},
 		Commit: func(w *Worker) {
-			w.Doc = &commit.Doc{Path: "fleet/h", Stamp: 1, Render: func() json.RawMessage { return json.RawMessage("{}") }}
+			w.Recorded = true
 		}})
 	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
 		w := r.tb.Workers[task.Host]
@@ -81,8 +85,8 @@
 			r.tb.Release(w, task)
 		}
 	}
+	r.w = r.tb.Add("h", "m8", "east", false, r.now)
 	r.report(0)
-	r.w = r.tb.Workers["h"]
 	r.job = r.jobs.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Pieces: 2, VCPUs: 1, Bundle: "img", ImageGB: 1}, func() {}, nil)
 	r.settle()
 	r.jobs.Place(r.task(), "h", 1, func() { r.tb.Launch(r.w, r.task()) })
@@ -244,3 +248,40 @@
 		t.Errorf("orders %q", got)
 	}
 }
+
+// TestStranger: a report of a machine that isn't known may be a late copy; it is
+// asked first, and only its own answer takes it in.
+func TestStranger(t *testing.T) {
+	r := newRig(t)
+	copied := &api.Report{Host: "x", Addr: "b", Model: "m8", Site: "east", Tenure: 4, Serial: 9}
+	n := len(r.sent)
+	r.tb.Checkin(copied)
+	r.tb.Checkin(copied)
+	if len(r.sent) != n+1 || r.tb.Workers["x"] != nil {
+		t.Fatalf("asked %d times, known %v", len(r.sent)-n, r.tb.Workers["x"] != nil)
+	}
+	r.answers[n](Answer{})
+	if r.tb.Workers["x"] != nil {
+		t.Fatal("taken in without an answer")
+	}
+	r.tb.Checkin(copied)
+	r.answers[n+1](Answer{Status: 200, Report: &api.Report{Host: "x", Addr: "b", Model: "m8", Site: "east", Tenure: 4, Serial: 10}})
+	if w := r.tb.Workers["x"]; w == nil || w.State != Up {
+		t.Errorf("after its answer: %+v", w)
+	}
+}
+
+// TestSuccessorsToken: in its grace a leader doesn't answer a worker that shows a
+// later token. The worker would have to drop the answer, and would stay until its
+// lease is over.
+func TestSuccessorsToken(t *testing.T) {
+	r := newRig(t)
+	rep := &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 50, Epoch: ident.MakeEpoch(term, 0)}
+	if r.tb.Renew(rep) == nil {
+		t.Error("no answer in the grace")
+	}
+	rep.Epoch = ident.MakeEpoch(term+1, 0)
+	if r.tb.Renew(rep) != nil {
+		t.Error("answered, though a successor has spoken")
+	}
+}
