--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -261,8 +261,14 @@
 		}, func() { c.read(job, reply) })
 		return
 	case mesh.Checkin:
-		// Read by whoever answers it; reading it here as well doubles the cost of
+		// Otherwise read by the leader; reading it here as well doubles the cost of
 		// what comes most often.
+		if !up {
+			if _, err := api.ParseReport(body); err != nil {
+				reply(problem(http.StatusBadRequest, err.Error()))
+				return
+			}
+		}
 		if known && !up {
 			reply(answer(http.StatusMisdirectedRequest, struct {
 				Home ident.NodeID `json:"home"`
