One late machine that doesn't answer has all others with replicas asked

Cause: machines are cut or hang by the rack (72 to 78 at once), reports come every 6 to 8 s, and the few early probes always went to the first machines by name. The last of a rack was found 13 s after the first.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -84,6 +84,8 @@
 	started ident.Mono    // of the term
 	silent  time.Duration // a worker not heard of for so long is fenced
 	moves   int           // replicas that this tick may still look at
+	missed  time.Duration // a worker not heard of for so long missed a report
+	alarm   ident.Mono    // when a late worker was last found not to answer
 
 	services arrivals
 	arrays   arrivals
@@ -99,7 +101,9 @@
 		// Two reports at their latest (a quarter late) are missing, and a probe.
 		silent = settings.Seconds(2.2 * cfg.Workers.ReportS)
 	}
-	return &Manager{silent: silent, cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
+	// Reports come up to a quarter late.
+	late := settings.Seconds(1.25*cfg.Workers.ReportS) + 500*time.Millisecond
+	return &Manager{silent: silent, missed: late, alarm: now.Add(-time.Hour), cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
 		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now, started: now, ticked: now, stalled: now.Add(-time.Hour)}
 }
 
@@ -199,9 +203,35 @@
 // stall is a gap between two ticks by which a node is known to have been slow.
 const stall = 2 * time.Second
 
-// maxProbes bounds the probes of a tick before machines are late: with a thousand
-// machines, each would be asked between any two of its reports.
-const maxProbes = 10
+const (
+	// maxProbes bounds the probes of a tick before machines are late: with a thousand
+	// machines, each would be asked between any two of its reports.
+	maxProbes = 10
+	// maxUrgent bounds those of machines that are late, and of all others while some
+	// of them may have gone together with one that was.
+	maxUrgent = 60
+	// alarmTime is how long one late machine that doesn't answer has all others asked
+	// that were not heard since. Whole racks go at once, and report times are spread
+	// over many seconds.
+	alarmTime = 8 * time.Second
+	// surelySilent is how long a machine with replicas must be quiet, beside two
+	// commands without an answer.
+	surelySilent = 3500 * time.Millisecond
+)
+
+// probe asks up to so many machines for their state, and returns how many.
+func (m *Manager) probe(list []*workers.Worker, most int) int {
+	n := 0
+	for _, w := range list {
+		if n >= most {
+			break
+		}
+		if m.machine.Probe(w) {
+			n++
+		}
+	}
+	return n
+}
 
 // watch finds machines that are silent, doomed, faulty or never came up.
 func (m *Manager) watch() {
@@ -213,7 +243,8 @@
 	m.ticked = now
 	t := m.cfg.Tuning
 	var silent []*workers.Worker
-	up, probes := 0, maxProbes
+	var urgent, early []*workers.Worker
+	up := 0
 	for _, w := range m.machine.Sorted() {
 		quiet := min(m.machine.Silence(w), now.Sub(m.stalled))
 		switch w.State {
@@ -227,10 +258,18 @@
 			limit := m.silent
 			if w.Replicas > 0 {
 				// Users miss replicas at once: don't wait for reports to fail.
-				limit = m.silent / 2
-				if quiet > limit/2 && probes > 0 {
-					probes--
-					m.machine.Probe(w)
+				limit = min(m.silent/2, surelySilent)
+				switch {
+				case quiet > m.missed:
+					if w.Misses() > 0 && now.Sub(m.alarm) > alarmTime {
+						slog.Info("a machine is late and doesn't answer", "host", string(w.Host))
+						m.alarm = now
+					}
+					urgent = append(urgent, w)
+				case now.Sub(m.alarm) < alarmTime && w.Heard() < m.alarm:
+					urgent = append(urgent, w)
+				case quiet > limit/2:
+					early = append(early, w)
 				}
 			}
 			if quiet > m.silent*2/3 {
@@ -238,9 +277,8 @@
 				m.machine.Probe(w)
 			}
 			deaf := w.Deaf()
-			if deaf > m.silent/2 && probes > 0 {
-				probes--
-				m.machine.Probe(w)
+			if deaf > m.silent/2 {
+				urgent = append(urgent, w)
 			}
 			switch {
 			case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
@@ -268,6 +306,8 @@
 			}
 		}
 	}
+	n := m.probe(urgent, maxUrgent)
+	m.probe(early, maxProbes-n)
 	// Most machines silent at once: rather we are cut off than they. But if a
 	// sibling is heard, they could reach us through it, and have not in twice the
 	// time: then they are gone. (Two leaders that each resigned over machines
@@ -275,7 +315,7 @@
 	// Those fenced a moment ago count as well: machines that fall silent together
 	// are noticed one by one.
 	m.fences = slices.DeleteFunc(m.fences, func(at ident.Mono) bool { return now.Sub(at) > 2*m.silent })
-	n := len(silent) + len(m.fences)
+	n = len(silent) + len(m.fences)
 	mass := n > 1 && 2*n > up+len(m.fences)
 	if mass && !m.cfg.Reached() {
 		return
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,6 +27,8 @@
 
 // world answers the cloud's requests from a script and lets time pass.
 type world struct {
+	dead   map[string]bool
+	serial ident.Serial
 	now    ident.Mono
 	timers []func()
 	calls  []cloud.Request
@@ -46,8 +48,16 @@
 	f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 5})
 }
 
-// Worker never answers.
-func (w *world) Worker(addr string, c api.Commands, f func(workers.Answer)) { f(workers.Answer{}) }
+// Worker never answers, unless it is said who is dead.
+func (w *world) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+	if gone, ok := w.dead[addr]; gone || !ok {
+		f(workers.Answer{})
+		return
+	}
+	w.serial++
+	f(workers.Answer{Status: 200, Report: &api.Report{Host: ident.HostID(addr), Addr: addr, Model: "m8", Site: "east",
+		Tenure: 1, Serial: w.serial, Epoch: c.Epoch}})
+}
 
 func (w *world) pass(d time.Duration, m *Manager) {
 	for end := w.now.Add(d); w.now < end; {
@@ -288,3 +298,47 @@
 		}
 	}
 }
+
+// TestRackGone: machines that go together are found together, though the reports of
+// most of them are not due yet; the others are only asked.
+func TestRackGone(t *testing.T) {
+	r := newRig()
+	r.m.missed, r.m.silent = 10*time.Second, 18*time.Second
+	r.up(40)
+	r.dead, r.serial = map[string]bool{}, 100
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 40, VCPUs: 1}, func() {}, nil)
+	r.commits.Flush()
+	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
+		if w := r.table.Workers[task.Host]; to.Held() && !from.Held() {
+			r.table.Hold(w, task)
+		} else if !to.Held() && from.Held() {
+			r.table.Release(w, task)
+		}
+	}
+	for i, w := range r.table.Sorted() {
+		w.Addr = string(w.Host)
+		r.dead[w.Addr] = i < 8
+		r.jobs.Place(&j.Tasks[i], w.Host, 1, func() {})
+	}
+	r.commits.Flush()
+	// They reported at different times; the first was due just before it went.
+	for n := 1; n < 40; n++ {
+		r.now = r.now.Add(200 * time.Millisecond)
+		w := r.table.Sorted()[n]
+		r.table.Checkin(&api.Report{Host: w.Host, Addr: w.Addr, Model: "m8", Site: "east", Tenure: 1, Serial: 2, Epoch: ident.MakeEpoch(3, 0)})
+	}
+	r.m.Tick()
+	r.pass(9*time.Second, r.m)
+	gone := 0
+	for i, w := range r.table.Sorted() {
+		if w.State == workers.Gone {
+			gone++
+			if i >= 8 {
+				t.Errorf("machine %d answers, and was fenced", i)
+			}
+		}
+	}
+	if gone != 8 {
+		t.Errorf("%d of 8 machines are fenced", gone)
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -711,14 +711,15 @@
 	}
 }
 
-// Probe asks a worker for its state.
-func (tb *Table) Probe(w *Worker) {
+// Probe asks a worker for its state, unless a command is under way.
+func (tb *Table) Probe(w *Worker) bool {
 	if w.busy || w.Addr == "" || w.State == Gone {
-		return
+		return false
 	}
 	w.busy = true
 	w.probing = true
 	tb.send(w)
+	return true
 }
 
 func (tb *Table) send(w *Worker) {
