--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -80,6 +80,7 @@
 	RetryAt  ident.Mono      // not placed earlier
 	Fails    int             // errors in a row
 	WindDown time.Duration   // with which it was told to stop
+	GaveWay  ident.Mono      // when it was last stopped to make room; 0: never
 	Planned  ident.HostID    // machine of the current plan
 }
 
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -809,7 +809,7 @@
 		if p.searched++; p.searched >= maxSearched {
 			p.from = (p.from + i + 1) % len(p.order)
 		}
-		victims, cost, ok := p.choose(w, j, now)
+		victims, cost, ok := p.choose(w, j, now, holders)
 		if !ok {
 			continue
 		}
@@ -831,6 +831,7 @@
 			d = time.Duration(v.Job.Spec.SnapshotS*float64(time.Second)) + time.Millisecond
 			wait = true
 		}
+		v.GaveWay = now
 		p.act.Preempt(v, best, d)
 	}
 	if wait {
@@ -850,9 +851,18 @@
 	return j.Within && p.teams.Borrow(p.jobs, j.Spec.Desk)
 }
 
+// spareTime is how long a task that gave way is spared. What has just started
+// costs least to stop: the same tasks were stopped over and over, sixty times
+// within half a minute, while services started on a fleet that booted.
+const spareTime = time.Minute
+
+func spared(t *jobs.Task, now ident.Mono) bool {
+	return t.GaveWay > 0 && now.Sub(t.GaveWay) < spareTime
+}
+
 // choose finds the cheapest set of tasks to stop on a machine so that a task of
 // j fits, counting what is being stopped already as room.
-func (p *Planner) choose(w *workers.Worker, j *jobs.Job, now ident.Mono) ([]*jobs.Task, float64, bool) {
+func (p *Planner) choose(w *workers.Worker, j *jobs.Job, now ident.Mono, spare bool) ([]*jobs.Task, float64, bool) {
 	s := j.Spec
 	vcpus, cards, mem := w.Kind.VCPUs-w.VCPUs, w.Kind.Cards-w.Cards, w.Kind.MemoryGB-w.MemoryGB
 	var cand []*jobs.Task
@@ -861,7 +871,7 @@
 			vcpus += v.Job.Spec.VCPUs
 			cards += v.Job.Spec.Cards
 			mem += v.Job.Spec.MemoryGB
-		} else if p.victim(v, j) {
+		} else if p.victim(v, j) && !(spare && spared(v, now)) {
 			cand = append(cand, v)
 		}
 	}
@@ -875,6 +885,9 @@
 		if v.Job.Spec.Saves() {
 			ran = min(ran, v.Job.Spec.SnapshotEveryS)
 		}
+		if spared(v, now) {
+			ran += spareTime.Seconds()
+		}
 		return ran * max(v.Job.Spec.VCPUs, 1)
 	}
 	sort.Slice(cand, func(i, k int) bool {
