--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -15,7 +15,7 @@
 // headroom needs. A machine is seldom idle by itself: tasks come and go on it,
 // and replicas stay. So the one that is easiest to empty is cordoned: its tasks
 // end, its replicas move, and nothing new is placed there.
-func (m *Manager) shrink(l *layout, services map[string]float64, arrays float64, now ident.Mono) {
+func (m *Manager) shrink(l *layout, services, ordinary map[string]float64, arrays float64, now ident.Mono) {
 	m.moves = maxMoves
 	spare := l.spare()
 	var smallest float64
@@ -71,7 +71,7 @@
 		if spare-w.Kind.VCPUs < all+keep {
 			continue
 		}
-		if !w.Standby && free[w.Site]-w.Kind.VCPUs < services[w.Site] {
+		if !w.Standby && free[w.Site]-w.Kind.VCPUs < ordinary[w.Site] {
 			continue
 		}
 		excess = true
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -61,15 +61,16 @@
 // layout is what there is, and is coming, while demand is laid out over it.
 type layout struct {
 	bins  [classes][]*bin
-	free  map[pool]float64 // CPUs free on machines that are not cordoned
-	lent  map[pool]float64 // CPUs that arrays have there
-	later map[pool]float64 // CPUs of machines that are not up yet, part of free
-	count map[pool]int     // machines
-	least jobs.Need        // that anything waiting takes of a machine
+	free  map[pool]float64   // CPUs free on machines that are not cordoned
+	lent  map[pool]float64   // CPUs that arrays have there
+	held  map[string]float64 // CPUs of replicas, by zone
+	later map[pool]float64   // CPUs of machines that are not up yet, part of free
+	count map[pool]int       // machines
+	least jobs.Need          // that anything waiting takes of a machine
 }
 
 func newLayout() *layout {
-	return &layout{free: map[pool]float64{}, lent: map[pool]float64{}, later: map[pool]float64{}, count: map[pool]int{},
+	return &layout{free: map[pool]float64{}, lent: map[pool]float64{}, held: map[string]float64{}, later: map[pool]float64{}, count: map[pool]int{},
 		least: jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}}
 }
 
@@ -206,9 +207,16 @@
 		}
 	}
 	services, arrays := m.wanted(now)
-	m.headroom(l, open, services, arrays)
+	// Beyond what arrays keep off, ordinary room that they may have meanwhile: when a
+	// rack goes, its replicas need at once what takes a boot to bring.
+	spare := map[string]float64{}
+	for z, v := range services {
+		m.cfg.Reserve(z, v)
+		spare[z] = round(v + m.cfg.Tuning.Spare*l.held[z])
+	}
+	m.headroom(l, open, services, spare, arrays)
 	m.rentAll(rent)
-	m.shrink(l, services, arrays, now)
+	m.shrink(l, services, spare, arrays, now)
 }
 
 // lay finds room for n tasks of a job, and opens machines for what finds none.
@@ -359,6 +367,7 @@
 			continue
 		}
 		l.count[p]++
+		l.held[p.site] += w.Replicas
 		if w.Cordoned {
 			b := add(w.Kind, p, cordonedRoom, v, c, g)
 			b.workers = append(b.workers, w)
@@ -567,14 +576,13 @@
 }
 
 // headroom keeps room for the jobs to be expected while a machine boots.
-func (m *Manager) headroom(l *layout, open func(*api.Spec, ask) *bin, services map[string]float64, arrays float64) {
+func (m *Manager) headroom(l *layout, open func(*api.Spec, ask) *bin, services, ordinary map[string]float64, arrays float64) {
 	// Room that arrays have on ordinary machines comes back by itself, since they
 	// keep off the reserve: renting for it too, and letting arrays have that as
 	// well, made the ordinary fleet grow without services.
 	free := l.zones()
-	for _, z := range slices.Sorted(maps.Keys(services)) {
-		m.cfg.Reserve(z, services[z])
-		for n := 0; n < maxOpened && free[z] < services[z]; n++ {
+	for _, z := range slices.Sorted(maps.Keys(ordinary)) {
+		for n := 0; n < maxOpened && free[z] < ordinary[z]; n++ {
 			b := open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, ask{zone: z})
 			if b == nil {
 				break
@@ -582,7 +590,7 @@
 			free[z] += b.v
 		}
 	}
-	spare := l.spare() - total(services)
+	spare := round(l.spare() - total(services))
 	for n := 0; n < maxOpened && spare < arrays; n++ {
 		// Ordinary machines are not rented just in case.
 		b := open(&api.Spec{Shape: api.Batch, Pieces: 1, Standby: true}, ask{spot: true})
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -17,6 +17,7 @@
 	IdleKeep    time.Duration // how long more machines are kept than are needed
 	BootFactor  float64       // a boot is given up after this many times startup_s
 	Headroom    float64       // multiplies the room kept free for expected arrivals
+	Spare       float64       // part of the services' machines whose loss others must have room for
 	MaxWait     time.Duration // a job that waits longer for its first task goes before all others
 	Plan        string        // "asm1", or "none": only local work and stealing
 }
@@ -29,6 +30,7 @@
 		IdleKeep:    12 * time.Second,
 		BootFactor:  3.5,
 		Headroom:    1,
+		Spare:       0.05,
 		MaxWait:     2 * time.Minute,
 		Plan:        "asm1",
 	}
@@ -46,6 +48,7 @@
 		{"idle-keep: negative", t.IdleKeep < 0},
 		{"boot-factor: must be at least 1", t.BootFactor < 1},
 		{"headroom: must be from 0 to 10", t.Headroom < 0 || t.Headroom > 10},
+		{"spare: must be from 0 to 1", t.Spare < 0 || t.Spare > 1},
 		{"max-wait: must be at least 1s", t.MaxWait < time.Second},
 		{"plan: must be asm1 or none", t.Plan != "asm1" && t.Plan != "none"},
 	} {
@@ -86,6 +89,8 @@
 			t.BootFactor, err = strconv.ParseFloat(value, 64)
 		case "headroom":
 			t.Headroom, err = strconv.ParseFloat(value, 64)
+		case "spare":
+			t.Spare, err = strconv.ParseFloat(value, 64)
 		case "max-wait":
 			t.MaxWait, err = time.ParseDuration(value)
 		case "plan":
