--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -487,16 +487,16 @@
 		}
 		switch r.Outcome {
 		case statesvc.OK:
-			c.down = false
+			c.taken(true)
 			c.done(t, ident.Stamp(r.Ledger))
 		case statesvc.Conflict:
-			c.down = false
+			c.taken(true)
 			c.conflict(t, r.Failed)
 		case statesvc.Lost, statesvc.Refused:
 			if r.Outcome == statesvc.Lost {
 				t.unsure = true
 			}
-			c.down = true
+			c.taken(false)
 			if c.OnDown != nil {
 				c.OnDown()
 			}
@@ -507,6 +507,14 @@
 	})
 }
 
+// taken notes whether the service takes transactions.
+func (c *Committer) taken(yes bool) {
+	if c.down == yes {
+		slog.Info("state service takes transactions", "yes", yes)
+	}
+	c.down = !yes
+}
+
 func (c *Committer) again(t *txn, f func()) {
 	c.Repeats++
 	c.port.After(t.wait, func() {
