--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -37,10 +37,14 @@
 	classes
 )
 
-// quantum is what free amounts are rounded down to, so that machines are alike.
-const quantum = 0.25
+// quantum is what free amounts of a large fleet's machines are rounded down to, so
+// that some are alike. In a small one it would only hide room.
+const (
+	quantum = 0.25
+	large   = 200
+)
 
-func floor(x float64) float64 { return math.Floor(x/quantum+1e-6) * quantum }
+func floor(x, to float64) float64 { return math.Floor(x/to+1e-6) * to }
 
 func (b *bin) fit(s *api.Spec) int {
 	n := math.MaxInt32
@@ -212,13 +216,28 @@
 	spare := map[string]float64{}
 	for z, v := range services {
 		m.cfg.Reserve(z, v)
-		spare[z] = round(v + m.cfg.Tuning.Spare*l.held[z])
+		spare[z] = round(v + whole(catalog, z, m.cfg.Tuning.Spare*l.held[z]))
 	}
 	m.headroom(l, open, services, spare, arrays)
 	m.rentAll(rent)
 	m.shrink(l, services, spare, arrays, now)
 }
 
+// whole rounds CPUs down to whole machines of a zone: in a small fleet the part that
+// may be lost is less than one, and a machine more would stand there for it.
+func whole(catalog []cloud.Model, site string, cpus float64) float64 {
+	most := 0.0
+	for i := range catalog {
+		if slices.Contains(catalog[i].Sites, site) {
+			most = max(most, catalog[i].VCPUs)
+		}
+	}
+	if most == 0 {
+		return 0
+	}
+	return math.Floor(cpus/most) * most
+}
+
 // lay finds room for n tasks of a job, and opens machines for what finds none.
 func (m *Manager) lay(l *layout, j *jobs.Job, n int, late *float64, open func(*api.Spec, ask) *bin, now ident.Mono) {
 	s := j.Spec
@@ -331,7 +350,13 @@
 	all := map[alike]*bin{}
 	var order []*bin
 	add := func(k *cloud.Model, p pool, cl class, v, c, g float64) *bin {
-		key := alike{p, cl, floor(v), floor(c), floor(g)}
+		// The place of a task that ends is as large as the task: rounded down, the next
+		// one like it would not fit.
+		to := 1e-6
+		if cl != endingRoom && len(m.machine.Sorted()) > large {
+			to = quantum
+		}
+		key := alike{p, cl, floor(v, to), floor(c, to), floor(g, to)}
 		b := all[key]
 		if b == nil {
 			b = &bin{kind: k, pool: p, class: cl, v: key.v, c: key.c, g: key.g}
