One piece each for what a task needs, a pool's class and the test's leader

Read once more, behaviour unchanged: Fits is Room of what a task needs; NoNeed instead of three literals; the class of a pool's machines instead of three copies of one condition; a counter that nothing showed is gone.

--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -37,6 +37,14 @@
 	classes
 )
 
+// class is that of the pool's machines while they are not cordoned.
+func (p pool) class() class {
+	if p.standby {
+		return spotRoom
+	}
+	return ordinaryRoom
+}
+
 // quantum is what free amounts of a large fleet's machines are rounded down to, so
 // that some are alike. In a small one it would only hide room.
 const (
@@ -75,7 +83,7 @@
 
 func newLayout() *layout {
 	return &layout{free: map[pool]float64{}, lent: map[pool]float64{}, held: map[string]float64{}, later: map[pool]float64{}, count: map[pool]int{},
-		least: jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}}
+		least: jobs.NoNeed()}
 }
 
 // useful says whether anything that waits could find room in a bin.
@@ -96,10 +104,7 @@
 		f := float64(tasks)
 		r := &bin{kind: b.kind, pool: b.pool, n: machines, v: b.v - f*s.VCPUs, c: b.c - f*s.Cards, g: b.g - f*s.MemoryGB, class: b.class}
 		if r.class == cordonedRoom {
-			r.class = ordinaryRoom
-			if r.pool.standby {
-				r.class = spotRoom
-			}
+			r.class = r.pool.class()
 		}
 		if l.useful(r) {
 			l.bins[r.class] = append(l.bins[r.class], r)
@@ -366,12 +371,6 @@
 		b.n++
 		return b
 	}
-	classOf := func(p pool) class {
-		if p.standby {
-			return spotRoom
-		}
-		return ordinaryRoom
-	}
 	for _, w := range m.machine.Sorted() {
 		// A machine where a task failed is no room to count on: the job keeps off it.
 		// (A job waited for ever while the only idle machine was one that it shunned.)
@@ -400,7 +399,7 @@
 		}
 		l.free[p] += v
 		l.lent[p] += w.Arrays
-		add(w.Kind, p, classOf(p), v, c, g)
+		add(w.Kind, p, p.class(), v, c, g)
 	}
 	for i := range catalog {
 		k := &catalog[i]
@@ -408,7 +407,7 @@
 			for _, standby := range []bool{true, false} {
 				p := pool{k.SKU, site, standby}
 				if mk := m.markets[p]; mk != nil && mk.pending > 0 {
-					add(k, p, classOf(p), k.VCPUs, k.Cards, k.MemoryGB).n += mk.pending - 1
+					add(k, p, p.class(), k.VCPUs, k.Cards, k.MemoryGB).n += mk.pending - 1
 					l.count[p] += mk.pending
 					l.free[p] += float64(mk.pending) * k.VCPUs
 					l.later[p] += float64(mk.pending) * k.VCPUs
@@ -545,10 +544,7 @@
 					continue
 				}
 				p := pool{k.SKU, z, standby}
-				b := &bin{kind: k, pool: p, n: 1, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, class: ordinaryRoom}
-				if standby {
-					b.class = spotRoom
-				}
+				b := &bin{kind: k, pool: p, n: 1, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, class: p.class()}
 				if !b.allows(s) || m.market(p).closed > now {
 					continue
 				}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"sort"
 	"strings"
@@ -122,6 +123,12 @@
 // Need is what a task takes of its machine.
 type Need struct{ VCPUs, Cards, MemoryGB float64 }
 
+// NeedOf returns what a task of a job takes.
+func NeedOf(s *api.Spec) Need { return Need{s.VCPUs, s.Cards, s.MemoryGB} }
+
+// NoNeed is where Least begins: more than anything takes.
+func NoNeed() Need { return Need{math.Inf(1), math.Inf(1), math.Inf(1)} }
+
 // Least lowers each amount to what a task of the job needs.
 func (n *Need) Least(s *api.Spec) {
 	n.VCPUs, n.Cards, n.MemoryGB = min(n.VCPUs, s.VCPUs), min(n.Cards, s.Cards), min(n.MemoryGB, s.MemoryGB)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"sort"
 	"time"
@@ -84,7 +83,6 @@
 	Rounds, Extra               uint64
 	Planned, Local, New, Stolen uint64 // array tasks by the rule that placed them
 	Services, Preempted         uint64
-	Overdue                     uint64  // first tasks of jobs that waited too long
 	FetchedGB                   float64 // images placed where they were not held
 	Took                        time.Duration
 }
@@ -141,7 +139,7 @@
 	now := p.now()
 	p.teams.Guarantee(p.jobs)
 	var arr, srv []waiting
-	need := jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}
+	need := jobs.NoNeed()
 	for j := range p.jobs.Waiting {
 		if now < j.RetryAt {
 			continue
@@ -343,7 +341,6 @@
 			}
 		}
 		if fit != nil {
-			p.Stats.Overdue++
 			p.begun[j.Spec.Desk] = p.now()
 			p.place(p.next(j), fit)
 			continue
@@ -534,7 +531,7 @@
 
 // least returns the least that any waiting array task needs.
 func (p *Planner) least() jobs.Need {
-	need := jobs.Need{VCPUs: math.Inf(1), Cards: math.Inf(1), MemoryGB: math.Inf(1)}
+	need := jobs.NoNeed()
 	for _, j := range p.arrays {
 		if j.Waits() > 0 && p.teams.Allows(j.Spec, 1) {
 			need.Least(j.Spec)
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -63,17 +63,23 @@
 	}
 }
 
+// leading returns the node that surely leads.
+func leading(w *World) *node {
+	for _, n := range w.nodes {
+		if n.ctl.Election().Valid() {
+			return n
+		}
+	}
+	return nil
+}
+
 // TestLeaderCutOff: a leader that only the state service hears keeps its lease;
 // it must leave the lead to a node that users and machines can reach.
 func TestLeaderCutOff(t *testing.T) {
 	w := New(Config{Seed: 5, Length: 120 * time.Second})
 	var old *node
 	w.at(60*time.Second, func() {
-		for _, n := range w.nodes {
-			if n.ctl.Election().Valid() {
-				old = n
-			}
-		}
+		old = leading(w)
 		for _, n := range w.nodes {
 			if n != old {
 				w.sever(old.name, n.name, false, 40*time.Second)
@@ -151,11 +157,7 @@
 	w := New(Config{Seed: 5, Length: 120 * time.Second})
 	var old *node
 	w.at(60*time.Second, func() {
-		for _, n := range w.nodes {
-			if n.ctl.Election().Valid() {
-				old = n
-			}
-		}
+		old = leading(w)
 		w.sever(old.name, "state", false, 40*time.Second)
 		for _, n := range w.nodes {
 			if n != old {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -106,10 +106,7 @@
 
 // Fits says whether a task would find room now, and Could whether it would on
 // the empty machine.
-func (w *Worker) Fits(s *api.Spec) bool {
-	return w.Kind != nil && w.VCPUs+s.VCPUs <= w.Kind.VCPUs+slack && w.Cards+s.Cards <= w.Kind.Cards+slack &&
-		w.MemoryGB+s.MemoryGB <= w.Kind.MemoryGB+slack
-}
+func (w *Worker) Fits(s *api.Spec) bool { return w.Room(jobs.NeedOf(s)) }
 
 // Room says whether as much is free.
 func (w *Worker) Room(n jobs.Need) bool {
