A leader that alone has lost the workers leaves the lead to a sibling

Now a leader that no machine reaches directly for 2 s asks those that siblings still hear, and resigns once three of them don't answer; meanwhile silence counts as mass silence, which waits twice as long.

Ruled out: a slow network (reports by siblings came in time), the state service (served).

Test: TestLeaderWithoutWorkers; the stand-in's cuts from machines now hold for machines to come.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -207,7 +207,7 @@
 		}
 	case mesh.Ask:
 		id := f.ID
-		c.serve(f.Verb, f.Job, f.Body, func(r Reply) {
+		c.serve(f.Verb, f.Job, f.Body, false, func(r Reply) {
 			c.env.Mesh(from, &mesh.Frame{Kind: mesh.Tell, ID: id, Status: uint16(r.Status), Retry: uint16(r.Retry), Body: r.Body})
 		})
 	case mesh.Tell:
@@ -236,7 +236,7 @@
 // Request takes a request from a user or a worker of this node.
 func (c *Controller) Request(v mesh.Verb, job string, body []byte, reply func(Reply)) {
 	if c.lead != nil {
-		c.serve(v, job, body, reply)
+		c.serve(v, job, body, true, reply)
 		return
 	}
 	to, known := c.elect.Leader()
@@ -287,12 +287,12 @@
 	})
 }
 
-// serve answers as the leader, or refuses.
-func (c *Controller) serve(v mesh.Verb, job string, body []byte, reply func(Reply)) {
+// serve answers as the leader, or refuses; direct requests came to this node.
+func (c *Controller) serve(v mesh.Verb, job string, body []byte, direct bool, reply func(Reply)) {
 	l := c.lead
 	switch {
 	case v == mesh.Checkin:
-		c.checkin(body, reply)
+		c.checkin(body, direct, reply)
 	case l == nil || !l.ready || !c.elect.Valid():
 		// Past the surely valid time memory may be behind a successor's.
 		if v == mesh.Poll {
@@ -316,7 +316,7 @@
 }
 
 // checkin answers a worker's report.
-func (c *Controller) checkin(body []byte, reply func(Reply)) {
+func (c *Controller) checkin(body []byte, direct bool, reply func(Reply)) {
 	r, err := api.ParseReport(body)
 	if err != nil {
 		reply(problem(http.StatusBadRequest, err.Error()))
@@ -326,6 +326,7 @@
 	if l := c.lead; l != nil && l.ready {
 		if c.elect.Valid() {
 			o = l.workers.Checkin(r)
+			l.heard(l.workers.Workers[r.Host], direct)
 		} else if c.elect.Within(c.grace) {
 			o = l.workers.Renew(r)
 		}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -48,6 +48,9 @@
 	// pending holds the users whose answers wait for the state service.
 	pending map[uint64]func(Reply)
 	lastReq uint64
+
+	direct  ident.Mono               // when a machine last reached this node, or it one
+	missing map[*workers.Worker]bool // alive as a sibling hears, but not reached from here since
 }
 
 const (
@@ -64,10 +67,16 @@
 	// dispatchEvery lets what comes in short order be placed together.
 	dispatchEvery = 30 * time.Millisecond
 	aloneAfter    = 2500 * time.Millisecond
+	// directAfter is how long a leader may go without reaching a machine, or one
+	// reaching it, before it suspects itself.
+	directAfter = 2 * time.Second
+	// unreached is how many machines that siblings hear must be out of its reach.
+	unreached = 3
 )
 
 func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
-	l := &lead{c: c, term: t, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){}}
+	l := &lead{c: c, term: t, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){},
+		direct: c.env.Now(), missing: map[*workers.Worker]bool{}}
 	st := c.set.Cluster.State
 	valueBytes := int(st.ValueKB * 1024)
 	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS, ValueBytes: valueBytes},
@@ -83,6 +92,7 @@
 		Changed: func() { l.dirty = true },
 		Failed:  l.failed,
 		Commit:  l.commitWorker,
+		Asked:   l.asked,
 	})
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
 	l.planner.MaxWait = c.set.Tuning.MaxWait
@@ -90,6 +100,7 @@
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
 		Reached: l.reached,
+		Direct:  func() bool { return l.c.env.Now().Sub(l.direct) < directAfter },
 		Aim:     l.planner.Aim,
 		Movable: func(t *jobs.Task, from *workers.Worker) bool {
 			return !l.commits.Down() && l.planner.Movable(t, from)
@@ -593,6 +604,43 @@
 	return up >= 2
 }
 
+// heard notes that a machine's report arrived here, or by a sibling. A leader that
+// reaches no machine itself asks those that siblings hear.
+func (l *lead) heard(w *workers.Worker, direct bool) {
+	now := l.c.env.Now()
+	switch {
+	case direct:
+		l.contact()
+	case w != nil && now.Sub(l.direct) > directAfter && len(l.missing) < unreached:
+		l.workers.Probe(w)
+	}
+}
+
+// contact notes that a machine reached this node, or it one.
+func (l *lead) contact() {
+	l.direct = l.c.env.Now()
+	clear(l.missing)
+}
+
+// asked takes the outcome of a command. Machines that siblings hear and this node
+// doesn't reach show that it is cut off from them, not they from the cluster. It
+// leaves the lead to a sibling: fenced for their silence, the fleet would be gone
+// with all its replicas. (A leader that had lost the workers alone fenced every
+// machine with replicas within five seconds.)
+func (l *lead) asked(w *workers.Worker, answered bool) {
+	now := l.c.env.Now()
+	if answered {
+		l.contact()
+		return
+	}
+	if now.Sub(l.direct) < directAfter || now.Sub(w.Heard()) > 2*directAfter {
+		return
+	}
+	if l.missing[w] = true; len(l.missing) >= unreached && l.c.elect.Valid() {
+		l.c.elect.Resign(restAfter, "machines are heard by siblings only")
+	}
+}
+
 // reached says whether a sibling is heard, which would pass workers' reports on.
 // A leader that hears neither workers nor siblings leaves the lead to one that
 // may.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,9 @@
 	// Reached is asked when most of the fleet is silent: whether workers could
 	// reach us through a sibling. If not, the fault is more likely ours.
 	Reached func() bool
+	// Direct says whether machines reach this node, or it them. If none does, their
+	// silence is rather our fault.
+	Direct func() bool
 	// Aim is the shortest time within which jobs of a lane should be done, 0 if
 	// nothing is said.
 	Aim func(lane string) time.Duration
@@ -316,7 +319,7 @@
 	// are noticed one by one.
 	m.fences = slices.DeleteFunc(m.fences, func(at ident.Mono) bool { return now.Sub(at) > 2*m.silent })
 	n = len(silent) + len(m.fences)
-	mass := n > 1 && 2*n > up+len(m.fences)
+	mass := n > 1 && 2*n > up+len(m.fences) || len(silent) > 0 && !m.cfg.Direct()
 	if mass && !m.cfg.Reached() {
 		return
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -88,7 +88,7 @@
 	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
 	r.table = workers.NewTable(r, r.jobs, workers.Config{Term: 3, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
 		Catalog: func(string) *cloud.Model { return &kind }, Deposed: func() {}, Changed: func() {},
-		Failed: func(*jobs.Task, *workers.Worker, api.Cause) {},
+		Failed: func(*jobs.Task, *workers.Worker, api.Cause) {}, Asked: func(*workers.Worker, bool) {},
 		Commit: func(w *workers.Worker) {
 			w.Recorded = w.State != workers.Gone
 		}})
@@ -99,6 +99,7 @@
 		Cloud: settings.Cloud{RPS: 5, ListLagS: 10}, Workers: settings.Workers{ReportS: 3},
 		Catalog: func() []cloud.Model { return []cloud.Model{kind} },
 		Reached: func() bool { return r.reached },
+		Direct:  func() bool { return true },
 		Aim:     func(string) time.Duration { return 0 },
 		Movable: func(*jobs.Task, *workers.Worker) bool { return false }, Drain: func(*workers.Worker) {},
 		Reserve: func(string, float64) {}})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -219,7 +219,7 @@
 }
 
 func (w *World) cut(a, b string) *cut {
-	for _, k := range [][2]string{{a, b}, {b, a}, {a, "*"}, {b, "*"}} {
+	for _, k := range [][2]string{{a, b}, {b, a}, {a, "*"}, {b, "*"}, {a, kind(b)}, {b, kind(a)}} {
 		if c := w.cuts[k]; c != nil {
 			return c
 		}
@@ -227,6 +227,16 @@
 	return nil
 }
 
+// machines stands for all machines, those to come as well, as one end of a cut.
+const machines = "machines"
+
+func kind(name string) string {
+	if strings.HasPrefix(name, "host-") {
+		return machines
+	}
+	return ""
+}
+
 // sever breaks a link for a while; what was held is then delivered in order.
 func (w *World) sever(a, b string, hold bool, d time.Duration) {
 	k := [2]string{a, b}
@@ -470,9 +480,7 @@
 			}
 		}
 	case 7:
-		for _, k := range w.sortedWorkers() {
-			w.sever(n.name, string(k.host), hold, 15*time.Second)
-		}
+		w.sever(n.name, machines, hold, sec(5, 45))
 	case 8, 9:
 		if k != nil {
 			w.sever(string(k.host), "*", hold, sec(3, 50))
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"opaldale/internal/ident"
 )
 
 func play(seed uint64, m Mutation) *World {
@@ -85,9 +87,7 @@
 				w.sever(old.name, n.name, false, 40*time.Second)
 			}
 		}
-		for _, k := range w.sortedWorkers() {
-			w.sever(old.name, string(k.host), false, 40*time.Second)
-		}
+		w.sever(old.name, machines, false, 40*time.Second)
 	})
 	w.at(67*time.Second, func() {
 		for _, n := range w.nodes {
@@ -194,3 +194,40 @@
 		}
 	}
 }
+
+// TestLeaderWithoutWorkers: a leader that loses the workers alone leaves the lead to
+// a sibling that reaches them. It once took their silence for theirs and fenced every
+// machine with replicas within seconds.
+func TestLeaderWithoutWorkers(t *testing.T) {
+	for seed := range uint64(6) {
+		w := New(Config{Seed: seed, Length: 160 * time.Second})
+		var old *node
+		fenced := 0
+		w.at(80*time.Second, func() {
+			old = leading(w)
+			w.sever(old.name, machines, seed%2 == 0, 41*time.Second)
+			for _, m := range w.cloud.machines {
+				if m.gone == 0 {
+					fenced--
+				}
+			}
+		})
+		w.at(92*time.Second, func() {
+			if n := leading(w); n == nil || n == old {
+				t.Errorf("seed %d: nobody else leads 12 s after the cut", seed)
+			}
+			for _, m := range w.cloud.machines {
+				if m.gone == 0 && m.born < ident.Mono(80*time.Second) {
+					fenced++
+				}
+			}
+			if fenced < -1 {
+				t.Errorf("seed %d: %d machines were returned", seed, -fenced)
+			}
+		})
+		w.Run()
+		if len(w.Broken) > 0 || len(w.Undone) > 0 {
+			t.Errorf("seed %d: %v %v", seed, w.Broken, w.Undone)
+		}
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -247,6 +247,8 @@
 	Failed func(t *jobs.Task, w *Worker, c api.Cause)
 	// Commit makes the machine's document.
 	Commit func(w *Worker)
+	// Asked is called when a command was answered, or was not in its time.
+	Asked func(w *Worker, answered bool)
 }
 
 // Table holds all machines. It lives for one term.
@@ -735,6 +737,9 @@
 			return
 		}
 		w.flying, w.busy = nil, false
+		if tb.cfg.Asked(w, a.Status != 0); tb.dead {
+			return
+		}
 		if a.Status != 200 && a.Status != 409 || a.Report == nil || a.Report.Host != w.Host {
 			// It may be carried out at any later time, until the worker has seen
 			// a higher token.
