A zone from which nothing is heard is not fenced: work inside goes on

Now a zone whose machines and siblings are all silent is thought cut off. Nothing is placed or rented there, its tasks count until the lease is surely over, and once something is heard from it its machines get the usual time to be heard.

Tests: TestZoneCut; zone cuts of the stand-in world.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -99,9 +99,9 @@
 	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
-		Reached: l.reached,
-		Direct:  func() bool { return l.c.env.Now().Sub(l.direct) < directAfter },
-		Aim:     l.planner.Aim,
+		Reached: l.reached, Stranded: l.stranded,
+		Direct: func() bool { return l.c.env.Now().Sub(l.direct) < directAfter },
+		Aim:    l.planner.Aim,
 		Movable: func(t *jobs.Task, from *workers.Worker) bool {
 			return !l.commits.Down() && l.planner.Movable(t, from)
 		},
@@ -641,6 +641,21 @@
 	}
 }
 
+// stranded says whether all siblings in a zone are silent, and there are some.
+func (l *lead) stranded(site string) bool {
+	n := 0
+	for _, s := range l.c.set.Siblings {
+		if s.Zone != site {
+			continue
+		}
+		if l.c.reachable(s.Node) {
+			return false
+		}
+		n++
+	}
+	return n > 0
+}
+
 // reached says whether a sibling is heard, which would pass workers' reports on.
 // A leader that hears neither workers nor siblings leaves the lead to one that
 // may.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 	// Direct says whether machines reach this node, or it them. If none does, their
 	// silence is rather our fault.
 	Direct func() bool
+	// Stranded says whether all siblings in a zone are silent, and there are some.
+	Stranded func(site string) bool
 	// Aim is the shortest time within which jobs of a lane should be done, 0 if
 	// nothing is said.
 	Aim func(lane string) time.Duration
@@ -84,11 +86,13 @@
 	stalled ident.Mono // when we were last found to have stalled
 	excess  ident.Mono // since when there is more room than needed, 0: there isn't
 	began   ident.Mono
-	started ident.Mono    // of the term
-	silent  time.Duration // a worker not heard of for so long is fenced
-	moves   int           // replicas that this tick may still look at
-	missed  time.Duration // a worker not heard of for so long missed a report
-	alarm   ident.Mono    // when a late worker was last found not to answer
+	started ident.Mono            // of the term
+	silent  time.Duration         // a worker not heard of for so long is fenced
+	moves   int                   // replicas that this tick may still look at
+	missed  time.Duration         // a worker not heard of for so long missed a report
+	alarm   ident.Mono            // when a late worker was last found not to answer
+	cut     map[string]bool       // zones from which nothing is heard, neither machines nor siblings
+	back    map[string]ident.Mono // when a zone was last found not to be cut off any more
 
 	services arrivals
 	arrays   arrivals
@@ -106,7 +110,7 @@
 	}
 	// Reports come up to a quarter late.
 	late := settings.Seconds(1.25*cfg.Workers.ReportS) + 500*time.Millisecond
-	return &Manager{silent: silent, missed: late, alarm: now.Add(-time.Hour), cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{},
+	return &Manager{silent: silent, missed: late, alarm: now.Add(-time.Hour), cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{}, back: map[string]ident.Mono{},
 		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now, started: now, ticked: now, stalled: now.Add(-time.Hour)}
 }
 
@@ -236,6 +240,68 @@
 	return n
 }
 
+const (
+	// zoneQuiet is how long nothing must come from a whole zone for it to be thought
+	// cut off, or longer where so few machines are that their reports leave gaps.
+	zoneQuiet = 2 * time.Second
+	// zoneReports is how many reports of the zone are missed then, at the least.
+	zoneReports = 4
+	// zoneLeases is after how many leases machines of such a zone are given up.
+	zoneLeases = 5
+)
+
+// zonesCut finds the zones from which nothing is heard, neither machines nor
+// siblings: they are cut off rather than dead, and work inside goes on for as long
+// as its leases do. (Half a fleet was fenced for its zone's cut, with replicas that
+// were not allowed anywhere else.) Nothing is placed there meanwhile.
+func (m *Manager) zonesCut(now ident.Mono) {
+	type zone struct {
+		up     int
+		newest ident.Mono
+	}
+	zones := map[string]*zone{}
+	for _, w := range m.machine.Sorted() {
+		if w.State != workers.Up && w.State != workers.Silent {
+			continue
+		}
+		z := zones[w.Site]
+		if z == nil {
+			z = &zone{newest: m.stalled}
+			zones[w.Site] = z
+		}
+		z.up++
+		z.newest = max(z.newest, w.Heard())
+	}
+	was := m.cut
+	m.cut = map[string]bool{}
+	for site, z := range zones {
+		quiet := max(zoneQuiet, settings.Seconds(zoneReports*m.cfg.Workers.ReportS/float64(z.up)))
+		if z.up > 2 && now.Sub(z.newest) > quiet && m.cfg.Stranded(site) {
+			m.cut[site] = true
+			if !was[site] {
+				slog.Info("nothing is heard from a zone", "zone", site, "machines", z.up)
+			}
+		} else if was[site] {
+			// Its machines come one after the other, as their calls into the cut end.
+			slog.Info("a zone is heard again", "zone", site)
+			m.back[site] = now
+		}
+	}
+}
+
+// strand keeps work off a machine of a zone that is cut off, and takes what was on it
+// for gone once its lease is surely over.
+func (m *Manager) strand(w *workers.Worker, now ident.Mono) {
+	w.Shun = max(w.Shun, now.Add(time.Second))
+	if !m.machine.Expired(w) {
+		return
+	}
+	m.machine.Expire(w)
+	if m.machine.Silence(w) > zoneLeases*settings.Seconds(m.cfg.Workers.LeaseS) {
+		m.Return(w, "zone is cut off")
+	}
+}
+
 // watch finds machines that are silent, doomed, faulty or never came up.
 func (m *Manager) watch() {
 	now := m.port.Now()
@@ -248,8 +314,13 @@
 	var silent []*workers.Worker
 	var urgent, early []*workers.Worker
 	up := 0
+	m.zonesCut(now)
 	for _, w := range m.machine.Sorted() {
-		quiet := min(m.machine.Silence(w), now.Sub(m.stalled))
+		if m.cut[w.Site] && (w.State == workers.Up || w.State == workers.Silent) {
+			m.strand(w, now)
+			continue
+		}
+		quiet := min(m.machine.Silence(w), now.Sub(max(m.stalled, m.back[w.Site])))
 		switch w.State {
 		case workers.Booting:
 			startup := m.startup(w)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -73,11 +73,11 @@
 
 type rig struct {
 	*world
-	m       *Manager
-	table   *workers.Table
-	jobs    *jobs.Table
-	commits *commit.Committer
-	reached bool
+	m                 *Manager
+	table             *workers.Table
+	jobs              *jobs.Table
+	commits           *commit.Committer
+	reached, stranded bool
 }
 
 func newRig() *rig {
@@ -96,10 +96,10 @@
 	tuning.IdleKeep = time.Hour // these tests are about other reasons to return
 	teams := placement.NewTeams([]settings.Team{{Name: "red", CPUs: 100, CPUsMax: 100}})
 	r.m = New(r, r.table, r.jobs, teams, rand.New(rand.NewPCG(1, 1)), Config{Term: 3, Tuning: tuning,
-		Cloud: settings.Cloud{RPS: 5, ListLagS: 10}, Workers: settings.Workers{ReportS: 3},
+		Cloud: settings.Cloud{RPS: 5, ListLagS: 10}, Workers: settings.Workers{ReportS: 3, LeaseS: 30},
 		Catalog: func() []cloud.Model { return []cloud.Model{kind} },
 		Reached: func() bool { return r.reached },
-		Direct:  func() bool { return true },
+		Direct:  func() bool { return true }, Stranded: func(string) bool { return r.stranded },
 		Aim:     func(string) time.Duration { return 0 },
 		Movable: func(*jobs.Task, *workers.Worker) bool { return false }, Drain: func(*workers.Worker) {},
 		Reserve: func(string, float64) {}})
@@ -343,3 +343,59 @@
 		t.Errorf("%d of 8 machines are fenced", gone)
 	}
 }
+
+// TestZoneCut: machines of a zone from which no sibling is heard either are not
+// fenced, since work inside goes on; nothing is placed there, and what was on them
+// counts until their leases are surely over. Where a sibling is heard they are.
+func TestZoneCut(t *testing.T) {
+	for _, stranded := range []bool{true, false} {
+		r := newRig()
+		r.stranded = stranded
+		r.up(12)
+		for i, w := range r.table.Sorted() {
+			if i < 5 {
+				w.Site = "west"
+			}
+		}
+		lost := r.table.Workers["host-000000"]
+		j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 1}, func() {}, nil)
+		r.commits.Flush()
+		r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
+			if to.Held() && !from.Held() {
+				r.table.Hold(lost, task)
+			} else if !to.Held() && from.Held() {
+				r.table.Release(lost, task)
+			}
+		}
+		r.jobs.Place(&j.Tasks[0], lost.Host, 1, func() {})
+		r.commits.Flush()
+		serial := ident.Serial(1)
+		live := func(d time.Duration) {
+			for end := r.now.Add(d); r.now < end; {
+				serial++
+				for n := 5; n < 12; n++ {
+					r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: serial, Epoch: ident.MakeEpoch(3, 0)})
+				}
+				r.pass(500*time.Millisecond, r.m)
+			}
+		}
+		live(25 * time.Second)
+		if !stranded {
+			if lost.State != workers.Gone {
+				t.Error("a silent machine whose zone's sibling is heard is never fenced")
+			}
+			continue
+		}
+		if n := r.count(cloud.Return); n > 0 || j.Held != 1 || lost.Open(r.now) {
+			t.Errorf("cut off for 25 s: %d returns, %d tasks held, open %v", n, j.Held, lost.Open(r.now))
+		}
+		live(20 * time.Second)
+		if n := r.count(cloud.Return); n > 0 || j.Held != 0 {
+			t.Errorf("after the lease: %d returns, %d tasks held", n, j.Held)
+		}
+		live(120 * time.Second)
+		if lost.State != workers.Gone {
+			t.Error("a zone that never comes back is never given up")
+		}
+	}
+}
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -374,7 +374,8 @@
 	for _, w := range m.machine.Sorted() {
 		// A machine where a task failed is no room to count on: the job keeps off it.
 		// (A job waited for ever while the only idle machine was one that it shunned.)
-		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Errors > 0 {
+		// Nor is one in a zone that is cut off.
+		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Errors > 0 || m.cut[w.Site] {
 			continue
 		}
 		p := pool{w.Model, w.Site, w.Standby}
@@ -536,7 +537,7 @@
 	for i := range catalog {
 		k := &catalog[i]
 		for _, z := range k.Sites {
-			if a.zone != "" && a.zone != z || slices.Contains(a.full, z) {
+			if m.cut[z] || a.zone != "" && a.zone != z || slices.Contains(a.full, z) {
 				continue
 			}
 			for _, standby := range []bool{true, false} {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -61,6 +61,7 @@
 	jobs    map[ident.JobID]*userJob
 	order   []ident.JobID
 	cuts    map[[2]string]*cut
+	zones   map[string]*cut       // zones cut off from everything outside
 	deaf    map[string]ident.Mono // machines that nothing reaches until then
 	nextJob int
 
@@ -96,7 +97,7 @@
 // New makes a world of three controllers in two zones.
 func New(cfg Config) *World {
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), workers: map[ident.HostID]*worker{},
-		jobs: map[ident.JobID]*userJob{}, cuts: map[[2]string]*cut{}, deaf: map[string]ident.Mono{}}
+		jobs: map[ident.JobID]*userJob{}, cuts: map[[2]string]*cut{}, zones: map[string]*cut{}, deaf: map[string]ident.Mono{}}
 	w.set = settings.Cluster{
 		Nodes: 3, Zones: []string{"east", "west"}, TimeBoundMS: 200,
 		Teams: []settings.Team{{Name: "red", CPUs: 12, CPUsMax: 28}, {Name: "blue", CPUs: 8, CPUsMax: 20},
@@ -224,9 +225,50 @@
 			return c
 		}
 	}
+	if za, zb := w.zoneOf(a), w.zoneOf(b); za != zb {
+		if c := w.zones[za]; c != nil {
+			return c
+		}
+		return w.zones[zb]
+	}
 	return nil
 }
 
+// zoneOf returns the zone of a node or a machine, "" for what belongs to none.
+func (w *World) zoneOf(name string) string {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n.zone
+		}
+	}
+	if k := w.workers[ident.HostID(name)]; k != nil {
+		return k.m.site
+	}
+	return ""
+}
+
+// cutZone cuts a zone off from everything outside for a while.
+func (w *World) cutZone(zone string, hold bool, d time.Duration) {
+	if w.zones[zone] != nil {
+		return
+	}
+	w.logf("zone %s is cut off, hold=%v, for %v", zone, hold, d)
+	c := &cut{hold: hold}
+	w.zones[zone] = c
+	w.at(d, func() {
+		delete(w.zones, zone)
+		w.logf("zone %s is back", zone)
+		w.release(c)
+	})
+}
+
+// release delivers what a cut has held, in order.
+func (w *World) release(c *cut) {
+	for i, f := range c.held {
+		w.at(time.Duration(i)*time.Microsecond, f)
+	}
+}
+
 // machines stands for all machines, those to come as well, as one end of a cut.
 const machines = "machines"
 
@@ -249,9 +291,7 @@
 	w.at(d, func() {
 		delete(w.cuts, k)
 		w.logf("link %s %s heals", a, b)
-		for i, f := range c.held {
-			w.at(time.Duration(i)*time.Microsecond, f)
-		}
+		w.release(c)
 	})
 }
 
@@ -459,7 +499,7 @@
 		back = 200 * time.Millisecond
 	}
 	k := w.anyWorker()
-	switch w.rng.IntN(18) {
+	switch w.rng.IntN(19) {
 	case 0, 1:
 		n.kill(back)
 	case 2:
@@ -515,6 +555,8 @@
 		if k != nil {
 			k.restart()
 		}
+	case 18:
+		w.cutZone(w.set.Zones[w.rng.IntN(2)], hold, sec(5, 50))
 	}
 	w.at(time.Duration(1000+w.rng.IntN(14000))*time.Millisecond, w.fault)
 }
