Sockets: idle connections make room, and workers' close while a node is crowded

Cause: a node takes connections up to three quarters of its sockets (2,347 and 1,716), and closed what came beyond, whoever it was. Half as many machines again are 2,620 and 2,060 workers; with the siblings ended most of them are at one node (2,942 connections of all kinds seen on restart).

Now a report's answer closes the connection while three quarters of the room are taken, the longest idle connection makes room for a new one, and without any the new one waits 0.3 s. Metrics show the bound, the evicted and the refused.

--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -57,6 +56,11 @@
 			a = controller.Reply{Status: http.StatusServiceUnavailable, Retry: 1, Body: api.JSON(api.Problem{Error: "no answer in time"})}
 		}
 		h := w.Header()
+		if v == mesh.Checkin && s.sockets.crowded() {
+			// The next report makes a connection of its own: most are idle for most of
+			// the time between two.
+			h.Set("Connection", "close")
+		}
 		h.Set("Content-Type", "application/json")
 		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 		if a.Retry > 0 {
@@ -120,42 +124,3 @@
 	mux.Handle("GET /metrics", m.handler())
 	return mux
 }
-
-// bounded closes connections beyond a limit at once, so that sockets are left
-// for the state service, the workers and the siblings.
-type bounded struct {
-	net.Listener
-	open  atomic.Int64
-	limit int64
-}
-
-func newBounded(l net.Listener, limit int) *bounded {
-	return &bounded{Listener: l, limit: int64(limit)}
-}
-
-func (b *bounded) Accept() (net.Conn, error) {
-	for {
-		c, err := b.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if b.open.Add(1) <= b.limit {
-			return &boundedConn{Conn: c, owner: b}, nil
-		}
-		b.open.Add(-1)
-		c.Close()
-	}
-}
-
-type boundedConn struct {
-	net.Conn
-	owner  *bounded
-	closed atomic.Bool
-}
-
-func (c *boundedConn) Close() error {
-	if !c.closed.Swap(true) {
-		c.owner.open.Add(-1)
-	}
-	return c.Conn.Close()
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -36,6 +36,7 @@
 	worker *http.Client
 	// commands has room for the commands to workers that are under way.
 	commands chan struct{}
+	sockets  *sockets
 	mesh     *mesh.Transport
 }
 
@@ -46,7 +47,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * set.Cluster.Resources.MemoryMB * (1 << 20)))
 	debug.SetGCPercent(300)
 
-	s := &Server{loop: newLoop()}
+	s := &Server{loop: newLoop(), sockets: newSockets(set.Cluster.Resources.Sockets)}
 	transport := func(perHost, idle int) *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
@@ -60,7 +61,7 @@
 	s.cloud = cloud.NewClient(set.Ends.Cloud, transport(4, 0))
 	// A connection kept to each machine, beside those they report on, would take
 	// more sockets than there are.
-	commands := max(8, set.Cluster.Resources.Sockets/5)
+	commands := max(8, int(commandPart*float64(set.Cluster.Resources.Sockets)))
 	s.worker = &http.Client{Transport: transport(1, commands)}
 	s.commands = make(chan struct{}, commands)
 	s.mesh = mesh.NewTransport(set.Node, func(from ident.NodeID, f *mesh.Frame) {
@@ -89,8 +90,9 @@
 		WriteTimeout:      15 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    8 << 10,
+		ConnState:         s.sockets.state,
 	}
-	go func() { errs <- web.Serve(newBounded(listener, set.Cluster.Resources.Sockets*3/4)) }()
+	go func() { errs <- web.Serve(s.sockets.listen(listener)) }()
 	s.loop.post(s.ctl.Start)
 	go s.loop.run()
 	return <-errs
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -1,13 +1,19 @@
 package server
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime/pprof"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,24 +33,30 @@
 const job = `{"id":"j-000001","lane":"l","desk":"red","shape":"batch","rank":"high","pieces":1,"vcpus":1,"cards":0,"memory_gb":1,
  "bundle":"img","image_gb":1,"one_zone":false,"apart":false,"standby":true,"runtime_s":1,"snapshot_every_s":0,"snapshot_s":0}`
 
-// TestInterface asks a node that has no leader and no state service.
-func TestInterface(t *testing.T) {
+// alone makes a node that has no leader and no state service.
+func alone(t *testing.T, socketsGiven int) *Server {
 	down := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
-	defer down.Close()
+	t.Cleanup(down.Close)
 	addr := strings.TrimPrefix(down.URL, "http://")
 	set := &settings.Settings{Node: "agent-0", Tuning: settings.DefaultTuning(), Cluster: settings.Cluster{
 		Teams:   []settings.Team{{Name: "red", CPUsMax: 10}},
 		Workers: settings.Workers{ReportS: 3, LeaseS: 20, CancelS: 50}, State: settings.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
 		Cloud: settings.Cloud{RPS: 5}}}
-	s := &Server{loop: newLoop(), state: statesvc.NewClient(addr, http.DefaultTransport),
+	s := &Server{loop: newLoop(), sockets: newSockets(socketsGiven), state: statesvc.NewClient(addr, http.DefaultTransport),
 		cloud: cloud.NewClient(addr, http.DefaultTransport), worker: http.DefaultClient,
 		mesh: mesh.NewTransport("agent-0", func(ident.NodeID, *mesh.Frame) {})}
 	s.ctl = controller.New(env{s}, set, rand.New(rand.NewPCG(1, 2)))
 	s.loop.settle = s.ctl.Settle
 	s.loop.post(s.ctl.Start)
 	go s.loop.run()
+	return s
+}
+
+// TestInterface asks a node that has no leader and no state service.
+func TestInterface(t *testing.T) {
+	s := alone(t, 1000)
 	web := httptest.NewServer(s.handler())
 	defer web.Close()
 
@@ -85,3 +97,81 @@
 		}
 	}
 }
+
+// TestMoreWorkersThanSockets: three times as many workers as a node takes connections
+// all report, users on new connections are answered meanwhile, idle connections make
+// room, and none of it takes threads. Beyond the bound, connections were once closed as
+// they came: workers lost their leases, and /up failed.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	s := alone(t, 160)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	web := &http.Server{Handler: s.handler(), ConnState: s.sockets.state}
+	go web.Serve(s.sockets.listen(l))
+	defer web.Close()
+	url := "http://" + l.Addr().String()
+
+	// Three quarters of the room are taken by connections that stay open and do nothing.
+	for range 3 * s.sockets.limit / 4 {
+		c, err := net.Dial("tcp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var wg sync.WaitGroup
+	var lost, most atomic.Int64
+	for i := range 3 * s.sockets.limit {
+		wg.Go(func() {
+			c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			defer c.CloseIdleConnections()
+			for n := range 4 {
+				body := fmt.Sprintf(`{"host":"host-%06d","addr":"1.2.3.4:5","model":"m","site":"a","tenure":1,"serial":%d}`, i, n+1)
+				answered := false
+				for range 50 {
+					if resp, err := c.Post(url+"/checkin", "application/json", strings.NewReader(body)); err == nil {
+						io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
+						answered = true
+						break
+					}
+				}
+				if !answered {
+					lost.Add(1)
+				}
+				if n := int64(s.sockets.count()); n > most.Load() {
+					most.Store(n)
+				}
+			}
+		})
+	}
+	user := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	failed := 0
+	for range 50 {
+		resp, err := user.Get(url + "/up")
+		if err != nil {
+			failed++
+			continue
+		}
+		resp.Body.Close()
+	}
+	wg.Wait()
+	if lost.Load() > 0 || failed > 5 {
+		t.Errorf("%d reports and %d users without an answer; %d connections refused", lost.Load(), failed, s.sockets.refused.Load())
+	}
+	if n := int(most.Load()); n > s.sockets.limit {
+		t.Errorf("%d connections of %d", n, s.sockets.limit)
+	}
+	if s.sockets.evicted.Load() == 0 {
+		t.Error("no idle connection made room: the test shows nothing")
+	}
+	if n := pprof.Lookup("threadcreate").Count(); n > 100 {
+		t.Errorf("%d threads", n)
+	}
+}
