Idle machines with a waiting task's image come before those that must fetch it

Machines with room took work one after the other by name, so one that held none of the images stole what the next had an image of.

Now every machine with room takes planned and local tasks before any takes others: as in the paper (planned, local, steal; §7.1), read over all idle machines at once.

--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -512,20 +512,26 @@
 	sort.Slice(p.unheld, func(i, k int) bool { return p.unheld[i].Seq < p.unheld[k].Seq })
 	p.stock()
 	need := p.least()
-	for _, standby := range []bool{true, false} {
-		for _, w := range p.roomy {
-			if w.Standby != standby {
-				continue
-			}
-			for w.Room(need) && p.placed < maxPlaced {
-				t, rule := p.pick(w)
-				if t == nil {
-					break
+	// What machines with room have the images of comes first on all of them: else the
+	// first one by name takes a task, and fetches, that another has the image of.
+	for _, pick := range []func(*workers.Worker) (*jobs.Task, *uint64){p.local, p.pick} {
+		for _, standby := range []bool{true, false} {
+			for _, w := range p.roomy {
+				if w.Standby != standby {
+					continue
+				}
+				for w.Room(need) && p.placed < maxPlaced {
+					t, rule := pick(w)
+					if t == nil {
+						break
+					}
+					*rule++
+					p.place(t, w)
 				}
-				*rule++
-				p.place(t, w)
 			}
 		}
+		clear(p.cursor)
+		clear(p.first)
 	}
 }
 
@@ -559,7 +565,7 @@
 
 // steal finds a task for a machine in the fullest plan that has one, looking into
 // so many plans at the most.
-func (p *Planner) steal(w *workers.Worker, ready func(*jobs.Task) bool) *jobs.Task {
+func (p *Planner) steal(w *workers.Worker) *jobs.Task {
 	looked := 0
 	for i := 0; i < len(p.plans) && looked < maxStocks; i++ {
 		s := p.plans[i]
@@ -572,7 +578,7 @@
 			s.at++
 		}
 		for _, t := range plan[s.at:] {
-			if !ready(t) {
+			if !p.ready(t, w) {
 				continue
 			}
 			// One less, and back to its place in the order.
@@ -586,27 +592,32 @@
 	return nil
 }
 
-// pick chooses an array task for a machine: what is planned for it, then what it
-// holds the image of, then the oldest whose image nobody holds, then one from
-// the fullest plan.
-func (p *Planner) pick(w *workers.Worker) (*jobs.Task, *uint64) {
+// ready says whether a machine may have a task now.
+func (p *Planner) ready(t *jobs.Task, w *workers.Worker) bool {
 	now := p.now()
-	ready := func(t *jobs.Task) bool {
-		return t.State == jobs.Waiting && t.Job.Phase == jobs.Open && now >= t.RetryAt && now >= t.Job.RetryAt &&
-			p.fits(t.Job, w) && p.may(t.Job, w) && !p.fleet.Orphan(t.Piece())
-	}
+	return t.State == jobs.Waiting && t.Job.Phase == jobs.Open && now >= t.RetryAt && now >= t.Job.RetryAt &&
+		p.fits(t.Job, w) && p.may(t.Job, w) && !p.fleet.Orphan(t.Piece())
+}
+
+// can says whether a machine may have any task of a job now.
+func (p *Planner) can(j *jobs.Job, w *workers.Worker) bool {
+	return j.Waits() > 0 && p.fits(j, w) && p.may(j, w) && p.next(j) != nil
+}
+
+// local chooses an array task for a machine without a fetch: what is planned for it,
+// then what it holds the image of.
+func (p *Planner) local(w *workers.Worker) (*jobs.Task, *uint64) {
 	if j := p.reserved[w]; j != nil {
-		if t := p.next(j); t != nil && ready(t) {
+		if t := p.next(j); t != nil && p.ready(t, w) {
 			return t, &p.Stats.Local
 		}
 		return nil, nil
 	}
 	for _, t := range w.Plan {
-		if ready(t) {
+		if p.ready(t, w) {
 			return t, &p.Stats.Planned
 		}
 	}
-	can := func(j *jobs.Job) bool { return j.Waits() > 0 && p.fits(j, w) && p.may(j, w) && p.next(j) != nil }
 	best := len(p.arrays)
 	for _, im := range w.Images() {
 		list := p.byImage[im.Bundle]
@@ -619,7 +630,7 @@
 			if i >= best {
 				break
 			}
-			if can(p.arrays[i]) {
+			if p.can(p.arrays[i], w) {
 				best = i
 			}
 		}
@@ -627,21 +638,30 @@
 	if best < len(p.arrays) {
 		return p.next(p.arrays[best]), &p.Stats.Local
 	}
+	return nil, nil
+}
+
+// pick chooses an array task for a machine: a local one, then the oldest whose image
+// nobody holds, then one from the fullest plan.
+func (p *Planner) pick(w *workers.Worker) (*jobs.Task, *uint64) {
+	if t, rule := p.local(w); t != nil || p.reserved[w] != nil {
+		return t, rule
+	}
 	for _, j := range p.unheld {
-		if can(j) {
+		if p.can(j, w) {
 			return p.next(j), &p.Stats.New
 		}
 	}
 	// Steal. Without a plan, from the waiting tasks at large.
 	if !p.asm1 {
 		for _, j := range p.arrays {
-			if can(j) {
+			if p.can(j, w) {
 				return p.next(j), &p.Stats.Stolen
 			}
 		}
 		return nil, nil
 	}
-	return p.steal(w, ready), &p.Stats.Stolen
+	return p.steal(w), &p.Stats.Stolen
 }
 
 // stranded says whether a waiting task that is in no plan, of an image that is
