Nodes vouch for a leader that dies while the state service is down, too

Nodes already vouched where the state service can't be reached; now also where it refuses, since the bound is the same.

Ruled out: answering for longer (a job cancelled before would run beyond cancel_s). Test: TestLeaderDiesInOutage.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,7 +81,7 @@
 
 	echoes vouch.Echoes
 	vouch  vouch.Voucher
-	seen   ident.Mono // when the state service last answered anything
+	seen   ident.Mono // when the state service last served this node
 
 	// Counters for the metrics.
 	Forwarded, Refused, Elections, Vouched uint64
@@ -181,10 +181,10 @@
 	c.env.After(beatEvery, c.beat)
 }
 
-// look asks the state service for anything, to see whether it is there.
+// look asks the state service for anything, to see whether it serves this node.
 func (c *Controller) look() {
 	c.env.State(statesvc.Request{Op: statesvc.Get, Path: election.LeaderKey, Timeout: commitTime}, func(r statesvc.Reply) {
-		if r.Outcome != statesvc.Lost {
+		if r.Outcome != statesvc.Lost && r.Outcome != statesvc.Refused {
 			c.seen = c.env.Now()
 		}
 	})
@@ -204,9 +204,9 @@
 	}
 }
 
-// vouched answers a worker whose leader can't be reached from here, and neither can
-// the state service: both are cut off alike, and its work goes on for as long as the
-// leader allows.
+// vouched answers a worker while neither the leader nor the state service serves this
+// node: both are cut off alike, or the leader has died and nobody can follow it. Its
+// work goes on for as long as the leader allows.
 func (c *Controller) vouched(r *api.Report) (Reply, bool) {
 	now := c.env.Now()
 	if !c.vouch.May(now, r.Epoch) || now.Sub(c.seen) < cutAfter {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -273,3 +273,38 @@
 		t.Error("no node vouched: the test shows nothing")
 	}
 }
+
+// TestLeaderDiesInOutage: with the state service down nobody can follow a leader that
+// dies; the others vouch for it, and no worker loses its lease before the service is
+// back, for as long as lease and grace last together.
+func TestLeaderDiesInOutage(t *testing.T) {
+	w := New(Config{Seed: 3, Length: 160 * time.Second})
+	vouched := uint64(0)
+	w.at(70*time.Second, func() { w.store.downUntil = w.now.Add(35 * time.Second) })
+	w.at(72*time.Second, func() {
+		for _, n := range w.nodes {
+			if n.ctl.Election().Term() > 0 {
+				n.kill(50 * time.Second)
+			}
+		}
+	})
+	w.at(104*time.Second, func() {
+		for _, n := range w.nodes {
+			if n.alive {
+				vouched += n.ctl.Vouched
+			}
+		}
+	})
+	w.Run()
+	if len(w.Broken) > 0 || len(w.Undone) > 0 {
+		t.Errorf("%v %v", w.Broken, w.Undone)
+	}
+	for _, l := range w.Log {
+		if strings.Contains(l, "lease over") {
+			t.Error(l)
+		}
+	}
+	if vouched == 0 {
+		t.Error("no node vouched: the test shows nothing")
+	}
+}
