A new leader's silent machines are found at once: all are asked, three raise the alarm

Machines that have not answered its first question were counted again in each turn, so sixteen of them kept all others from being asked.

Now a turn counts only questions that are sent, machines with replicas come first, and three of those that don't answer raise the alarm before any is late.

Tests: TestSilentMachinesTakeNoTurn, TestMute; both fail without the change.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -420,13 +420,20 @@
 		return
 	}
 	n := maxAsked
-	for _, w := range l.workers.Sorted() {
-		if w.State == workers.Up && w.Tenure == 0 && w.Misses() == 0 {
-			if n--; n < 0 {
+	for _, replicas := range []bool{true, false} { // users miss those first
+		for _, w := range l.workers.Sorted() {
+			if w.State != workers.Up || w.Tenure != 0 || w.Misses() > 0 || (w.Replicas > 0) != replicas {
+				continue
+			}
+			if n == 0 {
 				l.c.env.After(askEvery, l.ask)
 				return
 			}
-			l.workers.Probe(w)
+			// One that has not answered yet takes nobody's turn: with a rack silent,
+			// sixteen of it kept all others from being asked.
+			if l.workers.Probe(w) {
+				n--
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/controller/lead_test.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/ident"
+	"opaldale/internal/mesh"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+func TestMain(m *testing.M) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	os.Exit(m.Run())
+}
+
+// world has a state service with a fleet on record, and machines that don't answer.
+type world struct {
+	now    ident.Mono
+	timers []timer
+	keys   []statesvc.Pair
+	asked  map[string]bool
+}
+
+type timer struct {
+	at ident.Mono
+	f  func()
+}
+
+func (w *world) Now() ident.Mono                            { return w.now }
+func (w *world) WallMS() int64                              { return 0 }
+func (w *world) After(d time.Duration, f func())            { w.timers = append(w.timers, timer{w.now.Add(d), f}) }
+func (w *world) Cloud(r cloud.Request, f func(cloud.Reply)) {}
+func (w *world) Mesh(ident.NodeID, *mesh.Frame)             {}
+
+func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
+	switch r.Op {
+	case statesvc.Get:
+		if r.Path == catalogKey {
+			f(statesvc.Reply{Outcome: statesvc.OK, Value: api.JSON([]cloud.Model{{SKU: "m8", VCPUs: 8, Sites: []string{"a"}}})})
+		}
+	case statesvc.List:
+		out := statesvc.Reply{Outcome: statesvc.OK}
+		if r.Starts == fleetPrefix {
+			out.Pairs = w.keys
+		}
+		f(out)
+	}
+}
+
+func (w *world) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+	w.asked[addr] = true
+	w.After(1200*time.Millisecond, func() { f(workers.Answer{}) })
+}
+
+// pass runs what is due within d.
+func (w *world) pass(d time.Duration) {
+	for end := w.now.Add(d); ; {
+		i := -1
+		for k, t := range w.timers {
+			if t.at <= end && (i < 0 || t.at < w.timers[i].at) {
+				i = k
+			}
+		}
+		if i < 0 {
+			w.now = end
+			return
+		}
+		t := w.timers[i]
+		w.timers = slices.Delete(w.timers, i, i+1)
+		w.now = max(w.now, t.at)
+		t.f()
+	}
+}
+
+// TestSilentMachinesTakeNoTurn: a new leader asks every machine within the time that
+// its pace needs, though none of the first sixteen answers. They once were counted
+// again in each turn until their time was over, and nobody else was asked.
+func TestSilentMachinesTakeNoTurn(t *testing.T) {
+	w := &world{now: ident.Mono(time.Hour), asked: map[string]bool{}}
+	var g groupRecord
+	g.Model, g.Site = "m8", "a"
+	const machines = 3 * maxAsked
+	for i := range machines {
+		g.Hosts = append(g.Hosts, machineRecord{Host: ident.HostID(fmt.Sprintf("host-%06d", i)), Addr: fmt.Sprint("addr-", i)})
+	}
+	b, err := json.Marshal(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.keys = []statesvc.Pair{{Path: fleetPrefix + "1-1", Value: b, Stamp: 3}}
+	c := New(w, &settings.Settings{Node: "agent-0", Tuning: settings.DefaultTuning(), Cluster: settings.Cluster{
+		Workers: settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 61}, State: settings.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
+		Cloud: settings.Cloud{RPS: 5}}}, rand.New(rand.NewPCG(1, 2)))
+	c.Lead(2, statesvc.Cond{Path: "leader", Stamp: 9})
+	w.pass(4 * askEvery)
+	if len(w.asked) != machines {
+		t.Errorf("%d of %d machines were asked", len(w.asked), machines)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -224,6 +224,10 @@
 	// surelySilent is how long a machine with replicas must be quiet, beside two
 	// commands without an answer.
 	surelySilent = 3500 * time.Millisecond
+	// mute is how many machines with replicas that don't answer have all others asked,
+	// though none of them is late: a new leader asks machines before their reports are
+	// due. (It took 8 s for them to be late, and 13 s until a cut rack was fenced.)
+	mute = 3
 )
 
 // probe asks up to so many machines for their state, and returns how many.
@@ -313,7 +317,7 @@
 	t := m.cfg.Tuning
 	var silent []*workers.Worker
 	var urgent, early []*workers.Worker
-	up := 0
+	up, mutes := 0, 0
 	m.zonesCut(now)
 	for _, w := range m.machine.Sorted() {
 		if m.cut[w.Site] && (w.State == workers.Up || w.State == workers.Silent) {
@@ -333,12 +337,14 @@
 			if w.Replicas > 0 {
 				// Users miss replicas at once: don't wait for reports to fail.
 				limit = min(m.silent/2, surelySilent)
+				if w.Misses() > 0 {
+					mutes++
+					if quiet > m.missed {
+						mutes += mute // one that is late as well is enough
+					}
+				}
 				switch {
 				case quiet > m.missed:
-					if w.Misses() > 0 && now.Sub(m.alarm) > alarmTime {
-						slog.Info("a machine is late and doesn't answer", "host", string(w.Host))
-						m.alarm = now
-					}
 					urgent = append(urgent, w)
 				case now.Sub(m.alarm) < alarmTime && w.Heard() < m.alarm:
 					urgent = append(urgent, w)
@@ -380,6 +386,10 @@
 			}
 		}
 	}
+	if mutes >= mute && now.Sub(m.alarm) > alarmTime {
+		slog.Info("machines with replicas don't answer", "mutes", mutes)
+		m.alarm = now
+	}
 	n := m.probe(urgent, maxUrgent)
 	m.probe(early, maxProbes-n)
 	// Most machines silent at once: rather we are cut off than they. But if a
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -399,3 +399,41 @@
 		}
 	}
 }
+
+// TestMute: of many machines with replicas, the silent ones are found soon after a
+// few of them have not answered, though no report is due yet, as after an election.
+func TestMute(t *testing.T) {
+	r := newRig()
+	r.m.missed, r.m.silent = 10*time.Second, 18*time.Second
+	const machines, dead = 300, 30
+	r.up(machines)
+	r.dead, r.serial = map[string]bool{}, 100
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: machines, VCPUs: 1}, func() {}, nil)
+	r.commits.Flush()
+	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
+		if w := r.table.Workers[task.Host]; to.Held() && !from.Held() {
+			r.table.Hold(w, task)
+		} else if !to.Held() && from.Held() {
+			r.table.Release(w, task)
+		}
+	}
+	for i, w := range r.table.Sorted() {
+		w.Addr = string(w.Host)
+		r.dead[w.Addr] = i%(machines/dead) == 0
+		r.jobs.Place(&j.Tasks[i], w.Host, 1, func() {})
+	}
+	r.commits.Flush()
+	r.pass(9*time.Second, r.m)
+	gone := 0
+	for _, w := range r.table.Sorted() {
+		if w.State == workers.Gone {
+			gone++
+			if !r.dead[w.Addr] {
+				t.Errorf("%s answers, and was fenced", w.Host)
+			}
+		}
+	}
+	if gone != dead {
+		t.Errorf("%d of %d machines are fenced after 9 s", gone, dead)
+	}
+}
