Read once more: machines with tasks are asked after an election too; paced questions

Machines with tasks on record were never asked by a new leader: their session is known from the placement, which counted as having been heard. A leader that suspects itself asks one machine in 0.1 s, and counts only those heard of in its term, else two successors of a dead fleet could resign in turns.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -53,6 +53,7 @@
 	ledger  *vouch.Ledger
 	direct  ident.Mono               // when a machine last reached this node, or it one
 	missing map[*workers.Worker]bool // alive as a sibling hears, but not reached from here since
+	probed  ident.Mono               // when one of them was last asked
 }
 
 const (
@@ -74,6 +75,8 @@
 	directAfter = 2 * time.Second
 	// unreached is how many machines that siblings hear must be out of its reach.
 	unreached = 3
+	// probeEvery paces the questions that find them.
+	probeEvery = 100 * time.Millisecond
 )
 
 func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
@@ -422,7 +425,7 @@
 	n := maxAsked
 	for _, replicas := range []bool{true, false} { // users miss those first
 		for _, w := range l.workers.Sorted() {
-			if w.State != workers.Up || w.Tenure != 0 || w.Misses() > 0 || (w.Replicas > 0) != replicas {
+			if w.State != workers.Up || w.Reported() || w.Misses() > 0 || (w.Replicas > 0) != replicas {
 				continue
 			}
 			if n == 0 {
@@ -621,8 +624,10 @@
 	switch {
 	case direct:
 		l.contact()
-	case w != nil && now.Sub(l.direct) > directAfter && len(l.missing) < unreached:
-		l.workers.Probe(w)
+	case w != nil && now.Sub(l.direct) > directAfter && now.Sub(l.probed) > probeEvery:
+		if l.workers.Probe(w) {
+			l.probed = now
+		}
 	}
 }
 
@@ -643,7 +648,7 @@
 		l.contact()
 		return
 	}
-	if now.Sub(l.direct) < directAfter || now.Sub(w.Heard()) > 2*directAfter {
+	if now.Sub(l.direct) < directAfter || !w.Reported() || now.Sub(w.Heard()) > 2*directAfter {
 		return
 	}
 	if l.missing[w] = true; len(l.missing) >= unreached && l.c.elect.Valid() {
--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,8 +53,10 @@
 		}
 	case statesvc.List:
 		out := statesvc.Reply{Outcome: statesvc.OK}
-		if r.Starts == fleetPrefix {
-			out.Pairs = w.keys
+		for _, p := range w.keys {
+			if strings.HasPrefix(p.Path, r.Starts) {
+				out.Pairs = append(out.Pairs, p)
+			}
 		}
 		f(out)
 	}
@@ -85,8 +88,10 @@
 }
 
 // TestSilentMachinesTakeNoTurn: a new leader asks every machine within the time that
-// its pace needs, though none of the first sixteen answers. They once were counted
-// again in each turn until their time was over, and nobody else was asked.
+// its pace needs, though none of the first sixteen answers, and one with tasks on record
+// as well. The silent ones once were counted again in each turn until their time was
+// over, and nobody else was asked; those with tasks never were, for their sessions are
+// on record.
 func TestSilentMachinesTakeNoTurn(t *testing.T) {
 	w := &world{now: ident.Mono(time.Hour), asked: map[string]bool{}}
 	var g groupRecord
@@ -100,6 +105,8 @@
 		t.Fatal(err)
 	}
 	w.keys = []statesvc.Pair{{Path: fleetPrefix + "1-1", Value: b, Stamp: 3}}
+	job := `{"spec":{"id":"j-1","desk":"red","shape":"service","pieces":1,"vcpus":1},"seq":1,"phase":"open","tasks":[{"t":1,"h":"host-000007","n":1}]}`
+	w.keys = append(w.keys, statesvc.Pair{Path: "live/j-1", Value: json.RawMessage(job), Stamp: 4})
 	c := New(w, &settings.Settings{Node: "agent-0", Tuning: settings.DefaultTuning(), Cluster: settings.Cluster{
 		Workers: settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 61}, State: settings.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16},
 		Cloud: settings.Cloud{RPS: 5}}}, rand.New(rand.NewPCG(1, 2)))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -106,6 +106,17 @@
 	return r
 }
 
+// follow counts tasks on their machines as they come and go.
+func (r *rig) follow() {
+	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
+		if w := r.table.Workers[task.Host]; to.Held() && !from.Held() {
+			r.table.Hold(w, task)
+		} else if !to.Held() && from.Held() {
+			r.table.Release(w, task)
+		}
+	}
+}
+
 func (r *rig) up(n int) {
 	for i := range n {
 		w := r.table.Add(ident.HostID(fmt.Sprintf("host-%06d", i)), "m8", "east", false, r.now)
@@ -213,13 +224,7 @@
 	w := r.table.Workers["host-000000"]
 	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 1}, func() {}, nil)
 	r.commits.Flush()
-	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
-		if to.Held() {
-			r.table.Hold(w, task)
-		} else {
-			r.table.Release(w, task)
-		}
-	}
+	r.follow()
 	r.jobs.Place(&j.Tasks[0], w.Host, 1, func() {})
 	r.commits.Flush()
 	r.pass(25*time.Second, r.m)
@@ -309,13 +314,7 @@
 	r.dead, r.serial = map[string]bool{}, 100
 	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 40, VCPUs: 1}, func() {}, nil)
 	r.commits.Flush()
-	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
-		if w := r.table.Workers[task.Host]; to.Held() && !from.Held() {
-			r.table.Hold(w, task)
-		} else if !to.Held() && from.Held() {
-			r.table.Release(w, task)
-		}
-	}
+	r.follow()
 	for i, w := range r.table.Sorted() {
 		w.Addr = string(w.Host)
 		r.dead[w.Addr] = i < 8
@@ -360,13 +359,7 @@
 		lost := r.table.Workers["host-000000"]
 		j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 1}, func() {}, nil)
 		r.commits.Flush()
-		r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
-			if to.Held() && !from.Held() {
-				r.table.Hold(lost, task)
-			} else if !to.Held() && from.Held() {
-				r.table.Release(lost, task)
-			}
-		}
+		r.follow()
 		r.jobs.Place(&j.Tasks[0], lost.Host, 1, func() {})
 		r.commits.Flush()
 		serial := ident.Serial(1)
@@ -410,13 +403,7 @@
 	r.dead, r.serial = map[string]bool{}, 100
 	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: machines, VCPUs: 1}, func() {}, nil)
 	r.commits.Flush()
-	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
-		if w := r.table.Workers[task.Host]; to.Held() && !from.Held() {
-			r.table.Hold(w, task)
-		} else if !to.Held() && from.Held() {
-			r.table.Release(w, task)
-		}
-	}
+	r.follow()
 	for i, w := range r.table.Sorted() {
 		w.Addr = string(w.Host)
 		r.dead[w.Addr] = i%(machines/dead) == 0
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -75,6 +75,16 @@
 	return nil
 }
 
+// keptLeases checks that no worker lost its lease.
+func keptLeases(t *testing.T, w *World) {
+	t.Helper()
+	for _, l := range w.Log {
+		if strings.Contains(l, "lease over") {
+			t.Errorf("seed %d: %s", w.cfg.Seed, l)
+		}
+	}
+}
+
 // TestLeaderCutOff: a leader that only the state service hears keeps its lease;
 // it must leave the lead to a node that users and machines can reach.
 func TestLeaderCutOff(t *testing.T) {
@@ -188,11 +198,7 @@
 	if len(w.Broken) > 0 || len(w.Undone) > 0 {
 		t.Errorf("%v %v", w.Broken, w.Undone)
 	}
-	for _, l := range w.Log {
-		if strings.Contains(l, "lease over") {
-			t.Error(l)
-		}
-	}
+	keptLeases(t, w)
 }
 
 // TestLeaderWithoutWorkers: a leader that loses the workers alone leaves the lead to
@@ -263,11 +269,7 @@
 		if inside == 0 {
 			t.Errorf("seed %d: no work inside", seed)
 		}
-		for _, l := range w.Log {
-			if strings.Contains(l, "lease over") {
-				t.Errorf("seed %d: %s", seed, l)
-			}
-		}
+		keptLeases(t, w)
 	}
 	if vouched == 0 {
 		t.Error("no node vouched: the test shows nothing")
@@ -299,11 +301,7 @@
 	if len(w.Broken) > 0 || len(w.Undone) > 0 {
 		t.Errorf("%v %v", w.Broken, w.Undone)
 	}
-	for _, l := range w.Log {
-		if strings.Contains(l, "lease over") {
-			t.Error(l)
-		}
-	}
+	keptLeases(t, w)
 	if vouched == 0 {
 		t.Error("no node vouched: the test shows nothing")
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -189,6 +189,9 @@
 // worker last showed that it hears us.
 func (w *Worker) Misses() int { return w.misses }
 
+// Reported says whether the worker was heard of in this term.
+func (w *Worker) Reported() bool { return w.serial > 0 }
+
 // Heard returns when the worker was last heard of.
 func (w *Worker) Heard() ident.Mono { return w.heard }
 
