Stand-in: controllers that stand still for up to 45 s while their clocks run on

Timers, answers and requests of a frozen node wait and come in their order when it goes on. TestLeaderFreezes: a sibling leads within 6 s, the woken node never thinks that it leads, no lease is lost.

--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -320,11 +320,32 @@
 	ctl   *controller.Controller
 	life  int // counts the processes
 	alive bool
+	still ident.Mono // its process stands still until then, though its clocks run on
+}
+
+// freeze has the node's process stand still.
+func (n *node) freeze(d time.Duration) {
+	n.w.logf("%s stands still for %v", n.name, d)
+	n.still = max(n.still, n.w.now.Add(d))
+}
+
+// when runs f in the process of that life once it doesn't stand still: what comes
+// meanwhile waits, in its order.
+func (n *node) when(life int, f func()) {
+	switch {
+	case !n.alive || n.life != life:
+	case n.w.now < n.still:
+		n.w.at(n.still.Sub(n.w.now), func() { n.when(life, f) })
+	default:
+		f()
+		n.ctl.Settle()
+	}
 }
 
 func (n *node) start() {
 	n.life++
 	n.alive = true
+	n.still = 0
 	set := &settings.Settings{Node: ident.NodeID(n.name), Zone: n.zone, Cluster: n.w.set, Tuning: settings.DefaultTuning()}
 	if n.w.cfg.Mutation == NoMaxWait {
 		set.Tuning.MaxWait = 24 * time.Hour
@@ -375,12 +396,7 @@
 
 // in runs f if the process still lives.
 func (e *nodeEnv) in(f func()) func() {
-	return func() {
-		if e.n.alive && e.n.life == e.life {
-			f()
-			e.n.ctl.Settle()
-		}
-	}
+	return func() { e.n.when(e.life, f) }
 }
 
 func (e *nodeEnv) After(d time.Duration, f func()) {
@@ -455,10 +471,7 @@
 		}
 		life := o.life
 		w.deliver(e.n.name, o.name, func() {
-			if o.alive && o.life == life {
-				o.ctl.Frame(ident.NodeID(e.n.name), g)
-				o.ctl.Settle()
-			}
+			o.when(life, func() { o.ctl.Frame(ident.NodeID(e.n.name), g) })
 		})
 	}
 }
@@ -471,11 +484,7 @@
 	}
 	life := n.life
 	w.call(from, n.name, limit, func(reply func(any)) {
-		if !n.alive || n.life != life {
-			return
-		}
-		n.ctl.Request(v, job, body, func(r controller.Reply) { reply(&r) })
-		n.ctl.Settle()
+		n.when(life, func() { n.ctl.Request(v, job, body, func(r controller.Reply) { reply(&r) }) })
 	}, func(a any) {
 		if a == nil {
 			done(nil)
@@ -503,7 +512,7 @@
 		back = 200 * time.Millisecond
 	}
 	k := w.anyWorker()
-	switch w.rng.IntN(19) {
+	switch w.rng.IntN(20) {
 	case 0, 1:
 		n.kill(back)
 	case 2:
@@ -559,6 +568,8 @@
 		if k != nil {
 			k.restart()
 		}
+	case 19:
+		n.freeze(sec(3, 45))
 	case 18:
 		w.cutZone(w.set.Zones[w.rng.IntN(2)], hold, sec(5, 60))
 	}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -306,3 +306,33 @@
 		t.Error("no node vouched: the test shows nothing")
 	}
 }
+
+// TestLeaderFreezes: a leader that stands still wakes with its lease over: it launches
+// nothing, a sibling has led meanwhile, and no machine is fenced for what it missed.
+func TestLeaderFreezes(t *testing.T) {
+	for seed := range uint64(6) {
+		w := New(Config{Seed: seed, Length: 160 * time.Second})
+		var old *node
+		w.at(70*time.Second, func() {
+			old = leading(w)
+			old.freeze(42 * time.Second)
+		})
+		w.at(76*time.Second, func() {
+			if n := leading(w); n == nil || n == old {
+				t.Errorf("seed %d: nobody else leads 6 s after the leader froze", seed)
+			}
+		})
+		for ms := 112_000; ms < 114_000; ms += 10 {
+			w.at(time.Duration(ms)*time.Millisecond+time.Microsecond, func() {
+				if old.ctl.Election().Valid() {
+					t.Errorf("seed %d: the woken node thinks that it leads", seed)
+				}
+			})
+		}
+		w.Run()
+		if len(w.Broken) > 0 || len(w.Undone) > 0 {
+			t.Errorf("seed %d: %v %v", seed, w.Broken, w.Undone)
+		}
+		keptLeases(t, w)
+	}
+}
