Tests: one fleet of replicas, and one check of what is fenced, for two of them

Read once more: TestRackGone and TestMute built the same fleet and counted the same. The program is unchanged.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -305,22 +305,46 @@
 	}
 }
 
-// TestRackGone: machines that go together are found together, though the reports of
-// most of them are not due yet; the others are only asked.
-func TestRackGone(t *testing.T) {
+// newReplicas has machines with a replica on each, some of which answer nothing.
+func newReplicas(machines int, dead func(i int) bool) *rig {
 	r := newRig()
 	r.m.missed, r.m.silent = 10*time.Second, 18*time.Second
-	r.up(40)
+	r.up(machines)
 	r.dead, r.serial = map[string]bool{}, 100
-	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 40, VCPUs: 1}, func() {}, nil)
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: machines, VCPUs: 1}, func() {}, nil)
 	r.commits.Flush()
 	r.follow()
 	for i, w := range r.table.Sorted() {
 		w.Addr = string(w.Host)
-		r.dead[w.Addr] = i < 8
+		r.dead[w.Addr] = dead(i)
 		r.jobs.Place(&j.Tasks[i], w.Host, 1, func() {})
 	}
 	r.commits.Flush()
+	return r
+}
+
+// onlyDeadFenced checks that all machines that answer nothing are gone, and no other.
+func (r *rig) onlyDeadFenced(t *testing.T, dead int) {
+	t.Helper()
+	gone := 0
+	for _, w := range r.table.Sorted() {
+		if w.State == workers.Gone {
+			gone++
+			if !r.dead[w.Addr] {
+				t.Errorf("%s answers, and was fenced", w.Host)
+			}
+		}
+	}
+	if gone != dead {
+		t.Errorf("%d of %d machines are fenced", gone, dead)
+	}
+}
+
+// TestRackGone: machines that go together are found together, though the reports of
+// most of them are not due yet; the others are only asked.
+func TestRackGone(t *testing.T) {
+	const dead = 8
+	r := newReplicas(40, func(i int) bool { return i < dead })
 	// They reported at different times; the first was due just before it went.
 	for n := 1; n < 40; n++ {
 		r.now = r.now.Add(200 * time.Millisecond)
@@ -329,18 +353,7 @@
 	}
 	r.m.Tick()
 	r.pass(9*time.Second, r.m)
-	gone := 0
-	for i, w := range r.table.Sorted() {
-		if w.State == workers.Gone {
-			gone++
-			if i >= 8 {
-				t.Errorf("machine %d answers, and was fenced", i)
-			}
-		}
-	}
-	if gone != 8 {
-		t.Errorf("%d of 8 machines are fenced", gone)
-	}
+	r.onlyDeadFenced(t, dead)
 }
 
 // TestZoneCut: machines of a zone from which no sibling is heard either are not
@@ -396,31 +409,8 @@
 // TestMute: of many machines with replicas, the silent ones are found soon after a
 // few of them have not answered, though no report is due yet, as after an election.
 func TestMute(t *testing.T) {
-	r := newRig()
-	r.m.missed, r.m.silent = 10*time.Second, 18*time.Second
 	const machines, dead = 300, 30
-	r.up(machines)
-	r.dead, r.serial = map[string]bool{}, 100
-	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: machines, VCPUs: 1}, func() {}, nil)
-	r.commits.Flush()
-	r.follow()
-	for i, w := range r.table.Sorted() {
-		w.Addr = string(w.Host)
-		r.dead[w.Addr] = i%(machines/dead) == 0
-		r.jobs.Place(&j.Tasks[i], w.Host, 1, func() {})
-	}
-	r.commits.Flush()
+	r := newReplicas(machines, func(i int) bool { return i%(machines/dead) == 0 })
 	r.pass(9*time.Second, r.m)
-	gone := 0
-	for _, w := range r.table.Sorted() {
-		if w.State == workers.Gone {
-			gone++
-			if !r.dead[w.Addr] {
-				t.Errorf("%s answers, and was fenced", w.Host)
-			}
-		}
-	}
-	if gone != dead {
-		t.Errorf("%d of %d machines are fenced after 9 s", gone, dead)
-	}
+	r.onlyDeadFenced(t, dead)
 }
