--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -25,6 +25,7 @@
 const (
 	Batch   Shape = "batch"
 	Service Shape = "service"
+	Gang    Shape = "gang" // all tasks run at the same time, or none does
 )
 
 // Rank is a job's priority.
@@ -112,7 +113,7 @@
 	if _, err := ident.ParseJobID(string(s.ID)); err != nil {
 		return &FieldError{"id", "not in the form j-000412"}
 	}
-	if s.Shape != Batch && s.Shape != Service {
+	if s.Shape != Batch && s.Shape != Service && s.Shape != Gang {
 		return &FieldError{"shape", "unknown"}
 	}
 	switch s.Rank {
@@ -150,7 +151,7 @@
 }
 
 // Saves says whether a task of the job can keep its progress when stopped.
-func (s *Spec) Saves() bool { return s.SnapshotEveryS > 0 && s.Shape == Batch }
+func (s *Spec) Saves() bool { return s.SnapshotEveryS > 0 && s.Shape != Service }
 
 // View is the answer to a user about a job.
 type View struct {
@@ -176,10 +177,11 @@
 
 // The states that workers report.
 const (
-	Pulling  PieceStatus = "pulling"
-	Running  PieceStatus = "running"
-	Flushing PieceStatus = "flushing"
-	Ended    PieceStatus = "ended"
+	Pulling   PieceStatus = "pulling"
+	Gathering PieceStatus = "gathering" // of a gang: has its image, waits for the others
+	Running   PieceStatus = "running"
+	Flushing  PieceStatus = "flushing"
+	Ended     PieceStatus = "ended"
 )
 
 // Cause says why a task ended.
@@ -187,12 +189,14 @@
 
 // The causes that workers report.
 const (
-	CauseDone    Cause = "done"
-	CauseStopped Cause = "stopped"
-	CauseError   Cause = "error"
-	CauseFull    Cause = "full"
-	CauseBusy    Cause = "busy"
-	CauseUnknown Cause = "unknown"
+	CauseDone       Cause = "done"
+	CauseStopped    Cause = "stopped"
+	CauseError      Cause = "error"
+	CauseFull       Cause = "full"
+	CauseBusy       Cause = "busy"
+	CauseUnknown    Cause = "unknown"
+	CauseMates      Cause = "mates_gone" // of a gang: another task is gone
+	CauseIncomplete Cause = "incomplete" // of a gang: the others did not come in time
 )
 
 // PieceReport is one task in a worker's report.
@@ -235,11 +239,9 @@
 		return nil, &FieldError{"model", "model or site missing"}
 	}
 	for _, p := range r.Pieces {
-		switch p.Status {
-		case Pulling, Running, Flushing, Ended:
-		default:
-			// An unknown state may be one in which the task holds its room.
-			return nil, &FieldError{"pieces", "unknown status"}
+		// A state that is unknown here is taken for one in which the task holds its room.
+		if p.Status == "" {
+			return nil, &FieldError{"pieces", "status missing"}
 		}
 	}
 	return &r, nil
--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -211,6 +211,7 @@
 	home  *Doc
 	n     int
 	value int
+	pin   Pin
 }
 
 type partLine struct {
@@ -219,6 +220,10 @@
 
 func (p *part) Line() any  { return partLine{int(p.home.Path[2] - '0'), p.n, p.value} }
 func (p *part) Home() *Doc { return p.home }
+func (p *part) Pin() *Pin  { return &p.pin }
+func (p *part) Text() (group, line string) {
+	return p.home.Path, fmt.Sprint(p.n, ",", p.value)
+}
 
 // TestLog: what is durable of a document's parts is what the document, as last
 // put, and the records of the log after it say together, however requests get
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"opaldale/internal/mesh"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
+	"opaldale/internal/upgrade"
 	"opaldale/internal/vouch"
 	"opaldale/internal/workers"
 )
@@ -71,7 +72,8 @@
 	set   *settings.Settings
 	rng   *rand.Rand
 	elect *election.Machine
-	lead  *lead // nil while not leading
+	lead  *lead       // nil while not leading
+	level ident.Level // in force, as far as this node knows
 	grace time.Duration
 
 	peers map[ident.NodeID]*peer
@@ -140,6 +142,7 @@
 func (c *Controller) Start() {
 	c.elect.Start()
 	c.beat()
+	upgrade.Announce(c.env, c.rng, c.set.Node)
 }
 
 // Settle is called after every event, when all its consequences are in the
@@ -184,7 +187,7 @@
 // look asks the state service for anything, to see whether it serves this node.
 func (c *Controller) look() {
 	c.env.State(statesvc.Request{Op: statesvc.Get, Path: election.LeaderKey, Timeout: commitTime}, func(r statesvc.Reply) {
-		if r.Outcome != statesvc.Lost && r.Outcome != statesvc.Refused {
+		if r.Outcome != statesvc.Lost && r.Outcome != statesvc.Refused && r.Outcome != statesvc.Limited {
 			c.seen = c.env.Now()
 		}
 	})
@@ -218,9 +221,10 @@
 }
 
 // Lead begins a term.
-func (c *Controller) Lead(t ident.Term, key statesvc.Cond) {
+func (c *Controller) Lead(t ident.Term, l ident.Level, key statesvc.Cond) {
 	c.Elections++
-	c.lead = newLead(c, t, key)
+	c.level = max(c.level, l)
+	c.lead = newLead(c, t, l, key)
 	c.lead.load()
 }
 
@@ -306,10 +310,16 @@
 	up := known && c.reachable(to)
 	switch v {
 	case mesh.Submit:
-		if _, err := api.ParseSpec(body); err != nil {
+		s, err := api.ParseSpec(body)
+		if err != nil {
 			reply(problem(http.StatusBadRequest, err.Error()))
 			return
 		}
+		if s.Shape == api.Gang && c.level < ident.Packed {
+			// A leader of an earlier version would call it malformed.
+			c.learn(func() { c.pass(to, up, v, job, body, reply) }, reply)
+			return
+		}
 	case mesh.Poll:
 		if !up {
 			c.read(job, reply)
@@ -344,6 +354,28 @@
 			return
 		}
 	}
+	c.pass(to, up, v, job, body, reply)
+}
+
+// learn reads the format level; then is called if gangs may be passed on.
+func (c *Controller) learn(then func(), reply func(Reply)) {
+	c.env.State(statesvc.Request{Op: statesvc.Get, Path: election.TermKey, Timeout: commitTime}, func(r statesvc.Reply) {
+		if r.Outcome == statesvc.OK {
+			if _, l, err := election.ReadTerm(r.Value); err == nil {
+				c.level = max(c.level, l)
+			}
+		}
+		if c.level < ident.Packed {
+			c.Refused++
+			reply(unavailable("some nodes may run an earlier version"))
+			return
+		}
+		then()
+	})
+}
+
+// pass hands a request to the leader.
+func (c *Controller) pass(to ident.NodeID, up bool, v mesh.Verb, job string, body []byte, reply func(Reply)) {
 	if !up {
 		c.Refused++
 		reply(unavailable("no leader at present"))
@@ -484,7 +516,7 @@
 	Jobs, Held, Waiting         int
 	Machines                    map[string]int
 	Planned, Local, New, Stolen uint64
-	Services, Preempted         uint64
+	Services, Gangs, Preempted  uint64
 	Rounds, ExtraRounds         uint64
 	FetchedGB, PlanSeconds      float64
 	Rented, Returned, Fenced    uint64
@@ -492,12 +524,16 @@
 	Relocated, Fences, Stale    uint64
 	Forwarded, Refused, Elected uint64
 	Vouched                     uint64
+	Level                       uint8
+	Rejected                    uint64
+	GangsStarted, GangsLost     uint64
+	GangsReplaced, GangsStopped uint64
 }
 
 // Snapshot reads the node's counters.
 func (c *Controller) Snapshot() Snapshot {
 	s := Snapshot{Leading: c.lead != nil, Valid: c.elect.Valid(), Term: uint64(c.elect.Term()), Machines: map[string]int{},
-		Forwarded: c.Forwarded, Refused: c.Refused, Elected: c.Elections, Vouched: c.Vouched}
+		Forwarded: c.Forwarded, Refused: c.Refused, Elected: c.Elections, Vouched: c.Vouched, Level: uint8(c.level)}
 	l := c.lead
 	if l == nil || !l.ready {
 		return s
@@ -512,10 +548,12 @@
 	}
 	p := l.planner.Stats
 	s.Planned, s.Local, s.New, s.Stolen = p.Planned, p.Local, p.New, p.Stolen
-	s.Services, s.Preempted, s.Rounds, s.ExtraRounds = p.Services, p.Preempted, p.Rounds, p.Extra
+	s.Services, s.Gangs, s.Preempted, s.Rounds, s.ExtraRounds = p.Services, p.Gangs, p.Preempted, p.Rounds, p.Extra
 	s.FetchedGB, s.PlanSeconds = p.FetchedGB, p.Took.Seconds()
 	s.Rented, s.Returned, s.Fenced = l.fleet.Rented, l.fleet.Returned, l.fleet.Fenced
 	s.Txns, s.Puts, s.Repeats = l.commits.Txns, l.commits.Puts, l.commits.Repeats
+	s.Rejected = l.commits.Rejected
+	s.GangsStarted, s.GangsLost, s.GangsReplaced, s.GangsStopped = l.gangs.Started, l.gangs.Lost, l.gangs.Replaced, l.gangs.Stopped
 	s.Relocated, s.Fences, s.Stale = l.workers.Relocated, l.workers.Fences, l.workers.Stale
 	return s
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -13,11 +14,13 @@
 	"opaldale/internal/cloud"
 	"opaldale/internal/commit"
 	"opaldale/internal/fleet"
+	"opaldale/internal/gang"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/placement"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
+	"opaldale/internal/upgrade"
 	"opaldale/internal/vouch"
 	"opaldale/internal/workers"
 )
@@ -33,11 +36,20 @@
 	planner *placement.Planner
 	fleet   *fleet.Manager
 
+	gangs  *gang.Table
+	raiser *upgrade.Raiser
+
 	models  []cloud.Model
 	kinds   map[string]*cloud.Model
-	catalog *commit.Doc
+	catalog *commit.Doc   // below ident.Packed
+	types   []*commit.Doc // from it on: one for each machine type
+
+	level      ident.Level // the format that is written
+	valueBytes int         // of a value, at any time
+	converted  ident.Mono  // no look for jobs in the old form before
 
 	groups    map[kindOf]*workers.Group // that new machines go into
+	older     []*workers.Group          // loaded, in the form of before
 	lastGroup int
 
 	ready  bool
@@ -59,6 +71,10 @@
 const (
 	fleetPrefix = "fleet/"
 	catalogKey  = "catalog"
+	typesPrefix = "types/"
+	// convertBatch bounds the jobs that a tick begins to move to the newest form.
+	convertBatch = 4
+	convertAgain = 5 * time.Second
 	// writeShare and opsShare leave room for lease renewals and elections.
 	writeShare   = 0.85
 	maxBacklog   = 400
@@ -70,6 +86,8 @@
 	// dispatchEvery lets what comes in short order be placed together.
 	dispatchEvery = 30 * time.Millisecond
 	aloneAfter    = 2500 * time.Millisecond
+	// maxMute bounds the machines that a leader asks at a time whether it is alone.
+	maxMute = 4
 	// directAfter is how long a leader may go without reaching a machine, or one
 	// reaching it, before it suspects itself.
 	directAfter = 2 * time.Second
@@ -79,15 +97,29 @@
 	probeEvery = 100 * time.Millisecond
 )
 
-func newLead(c *Controller, t ident.Term, key statesvc.Cond) *lead {
-	l := &lead{c: c, term: t, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){},
+func newLead(c *Controller, t ident.Term, level ident.Level, key statesvc.Cond) *lead {
+	l := &lead{c: c, term: t, level: level, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){},
 		ledger: vouch.NewLedger(c.grace), direct: c.env.Now(), missing: map[*workers.Worker]bool{}}
 	st := c.set.Cluster.State
-	valueBytes := int(st.ValueKB * 1024)
-	l.commits = commit.New(c.env, commit.Limits{Ops: st.TxnOps, PerSecond: writeShare * st.WriteRPS, ValueBytes: valueBytes},
-		key, func(why string) { c.elect.Deposed(why) })
+	limits := func(s settings.State) commit.Limits {
+		return commit.Limits{Ops: s.TxnOps, PerSecond: writeShare * s.WriteRPS, ValueBytes: int(s.ValueKB * 1024)}
+	}
+	tight := limits(st.Tight())
+	l.valueBytes = tight.ValueBytes
+	l.commits = commit.New(c.env, limits(st), key, func(why string) { c.elect.Deposed(why) })
+	l.commits.Expect(tight)
 	l.commits.OnDown = l.refusePending
-	l.jobs = jobs.NewTable(l.commits, valueBytes, c.env.Now, c.env.WallMS)
+	l.jobs = jobs.NewTable(l.commits, limits(st).ValueBytes, c.env.Now, c.env.WallMS)
+	l.jobs.Expect(l.valueBytes)
+	if level >= ident.Packed {
+		l.commits.Pack()
+		l.jobs.Pack()
+	}
+	nodes := []ident.NodeID{c.set.Node}
+	for _, s := range c.set.Siblings {
+		nodes = append(nodes, s.Node)
+	}
+	l.raiser = upgrade.New(c.env, t, key, nodes, l.commits.Mark, l.pack)
 	l.teams = placement.NewTeams(c.set.Cluster.Teams)
 	w := c.set.Cluster.Workers
 	l.workers = workers.NewTable(c.env, l.jobs, workers.Config{
@@ -114,6 +146,8 @@
 		Drain:   l.drain,
 		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
 	})
+	l.gangs = gang.NewTable(l.jobs, l.workers, c.env.Now, func() bool { return !l.dead && c.elect.Valid() },
+		gang.Config{Wait: settings.Seconds(w.GangWaitS), Peer: settings.Seconds(w.GangPeerS), Report: settings.Seconds(w.ReportS)})
 	l.jobs.OnMove = l.move
 	l.jobs.OnWaiting = func(*jobs.Task) { l.dirty = true }
 	return l
@@ -124,9 +158,23 @@
 	l.commits.Stop()
 	l.workers.Close()
 	l.fleet.Close()
+	l.raiser.Close()
 	l.refusePending()
 }
 
+// pack goes over to the format of ident.Packed, now that it is in force.
+func (l *lead) pack() {
+	if l.dead {
+		return
+	}
+	l.level = ident.Packed
+	l.c.level = max(l.c.level, l.level)
+	l.commits.Pack()
+	l.jobs.Pack()
+	l.fitGroups()
+	l.storeCatalog()
+}
+
 // refusePending answers those who wait for a state service that doesn't answer:
 // they are not kept waiting for it.
 func (l *lead) refusePending() {
@@ -168,16 +216,19 @@
 		if left--; left > 0 {
 			return
 		}
+		var faults []error
 		for _, p := range machines {
-			l.restoreGroup(p)
+			faults = append(faults, l.restoreGroup(p))
 		}
 		for _, p := range live {
-			if err := l.jobs.Load(p.Path, p.Value, p.Stamp); err != nil {
-				slog.Error("unreadable record", "err", err)
-			}
+			faults = append(faults, l.jobs.Load(p.Path, p.Value, p.Stamp))
 		}
-		if err := l.jobs.LoadLog(log); err != nil {
+		faults = append(faults, l.jobs.LoadLog(log))
+		if err := errors.Join(faults...); err != nil {
+			// On half a state a leader would forget jobs, or start tasks that run.
 			slog.Error("unreadable record", "err", err)
+			l.c.elect.Resign(restAfter, "unreadable record")
+			return
 		}
 		slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
 			"took_ms", l.c.env.Now().Sub(began).Milliseconds())
@@ -190,18 +241,7 @@
 }
 
 func (l *lead) readAll(prefix, since string, into *[]statesvc.Pair, done func()) {
-	l.c.env.State(statesvc.Request{Op: statesvc.List, Starts: prefix, Since: since, Timeout: loadTime}, func(r statesvc.Reply) {
-		if l.dead {
-			return
-		}
-		if r.Outcome != statesvc.OK {
-			l.c.env.After(200*time.Millisecond, func() {
-				if !l.dead {
-					l.readAll(prefix, since, into, done)
-				}
-			})
-			return
-		}
+	l.read(statesvc.Request{Op: statesvc.List, Starts: prefix, Since: since, Timeout: loadTime}, func(r statesvc.Reply) {
 		*into = append(*into, r.Pairs...)
 		if r.Truncated && len(r.Pairs) > 0 {
 			l.readAll(prefix, r.Pairs[len(r.Pairs)-1].Path, into, done)
@@ -215,34 +255,109 @@
 // from the cloud.
 func (l *lead) readCatalog(done func()) {
 	l.catalog = &commit.Doc{Path: catalogKey}
-	l.catalog.Render = func() json.RawMessage { return api.JSON(l.models) }
-	l.c.env.State(statesvc.Request{Op: statesvc.Get, Path: catalogKey, Timeout: commitTime}, func(r statesvc.Reply) {
-		if l.dead {
+	l.catalog.Render = func() json.RawMessage {
+		if l.level >= ident.Packed {
+			return nil
+		}
+		return api.JSON(l.models)
+	}
+	known := func(models []cloud.Model) {
+		if len(models) == 0 {
+			l.askCatalog(done)
 			return
 		}
-		switch r.Outcome {
-		case statesvc.OK:
-			l.catalog.Stamp = r.Stamp
+		l.setModels(models)
+		done()
+		l.askCatalog(nil)
+	}
+	whole := func() {
+		l.read(statesvc.Request{Op: statesvc.Get, Path: catalogKey, Timeout: commitTime}, func(r statesvc.Reply) {
 			var models []cloud.Model
-			if err := json.Unmarshal(r.Value, &models); err == nil && len(models) > 0 {
-				l.setModels(models)
-				done()
-				l.askCatalog(nil)
-				return
+			if r.Outcome == statesvc.OK {
+				l.catalog.Stamp = r.Stamp
+				if err := json.Unmarshal(r.Value, &models); err != nil {
+					slog.Error("unreadable catalog", "err", err)
+				}
 			}
-			l.askCatalog(done)
-		case statesvc.NotFound:
-			l.askCatalog(done)
+			known(models)
+		})
+	}
+	if l.level < ident.Packed {
+		whole()
+		return
+	}
+	var pairs []statesvc.Pair
+	l.readAll(typesPrefix, "", &pairs, func() {
+		var models []cloud.Model
+		for i, p := range pairs {
+			var m cloud.Model
+			if p.Path != typeKey(i) || json.Unmarshal(p.Value, &m) != nil {
+				slog.Error("unreadable machine type", "path", p.Path)
+				continue
+			}
+			l.typeDoc(i).Stamp = p.Stamp
+			models = append(models, m)
+		}
+		if len(models) == 0 {
+			whole()
+			return
+		}
+		known(models)
+	})
+}
+
+// read asks the state service until it answers.
+func (l *lead) read(r statesvc.Request, f func(statesvc.Reply)) {
+	l.c.env.State(r, func(a statesvc.Reply) {
+		switch {
+		case l.dead:
+		case a.Outcome == statesvc.OK || a.Outcome == statesvc.NotFound:
+			f(a)
 		default:
 			l.c.env.After(200*time.Millisecond, func() {
 				if !l.dead {
-					l.readCatalog(done)
+					l.read(r, f)
 				}
 			})
 		}
 	})
 }
 
+func typeKey(i int) string { return fmt.Sprintf("%s%05d", typesPrefix, i) }
+
+// typeDoc is the record of the i-th machine type.
+func (l *lead) typeDoc(i int) *commit.Doc {
+	for k := len(l.types); k <= i; k++ {
+		d := &commit.Doc{Path: typeKey(k)}
+		d.Render = func() json.RawMessage {
+			if k >= len(l.models) {
+				return nil
+			}
+			b := api.JSON(l.models[k])
+			if len(b) > l.valueBytes {
+				slog.Error("a machine type is too large to be stored; the cloud tells it again", "model", l.models[k].SKU)
+				return nil
+			}
+			return b
+		}
+		l.types = append(l.types, d)
+	}
+	return l.types[i]
+}
+
+// storeCatalog writes the machine types.
+func (l *lead) storeCatalog() {
+	if l.level >= ident.Packed {
+		for i := range max(len(l.models), len(l.types)) {
+			l.commits.Mark(l.typeDoc(i), nil)
+		}
+		if l.catalog.Stamp == 0 {
+			return
+		}
+	}
+	l.commits.Mark(l.catalog, nil)
+}
+
 func (l *lead) setModels(models []cloud.Model) {
 	l.models = models
 	for i := range models {
@@ -272,7 +387,7 @@
 			}
 			l.setModels(r.Models)
 			if !same {
-				l.commits.Mark(l.catalog, nil)
+				l.storeCatalog()
 			}
 			if first != nil {
 				first()
@@ -290,95 +405,6 @@
 	})
 }
 
-// groupRecord is the value of a key of machines, all of one kind.
-type groupRecord struct {
-	Model   string          `json:"model"`
-	Site    string          `json:"site"`
-	Standby bool            `json:"standby,omitempty"`
-	Hosts   []machineRecord `json:"hosts"`
-}
-
-type machineRecord struct {
-	Host   ident.HostID `json:"h"`
-	Addr   string       `json:"a,omitempty"`
-	BornMS int64        `json:"b"`
-}
-
-// groupSize bounds the machines on record under one key: what one request rents.
-const groupSize = 50
-
-// kindOf names what the machines of a group have in common.
-type kindOf struct {
-	model, site string
-	standby     bool
-}
-
-// commitWorker writes a machine's record, new or changed. A new machine is waited
-// for, as a successor must know it before anything runs there; the rest has time.
-func (l *lead) commitWorker(w *workers.Worker) {
-	fresh := w.Group == nil
-	if fresh {
-		k := kindOf{w.Model, w.Site, w.Standby}
-		g := l.groups[k]
-		if g == nil || len(g.Members) >= groupSize || g.Dropped {
-			l.lastGroup++
-			g = l.newGroup(fmt.Sprintf("%s%d-%d", fleetPrefix, l.term, l.lastGroup), k)
-			l.groups[k] = g
-		}
-		w.Group = g
-		g.Members = append(g.Members, w)
-	}
-	if w.State == workers.Gone {
-		g := w.Group
-		g.Members = slices.DeleteFunc(slices.Clone(g.Members), func(o *workers.Worker) bool { return o == w })
-		l.commits.MarkLazy(g.Doc, func() { w.Recorded = false })
-		return
-	}
-	if fresh {
-		l.commits.Mark(w.Group.Doc, func() {
-			if w.State != workers.Gone {
-				w.Recorded = true
-				l.dirty = true
-			}
-		})
-		return
-	}
-	l.commits.MarkLazy(w.Group.Doc, nil)
-}
-
-func (l *lead) newGroup(path string, k kindOf) *workers.Group {
-	g := &workers.Group{Doc: &commit.Doc{Path: path}}
-	g.Doc.Render = func() json.RawMessage {
-		if len(g.Members) == 0 {
-			// Deleted, and not used again.
-			g.Dropped = true
-			return nil
-		}
-		r := groupRecord{Model: k.model, Site: k.site, Standby: k.standby}
-		for _, w := range g.Members {
-			r.Hosts = append(r.Hosts, machineRecord{w.Host, w.Addr, l.c.env.WallMS() - l.c.env.Now().Sub(w.Born).Milliseconds()})
-		}
-		return api.JSON(r)
-	}
-	return g
-}
-
-func (l *lead) restoreGroup(p statesvc.Pair) {
-	var r groupRecord
-	if err := json.Unmarshal(p.Value, &r); err != nil {
-		slog.Error("unreadable record", "path", p.Path, "err", err)
-		return
-	}
-	g := l.newGroup(p.Path, kindOf{r.Model, r.Site, r.Standby})
-	g.Doc.Stamp = p.Stamp
-	now := l.c.env.Now()
-	for _, m := range r.Hosts {
-		age := time.Duration(l.c.env.WallMS()-m.BornMS) * time.Millisecond
-		w := l.workers.Restore(m.Host, r.Model, r.Site, r.Standby, now.Add(-max(0, age)), m.Addr, g)
-		g.Members = append(g.Members, w)
-	}
-}
-
 // begin takes over from the term before.
 func (l *lead) begin() {
 	for _, j := range l.jobs.Sorted() {
@@ -408,8 +434,14 @@
 		if j.Phase == jobs.Cancelled {
 			l.stopAll(j)
 		}
+		l.gangs.Adopt(j)
 	}
 	l.ready, l.dirty = true, true
+	if l.level < ident.NewestLevel {
+		l.raiser.Look()
+	} else {
+		l.fitLoaded()
+	}
 	l.ask()
 	l.tick()
 	l.roundLater()
@@ -458,6 +490,10 @@
 		}
 		began := l.c.env.Now()
 		l.fleet.Tick()
+		l.gangs.Tick()
+		if l.level >= ident.Packed && began > l.converted && l.commits.Spare() && l.jobs.Convert(convertBatch) == 0 {
+			l.converted = began.Add(convertAgain)
+		}
 		l.dirty = true
 		next = max(next, restFactor*l.c.env.Now().Sub(began))
 	}
@@ -486,6 +522,9 @@
 	if l.dead {
 		return
 	}
+	if l.ready {
+		l.gangs.Settle()
+	}
 	// While nothing gets durable nothing can be launched, and what would be stopped
 	// for it would be stopped for nothing.
 	if l.ready && l.dirty && l.c.elect.Valid() && !l.commits.Down() {
@@ -528,6 +567,7 @@
 
 func (l *lead) move(t *jobs.Task, from, to jobs.State) {
 	w := l.workers.Workers[t.Host]
+	l.gangs.Touch(t.Job)
 	if !from.Held() && to.Held() {
 		l.count(t, w, 1)
 	}
@@ -551,6 +591,22 @@
 	})
 }
 
+// PlaceGang carries out the decision for all tasks of a gang that wait.
+func (l *lead) PlaceGang(j *jobs.Job, picks []gang.Pick) {
+	slog.Debug("place gang", "id", string(j.Spec.ID), "tasks", len(picks), "of", len(j.Tasks), "within", l.planner.Within(j),
+		"age_s", l.c.env.Now().Sub(j.Arrived).Seconds())
+	l.gangs.Place(j, picks)
+}
+
+// GangUsed says whether the gang's present attempt was on a machine before.
+func (l *lead) GangUsed(j *jobs.Job, w *workers.Worker) bool { return l.gangs.Used(j, w.Host) }
+
+// Stoppable says whether a gang can be stopped in order.
+func (l *lead) Stoppable(j *jobs.Job) bool { return l.gangs.Stoppable(j) }
+
+// StopGang stops a whole gang so that others find room.
+func (l *lead) StopGang(j *jobs.Job) bool { return l.gangs.Stop(j, "makes room") }
+
 // Preempt stops a task so that another finds room.
 func (l *lead) Preempt(t *jobs.Task, w *workers.Worker, windDown time.Duration) {
 	slog.Info("preempting", "piece", t.Piece().String(), "host", string(w.Host))
@@ -581,6 +637,12 @@
 		}
 		save := settings.Seconds(s.SnapshotS)
 		switch {
+		case s.Shape == api.Gang:
+			// The whole gang, or none of it: what can't be told in time is lost anyway.
+			save += settings.Seconds(l.c.set.Cluster.Workers.GangPeerS)
+			if need > left && left < save+2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) {
+				l.gangs.Stop(t.Job, "a machine will be taken")
+			}
 		case s.Saves():
 			// As late as it can still save, with a report's time to spare.
 			if left < save+2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) {
@@ -605,16 +667,23 @@
 			return false
 		}
 	}
-	up := 0
-	for _, w := range l.workers.Workers {
-		if w.State == workers.Up || w.State == workers.Silent {
-			if now.Sub(w.Heard()) < aloneAfter {
-				return false
-			}
-			up++
+	mute, asked := 0, 0
+	for _, w := range l.workers.Sorted() {
+		if w.State != workers.Up && w.State != workers.Silent {
+			continue
+		}
+		switch {
+		case now.Sub(w.Heard()) < aloneAfter:
+			return false
+		case w.Misses() > 0:
+			mute++
+		case asked < maxMute && l.workers.Probe(w):
+			// Where few machines are, reports leave longer gaps than this. (A leader of
+			// two resigned between the reports of one of them, and nobody else was left.)
+			asked++
 		}
 	}
-	return up >= 2
+	return mute >= 2
 }
 
 // heard notes that a machine's report arrived here, or by a sibling. A leader that
@@ -745,6 +814,18 @@
 		l.ended(s.ID, reply, known, func() { reply(problem(http.StatusUnprocessableEntity, why)) })
 		return
 	}
+	// A gang, or a header that the first format has no room for, waits for the level.
+	size, most := l.jobs.Size(s)
+	if size > most {
+		why := fmt.Sprintf("the description takes %d bytes, and %d can be kept", size, most)
+		l.ended(s.ID, reply, known, func() { reply(problem(http.StatusUnprocessableEntity, why)) })
+		return
+	}
+	if l.level < ident.Packed && (s.Shape == api.Gang || size > jobs.HeaderBytes) {
+		l.c.Refused++
+		reply(unavailable("some nodes still run an earlier version"))
+		return
+	}
 	if l.commits.Down() || l.commits.Backlog() > maxBacklog {
 		l.c.Refused++
 		reply(unavailable("state service unavailable"))
--- /dev/null
+++ b/internal/controller/machines.go
@@ -0,0 +1,270 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+// groupRecord is the value of a key of machines, all of one kind.
+type groupRecord struct {
+	Model   string          `json:"model"`
+	Site    string          `json:"site"`
+	Standby bool            `json:"standby,omitempty"`
+	Hosts   []machineRecord `json:"hosts,omitempty"` // below ident.Packed
+	Text    string          `json:"text,omitempty"`  // from it on: host, address and birth of each
+	BaseMS  int64           `json:"base,omitempty"`  // from which births are counted, in seconds
+}
+
+type machineRecord struct {
+	Host   ident.HostID `json:"h"`
+	Addr   string       `json:"a,omitempty"`
+	BornMS int64        `json:"b"`
+}
+
+const (
+	// groupSize bounds the machines on record under one key: what one request rents.
+	groupSize = 50
+	// groupBytes, plainBytes and packedBytes bound what a record takes beside the names
+	// in it, and what a machine does in either format; addrBytes is kept for an address.
+	groupBytes  = 100
+	plainBytes  = 40
+	packedBytes = 14
+	addrBytes   = 21
+)
+
+// pack puts machines into text.
+func (r *groupRecord) pack(list []machineRecord) {
+	for i, m := range list {
+		if i == 0 || m.BornMS < r.BaseMS {
+			r.BaseMS = m.BornMS
+		}
+	}
+	var b strings.Builder
+	for i, m := range list {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s,%s,%d", url.PathEscape(string(m.Host)), url.PathEscape(m.Addr), (m.BornMS-r.BaseMS)/1000)
+	}
+	r.Text = b.String()
+}
+
+// machines returns the machines of a record in either format.
+func (r *groupRecord) machines() ([]machineRecord, error) {
+	out := r.Hosts
+	for _, f := range strings.Fields(r.Text) {
+		p := strings.Split(f, ",")
+		if len(p) != 3 {
+			return nil, fmt.Errorf("malformed machine %q", f)
+		}
+		host, err := url.PathUnescape(p[0])
+		if err != nil {
+			return nil, err
+		}
+		addr, err := url.PathUnescape(p[1])
+		if err != nil {
+			return nil, err
+		}
+		age, err := strconv.ParseInt(p[2], 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, machineRecord{ident.HostID(host), addr, r.BaseMS + age*1000})
+	}
+	return out, nil
+}
+
+// kindOf names what the machines of a group have in common.
+type kindOf struct {
+	model, site string
+	standby     bool
+}
+
+// groupFits says whether a group's record stays within the limits that may come, with
+// so many machines more.
+func (l *lead) groupFits(g *workers.Group, k kindOf, more ...*workers.Worker) bool {
+	size := groupBytes + len(k.model) + len(k.site)
+	per := plainBytes
+	if l.level >= ident.Packed {
+		per = packedBytes
+	}
+	for _, list := range [][]*workers.Worker{g.Members, more} {
+		for _, w := range list {
+			size += per + len(w.Host) + max(len(w.Addr), addrBytes)
+		}
+	}
+	return size <= l.valueBytes && len(g.Members)+len(more) <= groupSize
+}
+
+// commitWorker writes a machine's record, new or changed. A new machine is waited
+// for, as a successor must know it before anything runs there; the rest has time.
+func (l *lead) commitWorker(w *workers.Worker) {
+	fresh := w.Group == nil
+	if fresh {
+		k := kindOf{w.Model, w.Site, w.Standby}
+		g := l.groups[k]
+		if g == nil || g.Dropped || !l.groupFits(g, k, w) {
+			g = l.nextGroup(k)
+			l.groups[k] = g
+		}
+		w.Group = g
+		g.Members = append(g.Members, w)
+	}
+	if w.State == workers.Gone {
+		g := w.Group
+		g.Members = slices.DeleteFunc(slices.Clone(g.Members), func(o *workers.Worker) bool { return o == w })
+		l.commits.MarkLazy(g.Doc, func() { w.Recorded = false })
+		return
+	}
+	if fresh {
+		l.commits.Mark(w.Group.Doc, func() {
+			if w.State != workers.Gone {
+				w.Recorded = true
+				l.dirty = true
+			}
+		})
+		return
+	}
+	l.commits.MarkLazy(w.Group.Doc, nil)
+}
+
+func (l *lead) nextGroup(k kindOf) *workers.Group {
+	l.lastGroup++
+	return l.newGroup(fmt.Sprintf("%s%d-%d", fleetPrefix, l.term, l.lastGroup), k)
+}
+
+func (l *lead) newGroup(path string, k kindOf) *workers.Group {
+	g := &workers.Group{Doc: &commit.Doc{Path: path}}
+	g.Doc.Render = func() json.RawMessage {
+		members := slices.Concat(g.Members, g.Leaving)
+		if len(members) == 0 {
+			// Deleted, and not used again.
+			g.Dropped = true
+			return nil
+		}
+		r := groupRecord{Model: k.model, Site: k.site, Standby: k.standby}
+		var list []machineRecord
+		for _, w := range members {
+			list = append(list, machineRecord{w.Host, w.Addr, l.c.env.WallMS() - l.c.env.Now().Sub(w.Born).Milliseconds()})
+		}
+		if l.level >= ident.Packed {
+			r.pack(list)
+		} else {
+			r.Hosts = list
+		}
+		b := api.JSON(r)
+		if len(b) > l.valueBytes && l.level >= ident.Packed {
+			// Longer addresses than expected: reports tell them again.
+			for i := range list {
+				list[i].Addr = ""
+			}
+			r.pack(list)
+			b = api.JSON(r)
+		}
+		return b
+	}
+	return g
+}
+
+func (l *lead) restoreGroup(p statesvc.Pair) error {
+	var r groupRecord
+	if err := json.Unmarshal(p.Value, &r); err != nil {
+		return fmt.Errorf("%s: %w", p.Path, err)
+	}
+	list, err := r.machines()
+	if err != nil {
+		return fmt.Errorf("%s: %w", p.Path, err)
+	}
+	k := kindOf{r.Model, r.Site, r.Standby}
+	g := l.newGroup(p.Path, k)
+	g.Doc.Stamp = p.Stamp
+	now := l.c.env.Now()
+	for _, m := range list {
+		if l.workers.Workers[m.Host] != nil {
+			// On its way from one group to another when a term ended.
+			l.commits.MarkLazy(g.Doc, nil)
+			continue
+		}
+		age := time.Duration(l.c.env.WallMS()-m.BornMS) * time.Millisecond
+		w := l.workers.Restore(m.Host, r.Model, r.Site, r.Standby, now.Add(-max(0, age)), m.Addr, g)
+		g.Members = append(g.Members, w)
+	}
+	if l.level >= ident.Packed && r.Text == "" {
+		l.older = append(l.older, g)
+	}
+	return nil
+}
+
+// fitLoaded brings machines' records that an earlier term left in the form of before
+// to the present one.
+func (l *lead) fitLoaded() {
+	for _, g := range l.older {
+		if len(g.Members) > 0 {
+			w := g.Members[0]
+			l.fit(g, kindOf{w.Model, w.Site, w.Standby})
+		}
+	}
+	l.older = nil
+}
+
+// fitGroups splits the groups that were put under larger limits: none must have to be
+// put again when it is too large.
+func (l *lead) fitGroups() {
+	seen := map[*workers.Group]bool{}
+	for _, w := range l.workers.Sorted() {
+		g := w.Group
+		if g == nil || seen[g] {
+			continue
+		}
+		seen[g] = true
+		k := kindOf{w.Model, w.Site, w.Standby}
+		l.fit(g, k)
+	}
+}
+
+func (l *lead) fit(g *workers.Group, k kindOf) {
+	if l.groupFits(g, k) {
+		l.commits.MarkLazy(g.Doc, nil)
+	} else {
+		l.split(g, k)
+	}
+}
+
+// split moves machines to other groups. They leave the old one when the new record is
+// durable, so that a successor finds each in at least one of both.
+func (l *lead) split(g *workers.Group, k kindOf) {
+	slog.Info("splitting a record of machines", "path", g.Doc.Path, "machines", len(g.Members))
+	for !l.groupFits(g, k) && len(g.Members) > 1 {
+		n := l.nextGroup(k)
+		for len(g.Members) > 1 && l.groupFits(n, k, g.Members[len(g.Members)-1]) {
+			w := g.Members[len(g.Members)-1]
+			g.Members = g.Members[:len(g.Members)-1]
+			g.Leaving = append(g.Leaving, w)
+			n.Members = append(n.Members, w)
+			w.Group = n
+			if l.groupFits(g, k) {
+				break
+			}
+		}
+		if len(n.Members) == 0 {
+			return
+		}
+		moved := slices.Clone(n.Members)
+		l.commits.Mark(n.Doc, func() {
+			g.Leaving = slices.DeleteFunc(g.Leaving, func(w *workers.Worker) bool { return slices.Contains(moved, w) })
+			l.commits.MarkLazy(g.Doc, nil)
+		})
+	}
+}
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -15,9 +17,49 @@
 // The keys of an election. The term outlives every leader.
 const (
 	LeaderKey = "leader"
-	termKey   = "term"
+	TermKey   = "term"
 )
 
+// termRecord is the value of the term's key once a format level is in force. Below it
+// the value is the bare number; a program that knows no levels can't read more, and so
+// can't lead.
+type termRecord struct {
+	Term  ident.Term  `json:"term"`
+	Level ident.Level `json:"level"`
+}
+
+// TermValue is what the term's key holds.
+func TermValue(t ident.Term, l ident.Level) json.RawMessage {
+	var v any = t
+	if l > 0 {
+		v = termRecord{t, l}
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// ReadTerm reads what TermValue wrote.
+func ReadTerm(b []byte) (ident.Term, ident.Level, error) {
+	var t ident.Term
+	if json.Unmarshal(b, &t) == nil {
+		return t, 0, nil
+	}
+	var r termRecord
+	if err := json.Unmarshal(b, &r); err != nil {
+		return 0, 0, err
+	}
+	if r.Term == 0 || r.Level == 0 {
+		return 0, 0, errors.New("term or level missing")
+	}
+	if r.Level > ident.NewestLevel {
+		return 0, 0, fmt.Errorf("format level %d is later than this program's", r.Level)
+	}
+	return r.Term, r.Level, nil
+}
+
 // State is where a node stands in the election.
 type State uint8
 
@@ -52,8 +94,8 @@
 
 // Events are told to the owner, one call at a time.
 type Events interface {
-	// Lead begins a term.
-	Lead(t ident.Term, key statesvc.Cond)
+	// Lead begins a term, with the format level in force.
+	Lead(t ident.Term, l ident.Level, key statesvc.Cond)
 	// Follow ends it.
 	Follow(why string)
 }
@@ -255,11 +297,12 @@
 	sent := m.port.Now()
 	var grant uint64
 	var term ident.Term
+	var level ident.Level
 	var stamp ident.Stamp
 	left := 2
 	next := func() {
 		if left--; left == 0 {
-			m.claim(over, grant, term+1, stamp, sent)
+			m.claim(over, grant, term+1, level, stamp, sent)
 		}
 	}
 	m.call(statesvc.Request{Op: statesvc.Grant, TTL: m.ttl, Timeout: callTime}, func(r statesvc.Reply) {
@@ -271,10 +314,11 @@
 		grant = r.Grant
 		next()
 	})
-	m.call(statesvc.Request{Op: statesvc.Get, Path: termKey, Timeout: callTime}, func(r statesvc.Reply) {
+	m.call(statesvc.Request{Op: statesvc.Get, Path: TermKey, Timeout: callTime}, func(r statesvc.Reply) {
 		switch r.Outcome {
 		case statesvc.OK:
-			if err := json.Unmarshal(r.Value, &term); err != nil {
+			var err error
+			if term, level, err = ReadTerm(r.Value); err != nil {
 				slog.Error("term key is malformed", "err", err)
 				m.to(Following, "no term")
 				m.lookLater()
@@ -291,13 +335,12 @@
 	})
 }
 
-func (m *Machine) claim(over ident.Stamp, grant uint64, term ident.Term, termStamp ident.Stamp, sent ident.Mono) {
+func (m *Machine) claim(over ident.Stamp, grant uint64, term ident.Term, level ident.Level, termStamp ident.Stamp, sent ident.Mono) {
 	m.to(Claiming, "lease granted")
 	rec, _ := json.Marshal(record{Node: m.self, Term: term, Nonce: m.nonce})
-	num, _ := json.Marshal(term)
 	m.call(statesvc.Request{Op: statesvc.Txn, Timeout: callTime,
-		If:   []statesvc.Cond{{Path: LeaderKey, Stamp: over}, {Path: termKey, Stamp: termStamp}},
-		Then: []statesvc.Change{{Put: LeaderKey, Value: rec, Grant: grant}, {Put: termKey, Value: num}},
+		If:   []statesvc.Cond{{Path: LeaderKey, Stamp: over}, {Path: TermKey, Stamp: termStamp}},
+		Then: []statesvc.Change{{Put: LeaderKey, Value: rec, Grant: grant}, {Put: TermKey, Value: TermValue(term, level)}},
 	}, func(r statesvc.Reply) {
 		if r.Outcome != statesvc.OK {
 			// Lost: if it was carried out, look finds our own name and claims
@@ -313,9 +356,9 @@
 		m.term, m.grant = term, grant
 		m.extendValid(sent)
 		m.known, m.knownDown = record{}, false
-		slog.Info("leading", "term", uint64(term))
+		slog.Info("leading", "term", uint64(term), "level", uint8(level))
 		m.renewLater()
-		m.events.Lead(term, statesvc.Cond{Path: LeaderKey, Stamp: ident.Stamp(r.Ledger)})
+		m.events.Lead(term, level, statesvc.Cond{Path: LeaderKey, Stamp: ident.Stamp(r.Ledger)})
 	})
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -173,7 +173,8 @@
 // Arrived notes a new job, or at the start of a term one of the term before.
 func (m *Manager) Arrived(s *api.Spec, at ident.Mono) {
 	cpus := s.VCPUs * float64(s.Pieces)
-	if s.Shape == api.Service {
+	if s.Shape != api.Batch {
+		// Gangs as well want room that is there when they come.
 		m.services.add(at, cpus)
 	} else {
 		m.arrays.add(at, min(cpus, max(m.teams.Largest(), s.VCPUs)))
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -210,7 +210,8 @@
 	late := m.late(l, now)
 	for _, services := range []bool{true, false} {
 		for _, j := range m.waiting(services) {
-			if n := min(j.Waits(), m.teams.Room(j.Spec)); n > 0 {
+			n := min(j.Waits(), m.teams.Room(j.Spec))
+			if n > 0 && (!j.Gang() || n == j.Waits()) {
 				m.lay(l, j, n, &late, open, now)
 			}
 		}
@@ -301,6 +302,13 @@
 		// refused now are mostly to be had a little later.
 		a.spot = dear && *late <= 0
 		b := open(s, a)
+		if b == nil && j.Gang() && s.OneZone && j.Held == 0 && a.zone != "" {
+			// Nothing is to be had there: perhaps it is elsewhere, for all of them.
+			a.zone, n = "", s.Pieces
+			if b = open(s, a); b != nil {
+				a.zone = b.pool.site
+			}
+		}
 		if b == nil {
 			return
 		}
@@ -333,7 +341,7 @@
 func (m *Manager) waiting(services bool) []*jobs.Job {
 	var out []*jobs.Job
 	for j := range m.jobs.Waiting {
-		if (j.Spec.Shape == api.Service) == services && j.Backoff < time.Minute {
+		if (j.Spec.Shape != api.Batch) == services && j.Backoff < time.Minute {
 			out = append(out, j)
 		}
 	}
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -41,6 +41,18 @@
 	Stamp uint64
 	// Try counts the attempts at a task.
 	Try uint64
+	// Level is the format of what is stored, once all nodes can read it; 0: that of
+	// the first version.
+	Level uint8
+)
+
+// The format levels.
+const (
+	// Packed keeps tasks in the log alone, in lines of text, and every value within the
+	// limits that the state service may come to. Gangs need it.
+	Packed Level = 1
+	// NewestLevel is the newest that this program can read and write.
+	NewestLevel = Packed
 )
 
 // fenceBits is the room for the fence counter below the term in an Epoch.
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -10,6 +10,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
 	"opaldale/internal/commit"
+	"opaldale/internal/gang"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/settings"
@@ -51,6 +52,12 @@
 	next    int
 }
 
+// Gangs are not part of this fleet.
+func (l *large) PlaceGang(*jobs.Job, []gang.Pick)         {}
+func (l *large) GangUsed(*jobs.Job, *workers.Worker) bool { return false }
+func (l *large) Stoppable(*jobs.Job) bool                 { return false }
+func (l *large) StopGang(*jobs.Job) bool                  { return false }
+
 func newLarge(machines int) *large {
 	l := &large{still: still{now: ident.Mono(time.Hour)}}
 	kind := cloud.Model{SKU: "m16", VCPUs: 16, MemoryGB: 32, LocalGB: 25, PullGBPerS: 0.3}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"opaldale/internal/api"
+	"opaldale/internal/gang"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/settings"
@@ -17,6 +18,13 @@
 type Actions interface {
 	Place(t *jobs.Task, w *workers.Worker)
 	Preempt(t *jobs.Task, w *workers.Worker, windDown time.Duration)
+	// PlaceGang places all waiting tasks of a gang; GangUsed says whether its present
+	// attempt was on a machine before.
+	PlaceGang(j *jobs.Job, picks []gang.Pick)
+	GangUsed(j *jobs.Job, w *workers.Worker) bool
+	// Stoppable says whether a whole gang can be stopped in order; StopGang does it.
+	Stoppable(j *jobs.Job) bool
+	StopGang(j *jobs.Job) bool
 }
 
 // Planner holds the plan between rounds.
@@ -82,7 +90,7 @@
 type Stats struct {
 	Rounds, Extra               uint64
 	Planned, Local, New, Stolen uint64 // array tasks by the rule that placed them
-	Services, Preempted         uint64
+	Services, Gangs, Preempted  uint64
 	FetchedGB                   float64 // images placed where they were not held
 	Took                        time.Duration
 }
@@ -135,10 +143,10 @@
 }
 
 // prepare sorts the waiting jobs and the machines for this dispatch.
-func (p *Planner) prepare() (services []*jobs.Job) {
+func (p *Planner) prepare() (services, gangs []*jobs.Job) {
 	now := p.now()
 	p.teams.Guarantee(p.jobs)
-	var arr, srv []waiting
+	var arr, srv, gng []waiting
 	need := jobs.NoNeed()
 	for j := range p.jobs.Waiting {
 		if now < j.RetryAt {
@@ -146,9 +154,12 @@
 		}
 		need.Least(j.Spec)
 		w := waiting{j, j.Spec.Rank.Level(), p.urgency(j), work(j)}
-		if j.Spec.Shape == api.Service {
+		switch j.Spec.Shape {
+		case api.Service:
 			srv = append(srv, w)
-		} else {
+		case api.Gang:
+			gng = append(gng, w)
+		default:
 			arr = append(arr, w)
 		}
 	}
@@ -159,7 +170,12 @@
 		}
 		return a.before(b)
 	})
-	sort.Slice(arr, func(i, k int) bool { return arr[i].before(&arr[k]) })
+	for _, list := range [][]waiting{arr, gng} {
+		sort.Slice(list, func(i, k int) bool { return list[i].before(&list[k]) })
+	}
+	for i := range gng {
+		gangs = append(gangs, gng[i].j)
+	}
 	for i := range srv {
 		services = append(services, srv[i].j)
 	}
@@ -182,7 +198,7 @@
 		}
 	}
 	if len(p.jobs.Waiting) == 0 {
-		return nil
+		return nil, nil
 	}
 	for _, w := range p.fleet.Sorted() {
 		if !w.Open(now) || w.Kind == nil {
@@ -196,7 +212,7 @@
 			p.free[w.Site] += w.Kind.VCPUs - w.VCPUs
 		}
 	}
-	return services
+	return services, gangs
 }
 
 // holding returns the open machines that hold an image.
@@ -237,7 +253,7 @@
 	age := p.now().Sub(j.Arrived)
 	// The order below puts off what is large or late for as long as other work
 	// comes; nothing else bounds how long.
-	if age > overdueFactor*p.MaxWait && j.Spec.Shape == api.Batch || j.Spec.Shape == api.Service && p.unbegun(j) {
+	if age > overdueFactor*p.MaxWait && arrays(j) || !arrays(j) && p.unbegun(j) {
 		return overdue
 	}
 	aims := p.aims[j.Spec.Lane]
@@ -271,13 +287,19 @@
 // Dispatch places what can be placed now. Nothing waits for a round that could
 // start at once. It returns true if it stopped early: there may be more to place.
 func (p *Planner) Dispatch() bool {
-	services := p.prepare()
+	services, gangs := p.prepare()
 	for _, j := range services {
 		if p.placed >= maxPlaced {
 			return true
 		}
 		p.placeService(j)
 	}
+	for _, j := range gangs {
+		if p.placed >= maxPlaced {
+			return true
+		}
+		p.placeGang(j)
+	}
 	if len(p.arrays) == 0 {
 		return false
 	}
@@ -428,7 +450,7 @@
 	if o := p.reserved[w]; o != nil && o != j {
 		return false
 	}
-	if o := p.blocked[j.Spec.Desk]; o != nil && o != j && j.Spec.Shape == api.Batch {
+	if o := p.blocked[j.Spec.Desk]; o != nil && o != j && arrays(j) {
 		return false
 	}
 	return w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) && p.teams.Allows(j.Spec, 1)
@@ -439,11 +461,17 @@
 	if !w.Fits(j.Spec) {
 		return false
 	}
-	return w.Standby || j.Spec.Shape == api.Service ||
+	return w.Standby || !arrays(j) ||
 		p.free[w.Site]-j.Spec.VCPUs >= p.Reserve[w.Site]-slack
 }
 
 func (p *Planner) place(t *jobs.Task, w *workers.Worker) {
+	p.account(t, w)
+	p.act.Place(t, w)
+}
+
+// account notes what a placement takes.
+func (p *Planner) account(t *jobs.Task, w *workers.Worker) {
 	if !w.Holds(t.Job.Spec.Bundle) && !w.Pulls(t.Job.Spec.Bundle) {
 		p.Stats.FetchedGB += t.Job.Spec.ImageGB
 	}
@@ -454,7 +482,6 @@
 		delete(p.reserved, w)
 	}
 	p.placed++
-	p.act.Place(t, w)
 }
 
 // placeService goes first-fit: over the machines that hold the image, then over
@@ -799,7 +826,7 @@
 	if v.Job.Spec.Rank.Level() > j.Spec.Rank.Level() {
 		return true
 	}
-	return j.Within && !v.Job.Within && v.Job.Spec.Desk != j.Spec.Desk && v.Job.Spec.Shape == api.Batch
+	return j.Within && !v.Job.Within && v.Job.Spec.Desk != j.Spec.Desk && arrays(v.Job)
 }
 
 // Within says whether a job lay within its team's guarantee at the last dispatch.
@@ -836,7 +863,7 @@
 		if p.searched++; p.searched >= maxSearched {
 			p.from = (p.from + i + 1) % len(p.order)
 		}
-		victims, cost, ok := p.choose(w, j, now, holders)
+		victims, cost, ok := p.choose(w, j, jobs.NeedOf(j.Spec), now, holders)
 		if !ok {
 			continue
 		}
@@ -852,14 +879,8 @@
 	}
 	wait := false
 	for _, v := range stop {
-		p.Stats.Preempted++
-		d := time.Duration(0)
-		if v.Job.Spec.Saves() {
-			d = time.Duration(v.Job.Spec.SnapshotS*float64(time.Second)) + time.Millisecond
-			wait = true
-		}
-		v.GaveWay = now
-		p.act.Preempt(v, best, d)
+		wait = wait || v.Job.Spec.Saves()
+		p.stopVictim(v, best, now)
 	}
 	if wait {
 		// They save first; the room is there when they have gone.
@@ -878,6 +899,9 @@
 	return j.Within && p.teams.Borrow(p.jobs, j.Spec.Desk)
 }
 
+// gangCost is what a gang loses by being stopped, in seconds of each of its tasks.
+const gangCost = 30
+
 // spareTime is how long a task that gave way is spared. What has just started
 // costs least to stop: the same tasks were stopped over and over, sixty times
 // within half a minute, while services started on a fleet that booted.
@@ -887,11 +911,10 @@
 	return t.GaveWay > 0 && now.Sub(t.GaveWay) < spareTime
 }
 
-// choose finds the cheapest set of tasks to stop on a machine so that a task of
-// j fits, counting what is being stopped already as room. With spare set, what gave
-// way of late is left alone.
-func (p *Planner) choose(w *workers.Worker, j *jobs.Job, now ident.Mono, spare bool) ([]*jobs.Task, float64, bool) {
-	s := j.Spec
+// choose finds the cheapest set of tasks to stop on a machine so that as much is free
+// for j, counting what is being stopped already as room. With spare set, what gave
+// way of late is left alone, and so are gangs.
+func (p *Planner) choose(w *workers.Worker, j *jobs.Job, s jobs.Need, now ident.Mono, spare bool) ([]*jobs.Task, float64, bool) {
 	vcpus, cards, mem := w.Kind.VCPUs-w.VCPUs, w.Kind.Cards-w.Cards, w.Kind.MemoryGB-w.MemoryGB
 	var cand []*jobs.Task
 	for _, v := range w.Tasks {
@@ -899,6 +922,11 @@
 			vcpus += v.Job.Spec.VCPUs
 			cards += v.Job.Spec.Cards
 			mem += v.Job.Spec.MemoryGB
+		} else if v.Job.Gang() {
+			// Never a part of a gang: the whole of it, if all can be told in time.
+			if !spare && p.victim(v, j) && p.act.Stoppable(v.Job) {
+				cand = append(cand, v)
+			}
 		} else if p.victim(v, j) && !(spare && spared(v, now)) {
 			cand = append(cand, v)
 		}
@@ -916,6 +944,10 @@
 		if spared(v, now) {
 			ran += spareTime.Seconds()
 		}
+		if v.Job.Gang() {
+			// All of its tasks save, wait for each other and start again.
+			ran = (ran + gangCost) * float64(v.Job.Spec.Pieces)
+		}
 		return ran * max(v.Job.Spec.VCPUs, 1)
 	}
 	sort.Slice(cand, func(i, k int) bool {
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -36,7 +36,7 @@
 		return "desk: unknown team"
 	}
 	n := 1.0
-	if s.Shape == api.Service {
+	if s.Shape != api.Batch {
 		n = float64(s.Pieces)
 	}
 	if n*s.VCPUs > t.CPUsMax+slack || n*s.Cards > t.GPUsMax+slack {
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -57,6 +57,7 @@
 	gauge("leading", "1 on the leader.", bit[n.Leading])
 	gauge("leadership_valid", "1 while leadership is sure.", bit[n.Valid])
 	gauge("term", "Newest term led.", float64(n.Term))
+	gauge("format_level", "Format of what is stored, as far as the node knows; 0 while nodes of the first version may come back.", float64(n.Level))
 	gauge("jobs", "Jobs not over.", float64(n.Jobs))
 	gauge("tasks_held", "Tasks that count on a machine.", float64(n.Held))
 	gauge("tasks_waiting", "Tasks that wait for a machine.", float64(n.Waiting))
@@ -64,7 +65,7 @@
 		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("opaldale_machines", "Machines by state.", []string{"state"}, nil),
 			prometheus.GaugeValue, float64(v), state)
 	}
-	for rule, v := range map[string]uint64{"planned": n.Planned, "local": n.Local, "new": n.New, "stolen": n.Stolen, "service": n.Services} {
+	for rule, v := range map[string]uint64{"planned": n.Planned, "local": n.Local, "new": n.New, "stolen": n.Stolen, "service": n.Services, "gang": n.Gangs} {
 		ch <- prometheus.MustNewConstMetric(prometheus.NewDesc("opaldale_placed_total", "Tasks placed, by the rule that did.", []string{"rule"}, nil),
 			prometheus.CounterValue, float64(v), rule)
 	}
@@ -79,6 +80,11 @@
 	count("txns", "Transactions sent.", float64(n.Txns))
 	count("puts", "Puts and deletes sent.", float64(n.Puts))
 	count("txn_repeats", "Transactions repeated.", float64(n.Repeats))
+	count("txns_rejected", "Transactions that the state service found too large.", float64(n.Rejected))
+	count("gangs_started", "Attempts of gangs that ran.", float64(n.GangsStarted))
+	count("gangs_lost", "Attempts of gangs that were given up.", float64(n.GangsLost))
+	count("gangs_replaced", "Tasks of gangs replaced before the start.", float64(n.GangsReplaced))
+	count("gangs_stopped", "Gangs stopped in order.", float64(n.GangsStopped))
 	count("tasks_lost", "Tasks proven gone before they ended.", float64(n.Relocated))
 	count("command_fences", "Tokens raised over unanswered commands.", float64(n.Fences))
 	count("stale_reports", "Reports older than what was known.", float64(n.Stale))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,6 +74,10 @@
 	ReportS float64 `toml:"report_s"`
 	LeaseS  float64 `toml:"lease_s"`
 	CancelS float64 `toml:"cancel_s"`
+	// GangWaitS is how long a task waits for the others of its gang, and GangPeerS
+	// within which time they notice that one is gone, or must be told to stop.
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
 }
 
 // State holds the limits of the state service.
@@ -82,6 +86,32 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next holds the limits that the service will have from some moment on, without
+	// notice; nil if nothing is announced.
+	Next *NextState `toml:"next"`
+}
+
+// NextState holds announced limits; 0 for one that stays.
+type NextState struct {
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Tight returns the smaller of the present and the announced limits.
+func (s State) Tight() State {
+	if n := s.Next; n != nil {
+		if n.WriteRPS > 0 {
+			s.WriteRPS = min(s.WriteRPS, n.WriteRPS)
+		}
+		if n.ValueKB > 0 {
+			s.ValueKB = min(s.ValueKB, n.ValueKB)
+		}
+		if n.TxnOps > 0 {
+			s.TxnOps = min(s.TxnOps, n.TxnOps)
+		}
+	}
+	return s
 }
 
 // Cloud holds the limits of the cloud.
@@ -191,6 +221,20 @@
 	if c.State.TxnOps < 4 {
 		bad("cluster.state.txn_ops: must be at least 4")
 	}
+	if n := c.State.Next; n != nil {
+		if n.WriteRPS < 0 {
+			bad("cluster.state.next.write_rps: negative")
+		}
+		if n.ValueKB != 0 && n.ValueKB < 1 {
+			bad("cluster.state.next.value_kb: must be at least 1")
+		}
+		if n.TxnOps != 0 && n.TxnOps < 4 {
+			bad("cluster.state.next.txn_ops: must be at least 4")
+		}
+	}
+	if c.Workers.GangWaitS < 0 || c.Workers.GangPeerS < 0 {
+		bad("cluster.workers: gang_wait_s and gang_peer_s must not be negative")
+	}
 	positive("cluster.cloud.rps", c.Cloud.RPS)
 	if c.Cloud.ListLagS < 0 {
 		bad("cluster.cloud.list_lag_s: negative")
--- a/internal/statesvc/statesvc.go
+++ b/internal/statesvc/statesvc.go
@@ -66,12 +66,13 @@
 	NotFound                // 404
 	Conflict                // 409
 	TooOld                  // 410
-	Refused                 // 429 or 503: not executed
+	Refused                 // 503: not executed
+	Limited                 // 429: not executed, the rate was too high
 	Bad                     // 400 and what the protocol does not name
 )
 
 func (o Outcome) String() string {
-	return [...]string{"lost", "ok", "not found", "conflict", "too old", "refused", "bad"}[o]
+	return [...]string{"lost", "ok", "not found", "conflict", "too old", "refused", "limited", "bad"}[o]
 }
 
 // Pair is a key with its value.
@@ -136,7 +137,9 @@
 		out.Outcome = Conflict
 	case http.StatusGone:
 		out.Outcome = TooOld
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusTooManyRequests:
+		return Reply{Outcome: Limited, Error: http.StatusText(status)}
+	case http.StatusServiceUnavailable:
 		return Reply{Outcome: Refused, Error: http.StatusText(status)}
 	case http.StatusBadRequest:
 		out.Outcome = Bad
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -88,7 +88,7 @@
 	deaf    ident.Mono // since when its reports show that our answers don't arrive; 0: they do
 
 	VCPUs, Cards, MemoryGB float64 // taken by Tasks
-	Arrays, Replicas       float64 // CPUs of them, by the shape of their jobs
+	Arrays, Replicas       float64 // CPUs of them, by the shape of their jobs; gangs count as replicas
 	ranks                  [ranks]int
 
 	Group    *Group // that it is on record with
@@ -101,13 +101,28 @@
 type Group struct {
 	Doc     *commit.Doc
 	Members []*Worker
-	Dropped bool // its key is deleted
+	Leaving []*Worker // on record here until their next group is durable
+	Dropped bool      // its key is deleted
 }
 
 // Fits says whether a task would find room now, and Could whether it would on
 // the empty machine.
 func (w *Worker) Fits(s *api.Spec) bool { return w.Room(jobs.NeedOf(s)) }
 
+// Places returns how many tasks of a job would find room now.
+func (w *Worker) Places(s *api.Spec) int {
+	if w.Kind == nil {
+		return 0
+	}
+	n := s.Pieces
+	for _, x := range [][2]float64{{w.Kind.VCPUs - w.VCPUs, s.VCPUs}, {w.Kind.Cards - w.Cards, s.Cards}, {w.Kind.MemoryGB - w.MemoryGB, s.MemoryGB}} {
+		if x[1] > 0 {
+			n = min(n, int((x[0]+slack)/x[1]))
+		}
+	}
+	return max(n, 0)
+}
+
 // Room says whether as much is free.
 func (w *Worker) Room(n jobs.Need) bool {
 	return w.Kind != nil && w.VCPUs+n.VCPUs <= w.Kind.VCPUs+slack && w.Cards+n.Cards <= w.Kind.Cards+slack &&
@@ -185,6 +200,13 @@
 	return w.heard.Sub(w.deaf)
 }
 
+// Hears says whether a machine is up, was heard within d, and answers commands as far
+// as is known.
+func (tb *Table) Hears(h ident.HostID, d time.Duration) bool {
+	w := tb.Workers[h]
+	return w != nil && w.State == Up && !w.dull && w.misses == 0 && w.deaf == 0 && w.Reported() && tb.port.Now().Sub(w.heard) <= d
+}
+
 // Misses counts the commands and probes that went without an answer since the
 // worker last showed that it hears us.
 func (w *Worker) Misses() int { return w.misses }
@@ -364,7 +386,8 @@
 	w.MemoryGB += sign * s.MemoryGB
 	// Rounded, so that the order of the sums can't change what is decided by them.
 	part := &w.Arrays
-	if s.Shape == api.Service {
+	if s.Shape != api.Batch {
+		// Tasks that end by themselves, and that others wait for: users miss them at once.
 		part = &w.Replicas
 	}
 	*part = math.Round((*part+sign*s.VCPUs)*1e6) / 1e6
@@ -547,7 +570,7 @@
 		if t == nil || t.Try != p.Try {
 			continue
 		}
-		if p.Status == api.Running || p.Status == api.Flushing || p.Cause == api.CauseDone {
+		if p.Status == api.Running || p.Status == api.Flushing || p.Status == api.Gathering || p.Cause == api.CauseDone {
 			w.cache(t.Job.Spec.Bundle, t.Job.Spec.ImageGB)
 		}
 		if p.Status != api.Ended {
@@ -632,7 +655,7 @@
 		}
 		switch {
 		case t.State == jobs.Assigned && t.Seen == "":
-			if w.State == Up && t.Job.Phase == jobs.Open {
+			if w.State == Up && t.Job.Phase == jobs.Open && t.Job.Ready() {
 				orders = append(orders, launch(t))
 			}
 		case t.State == jobs.Assigned && fresh:
