Stand-in: gangs by the table of phases, a rollout with old nodes, lower limits

Old nodes are modelled by their formats, frozen, and by what they don't know; users ask for gangs once all nodes are new. Four mutations show that the checks can fail.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// Level returns the format level in force, as far as this node knows.
+func (c *Controller) Level() ident.Level { return c.level }
+
 // Election returns the node's part in the elections.
 func (c *Controller) Election() *election.Machine { return c.elect }
 
--- /dev/null
+++ b/internal/standin/gang_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"opaldale/internal/ident"
+)
+
+// whole checks that a run broke no rule and left nothing undone.
+func whole(t *testing.T, seed uint64, w *World) {
+	t.Helper()
+	if len(w.Broken) > 0 || len(w.Undone) > 0 {
+		t.Fatalf("seed %d: %v %v\n%s", seed, w.Broken, w.Undone, w.Tail(60))
+	}
+	if w.TooLarge > 0 {
+		t.Errorf("seed %d: %d transactions were over the new limits", seed, w.TooLarge)
+	}
+}
+
+// TestGangs plays days of trouble with many gangs: tasks run together or not at all,
+// and every gang comes to its end.
+func TestGangs(t *testing.T) {
+	runs := 0
+	for seed := range uint64(20) {
+		w := New(Config{Seed: seed, Faults: true, Gangs: true, Length: 300 * time.Second})
+		w.Run()
+		whole(t, seed, w)
+		runs += w.GangRuns
+	}
+	if runs < 100 {
+		t.Errorf("only %d gangs ran", runs)
+	}
+}
+
+// TestGangsOfAQuietDay start once each, and again only for those stopped in order.
+func TestGangsOfAQuietDay(t *testing.T) {
+	w := New(Config{Seed: 3, Gangs: true, Length: 250 * time.Second})
+	w.Run()
+	whole(t, 3, w)
+	if w.GangRuns < 5 {
+		t.Errorf("%d gangs ran", w.GangRuns)
+	}
+}
+
+// TestRollout upgrades a cluster that serves, amid troubles: nodes of both versions
+// read each other's data, no level is raised before all are new, and after it nothing
+// is larger than the limits to come.
+func TestRollout(t *testing.T) {
+	for seed := range uint64(30) {
+		w := New(Config{Seed: seed, Old: true, Faults: seed%4 > 0, Gangs: true, Length: 300 * time.Second})
+		raised := ident.Level(0)
+		w.at(280*time.Second, func() {
+			for _, n := range w.nodes {
+				if n.alive {
+					raised = max(raised, n.ctl.Level())
+				}
+			}
+		})
+		w.Run()
+		whole(t, seed, w)
+		if raised < ident.Packed {
+			t.Errorf("seed %d: the format level was never raised", seed)
+		}
+		if w.GangRuns == 0 {
+			t.Errorf("seed %d: no gang ran", seed)
+		}
+	}
+}
+
+// TestGangMutations shows that the checks of gangs and of a rollout can fail.
+func TestGangMutations(t *testing.T) {
+	for name, m := range map[string]Mutation{"a new attempt beside an old task": HideGathering, "an attempt's number is used again": OneTry,
+		"level raised early": RaiseEarly, "new field early": WriteEarly} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				w := New(Config{Seed: seed, Mutation: m, Faults: seed > 0, Gangs: true, Old: m == RaiseEarly || m == WriteEarly, Length: 250 * time.Second})
+				if w.Run(); len(w.Broken) > 0 {
+					t.Logf("seed %d: %v", seed, w.Broken)
+					return
+				}
+			}
+			t.Fatal("no seed noticed")
+		})
+	}
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -17,6 +17,7 @@
 type userJob struct {
 	spec       api.Spec
 	runs       time.Duration
+	saved      float64 // progress of a gang that is safe, in seconds
 	done       []bool
 	sent       bool
 	accepted   bool
@@ -72,6 +73,14 @@
 		s.Pieces, s.VCPUs = 200, 0.1 // more than a header holds
 		s.Shape, s.Rank, s.OneZone = api.Batch, api.Standard, false
 	}
+	if gangs := 12; w.gangsWelcome() && r.IntN(gangs) < 2 || w.cfg.Gangs && r.IntN(2) == 0 {
+		s.Shape, s.Rank, s.Standby, s.Apart, s.VCPUs = api.Gang, []api.Rank{api.High, api.Standard}[r.IntN(2)], r.IntN(3) == 0, false, 1
+		s.Pieces = 2 + r.IntN(5)
+		s.OneZone = r.IntN(3) > 0
+		if r.IntN(4) > 0 {
+			s.SnapshotEveryS, s.SnapshotS = 8, 2
+		}
+	}
 	j := &userJob{spec: s, runs: time.Duration(2000+r.IntN(40_000)) * time.Millisecond, done: make([]bool, s.Pieces)}
 	w.add(j)
 	if r.IntN(3) == 0 || s.Shape == api.Service && r.IntN(2) == 0 {
