--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -854,7 +854,10 @@
 	if err != nil || n < 0 {
 		return fmt.Errorf("%s: no such segment", path)
 	}
-	if per := perSegment(n, len(s.Tasks), len(j.Tasks)); per > 0 && per != j.perSeg {
+	switch per := perSegment(n, len(s.Tasks), len(j.Tasks), j.perSeg); {
+	case per == 0:
+		return fmt.Errorf("%s: %d tasks of %d", path, len(s.Tasks), len(j.Tasks))
+	case per != j.perSeg:
 		// Divided under another limit: the segment says how.
 		for _, d := range j.segs {
 			if d.Stamp != 0 {
@@ -872,17 +875,18 @@
 }
 
 // perSegment works out how many tasks each segment has from the n-th, which has so
-// many of all; 0 if it doesn't tell.
-func perSegment(n, has, all int) int {
+// many of all, if it isn't as many as thought.
+func perSegment(n, has, all, thought int) int {
+	can := func(per int) bool { return per > 0 && n*per < all && has == min(per, all-n*per) }
 	switch {
-	case has == 0:
-		return 0
-	case (n+1)*has < all:
-		return has
-	case n > 0: // the last one, which may be shorter
+	case can(thought), has == 0:
+		return thought
+	case n > 0 && can((all-has)/n): // the last one, which is shorter
 		return (all - has) / n
+	case can(has):
+		return has
 	}
-	return has
+	return 0
 }
 
 func (tb *Table) restore(j *Job, at int, recs []record) error {
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -161,3 +161,27 @@
 		t.Errorf("keys %v", k.keys)
 	}
 }
+
+// TestSegmentsSayHowTheyAreDivided: any one segment of a job tells how many tasks each
+// of them has, also when the limit that it was divided by is not ours. A short last
+// segment was once taken for a full one of a finer division, and no node could lead.
+func TestSegmentsSayHowTheyAreDivided(t *testing.T) {
+	for _, all := range []int{2, 7, 100, 149, 150, 200, 296, 5000} {
+		for _, per := range []int{18, 148} {
+			for n := 0; n*per < all; n++ {
+				has := min(per, all-n*per)
+				if got := perSegment(n, has, all, per); got != per {
+					t.Errorf("%d tasks by %d: segment %d with %d is read as of %d", all, per, n, has, got)
+				}
+			}
+		}
+	}
+	for _, x := range [][4]int{{0, 18, 200, 18}, {3, 18, 200, 18}, {11, 2, 200, 18}} {
+		if got := perSegment(x[0], x[1], x[2], 148); got != x[3] {
+			t.Errorf("%v is read as of %d", x, got)
+		}
+	}
+	if got := perSegment(1, 30, 40, 148); got != 0 {
+		t.Errorf("what can't be is read as of %d", got)
+	}
+}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"opaldale/internal/ident"
 )
 
 func play(seed uint64, m Mutation) *World {
@@ -209,11 +208,13 @@
 		w := New(Config{Seed: seed, Length: 160 * time.Second})
 		var old *node
 		fenced := 0
+		busy := map[*rented]bool{} // idle ones may be returned for that
 		w.at(80*time.Second, func() {
 			old = leading(w)
 			w.sever(old.name, machines, seed%2 == 0, 41*time.Second)
-			for _, m := range w.cloud.machines {
-				if m.gone == 0 {
+			for _, k := range w.sortedWorkers() {
+				if len(k.pieces) > 0 {
+					busy[k.m] = true
 					fenced--
 				}
 			}
@@ -223,7 +224,7 @@
 				t.Errorf("seed %d: nobody else leads 12 s after the cut", seed)
 			}
 			for _, m := range w.cloud.machines {
-				if m.gone == 0 && m.born < ident.Mono(80*time.Second) {
+				if m.gone == 0 && busy[m] {
 					fenced++
 				}
 			}
