Tests: values and frames of the version in production, read and written alike

testdata was written by that version in the script that the test repeats; it is read at both levels, converted with a term's end after every step, and what is written below the level is the same. Frames are the same to the byte: the format between nodes stays.

--- /dev/null
+++ b/internal/jobs/format_test.go
@@ -0,0 +1,257 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"opaldale/internal/api"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// golden is testdata/production.json: what the version in production (the commit in
+// deploy/service.toml) wrote in the test script of scripted below, and what it held in
+// memory then. It can go with the format of before ident.Packed.
+type golden struct {
+	Pairs []statesvc.Pair
+	Jobs  map[string]goldenJob
+}
+
+type goldenJob struct {
+	Phase string
+	Tasks []record
+}
+
+func readGolden(t *testing.T) (g golden) {
+	t.Helper()
+	b, err := os.ReadFile("testdata/production.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(b, &g); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// scripted does what the golden values come from.
+func scripted(k *keep, tb *Table, c *commit.Committer) {
+	site, due := "east", 90.5
+	add := func(id string, shape api.Shape, pieces int) *Job {
+		s := &api.Spec{ID: ident.JobID(id), Lane: "lane", Desk: "red", Shape: shape, Rank: api.High, Pieces: pieces, VCPUs: 1.5,
+			MemoryGB: 2, Bundle: "img-1", ImageGB: 0.5, Models: []string{"m8"}, Site: &site, DueS: &due, RuntimeS: 30}
+		j := tb.Add(s, func() {}, nil)
+		c.Flush()
+		k.run()
+		return j
+	}
+	place := func(j *Job, n int) {
+		for i := range n {
+			tb.Place(&j.Tasks[i], ident.HostID(fmt.Sprintf("host-%06d", i)), ident.Tenure(1+i%3), func() {})
+		}
+		c.Flush()
+		k.run()
+	}
+	small, service, large, held := add("j-1", api.Batch, 3), add("j-2", api.Service, 4), add("j-3", api.Batch, 150), add("j-4", api.Batch, 5)
+	add("j-5", api.Batch, 400)
+	place(small, 3)
+	place(service, 4)
+	place(large, 149)
+	place(held, 2)
+	tb.Complete(&small.Tasks[1], nil)
+	tb.Gone(&service.Tasks[2], nil)
+	c.Flush()
+	k.run()
+	for _, d := range large.segs {
+		c.Mark(d, nil)
+	}
+	c.Mark(service.head, nil)
+	c.Flush()
+	k.run()
+	tb.Gone(&large.Tasks[148], nil)
+	tb.Complete(&large.Tasks[7], nil)
+	tb.Place(&service.Tasks[2], "host-000999", 7, func() {})
+	tb.Cancel(held, func() {})
+	c.Flush()
+	k.run()
+}
+
+// same compares a table with what production held.
+func same(t *testing.T, what string, tb *Table, g golden) {
+	t.Helper()
+	if len(tb.Jobs) != len(g.Jobs) {
+		t.Errorf("%s: %d jobs, want %d", what, len(tb.Jobs), len(g.Jobs))
+	}
+	for id, want := range g.Jobs {
+		j := tb.Jobs[ident.JobID(id)]
+		if j == nil {
+			t.Errorf("%s: %s is missing", what, id)
+			continue
+		}
+		if got := (goldenJob{j.Phase.String(), records(j.Tasks)}); !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %s: %v, want %v", what, id, got, want)
+		}
+	}
+}
+
+// load reads a state service as a new leader does.
+func load(t *testing.T, k *keep, packed bool) (*Table, *commit.Committer) {
+	t.Helper()
+	tb, c := table(k)
+	tb.Expect(2048)
+	if packed {
+		c.Expect(commit.Limits{Ops: 5, PerSecond: 1e9, ValueBytes: 2048})
+		c.Pack()
+		tb.Pack()
+	}
+	var log []statesvc.Pair
+	for _, path := range sortedKeys(k.keys) {
+		p := k.keys[path]
+		switch {
+		case strings.HasPrefix(path, LivePrefix):
+			if err := tb.Load(path, p.Value, p.Stamp); err != nil {
+				t.Fatal(err)
+			}
+		case strings.HasPrefix(path, commit.LogPrefix):
+			log = append(log, p)
+		}
+	}
+	if err := tb.LoadLog(log); err != nil {
+		t.Fatal(err)
+	}
+	tb.Loaded()
+	return tb, c
+}
+
+func (g golden) keep() *keep {
+	k := &keep{keys: map[string]statesvc.Pair{}}
+	for _, p := range g.Pairs {
+		k.keys[p.Path] = p
+		k.ledger = max(k.ledger, uint64(p.Stamp))
+	}
+	return k
+}
+
+// TestProductionIsRead: values written by the version in production are read at either
+// level, and stay what they are when they are moved to the newest form, in whichever
+// state a term ends on the way; nothing is then larger than the limits to come.
+func TestProductionIsRead(t *testing.T) {
+	g := readGolden(t)
+	old, _ := load(t, g.keep(), false)
+	same(t, "first format", old, g)
+	for steps := 0; ; steps++ {
+		k := g.keep()
+		tb, c := load(t, k, true)
+		same(t, "before conversion", tb, g)
+		whole := 0
+		for n := range steps {
+			whole = tb.Convert(1)
+			c.Flush()
+			if n < steps-1 {
+				k.run()
+			} else {
+				k.queue = nil // the term ends before the answer comes
+			}
+		}
+		next, _ := load(t, k, true)
+		same(t, fmt.Sprintf("after %d steps", steps), next, g)
+		if steps > 0 && whole == 0 && steps > 2*len(g.Jobs) {
+			break
+		}
+	}
+	k := g.keep()
+	tb, c := load(t, k, true)
+	for tb.Convert(1) > 0 || !settled(tb) {
+		c.Flush()
+		k.run()
+	}
+	c.Flush()
+	k.run()
+	same(t, "converted", tb, g)
+	next, _ := load(t, k, true)
+	same(t, "loaded again", next, g)
+	for path, p := range k.keys {
+		if strings.HasPrefix(path, LivePrefix) && len(p.Value) > 2048 {
+			t.Errorf("%s has %d bytes", path, len(p.Value))
+		}
+		if strings.Count(path, "/") > 1 {
+			t.Errorf("%s is left", path)
+		}
+	}
+}
+
+func settled(tb *Table) bool {
+	for _, j := range tb.Jobs {
+		if j.form != logged {
+			return false
+		}
+	}
+	return true
+}
+
+// TestFirstFormatIsWritten: below the level this program writes just what production
+// does, so that an old leader reads it, keeps all of it and writes it again.
+func TestFirstFormatIsWritten(t *testing.T) {
+	g := readGolden(t)
+	k := &keep{keys: map[string]statesvc.Pair{}}
+	tb, c := table(k)
+	scripted(k, tb, c)
+	same(t, "in memory", tb, g)
+	if len(k.keys) != len(g.Pairs) {
+		t.Errorf("%d keys, want %d", len(k.keys), len(g.Pairs))
+	}
+	for _, p := range g.Pairs {
+		var got, want map[string]any
+		if err := json.Unmarshal(k.keys[p.Path].Value, &got); err != nil {
+			t.Errorf("%s: %v", p.Path, err)
+			continue
+		}
+		if err := json.Unmarshal(p.Value, &want); err != nil {
+			t.Fatal(err)
+		}
+		// A header may say that it has taken over fewer records, never more.
+		if a, ok := got["lsn"].(float64); ok && a <= want["lsn"].(float64) {
+			got["lsn"] = want["lsn"]
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %s, want %s", p.Path, k.keys[p.Path].Value, p.Value)
+		}
+	}
+}
+
+// TestLostNumber: a header was put with the number of a log record still under way;
+// that record never came to be, and the next term gave its number out again. What the
+// new record says must not be passed over for it.
+func TestLostNumber(t *testing.T) {
+	k := &keep{keys: map[string]statesvc.Pair{}}
+	head := `{"spec":{"id":"j-1","desk":"red","shape":"batch","pieces":2,"vcpus":1},"seq":1,"phase":"open","lsn":9,"tasks":[{},{}]}`
+	k.keys["live/j-1"] = statesvc.Pair{Path: "live/j-1", Value: json.RawMessage(head), Stamp: 20}
+	k.keys["log/00000"] = statesvc.Pair{Path: "log/00000", Value: json.RawMessage(`{"n":9,"l":[{"j":"j-1","t":1,"h":"host-1","n":1}]}`), Stamp: 31}
+	k.ledger = 40
+	for _, packed := range []bool{false, true} {
+		tb, _ := load(t, k, packed)
+		if got := tb.Jobs["j-1"].Tasks[0].Host; got != "host-1" {
+			t.Errorf("packed %v: the placement is passed over: %q", packed, got)
+		}
+	}
+	delete(k.keys, "log/00000")
+	tb, c := load(t, k, false)
+	tb.Place(&tb.Jobs["j-1"].Tasks[1], "host-2", 1, func() {})
+	c.Flush()
+	k.run()
+	var r struct {
+		N uint64 `json:"n"`
+	}
+	if err := json.Unmarshal(k.keys["log/00000"].Value, &r); err != nil || r.N <= 9 {
+		t.Errorf("record %d after a header that has taken over 9 (%v)", r.N, err)
+	}
+}
+
+func sortedKeys(keys map[string]statesvc.Pair) []string { return slices.Sorted(maps.Keys(keys)) }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -84,20 +84,8 @@
 		}
 
 		next, c2 := table(k)
-		var paths []string
-		for p := range k.keys {
-			paths = append(paths, p)
-		}
-		// In the order of keys, as the state service lists them.
-		for i := range paths {
-			for n := i + 1; n < len(paths); n++ {
-				if paths[n] < paths[i] {
-					paths[i], paths[n] = paths[n], paths[i]
-				}
-			}
-		}
 		var log []statesvc.Pair
-		for _, p := range paths {
+		for _, p := range sortedKeys(k.keys) { // as the state service lists them
 			if strings.HasPrefix(p, commit.LogPrefix) {
 				log = append(log, k.keys[p])
 				continue
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"net"
+	"os"
 	"reflect"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,3 +121,34 @@
 	l.Close()
 	wg.Wait()
 }
+
+// TestProductionFrames: what the version in production sends is read, and what is sent
+// now is the same to the byte, as it refuses every other frame. testdata/production.hex
+// was written by that version (deploy/service.toml) with the frames below.
+func TestProductionFrames(t *testing.T) {
+	b, err := os.ReadFile("testdata/production.hex")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Fields(string(b))
+	frames := []*Frame{{Kind: Hello, Node: "agent-1"},
+		{Kind: Beat, Node: "agent-2", Term: 7, ID: 99, Life: Life{Echo: 5, Age: 1000, Grace: 2000, Trust: None, Ago: 3}},
+		{Kind: Ask, ID: 12, Verb: Submit, Body: []byte(`{"id":"j-1"}`)}, {Kind: Ask, ID: 13, Verb: Checkin, Body: []byte(`{}`)},
+		{Kind: Ask, ID: 14, Verb: Poll, Job: "j-000412"}, {Kind: Ask, ID: 15, Verb: Cancel, Job: "j-000412"},
+		{Kind: Tell, ID: 12, Status: 503, Retry: 1, Body: []byte(`{"error":"no leader at present"}`)}}
+	if len(lines) != len(frames) {
+		t.Fatalf("%d frames, want %d", len(lines), len(frames))
+	}
+	for i, f := range frames {
+		if got := hex.EncodeToString(f.Append(nil)); got != lines[i] {
+			t.Errorf("frame %d is sent as %s, want %s", i, got, lines[i])
+		}
+		raw, err := hex.DecodeString(lines[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(raw[4:]); err != nil {
+			t.Errorf("frame %d: %v", i, err)
+		}
+	}
+}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -4,7 +4,6 @@
 	"strings"
 	"testing"
 	"time"
-
 )
 
 func play(seed uint64, m Mutation) *World {
