A machine kept for a gang is not given to one of its tasks alone; tests of gangs

Cause: found by TestGangsDontStarve: the rule that a kept machine takes its job's next task placed the gang's first task by itself.

--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -4,7 +4,9 @@
 package gang
 
 import (
+	"cmp"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -113,11 +115,7 @@
 
 // Tick looks at what only time changes.
 func (tb *Table) Tick() {
-	for _, j := range tb.jobs.Sorted() {
-		if tb.open[j] != nil {
-			tb.step(j)
-		}
-	}
+	tb.touched = slices.SortedFunc(maps.Keys(tb.open), func(a, b *jobs.Job) int { return cmp.Compare(a.Seq, b.Seq) })
 	tb.Settle()
 }
 
@@ -210,8 +208,8 @@
 		case n.placing > 0:
 		case a.state == Placed || a.gap > 0 || len(a.sent) < len(j.Tasks) || tb.moved(a):
 			a.gap, j.Joinable = 0, false
-			tb.launch(a)
 			tb.to(a, Gathering, "durable")
+			tb.launch(a)
 		case n.runs == len(j.Tasks):
 			tb.Started++
 			tb.to(a, Running, "all run")
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -52,8 +52,12 @@
 	next    int
 }
 
-// Gangs are not part of this fleet.
-func (l *large) PlaceGang(*jobs.Job, []gang.Pick)         {}
+// PlaceGang places the tasks of a gang; its attempts are not played.
+func (l *large) PlaceGang(j *jobs.Job, picks []gang.Pick) {
+	for _, p := range picks {
+		l.Place(p.Task, p.Worker)
+	}
+}
 func (l *large) GangUsed(*jobs.Job, *workers.Worker) bool { return false }
 func (l *large) Stoppable(*jobs.Job) bool                 { return false }
 func (l *large) StopGang(*jobs.Job) bool                  { return false }
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -635,7 +635,8 @@
 // then what it holds the image of.
 func (p *Planner) local(w *workers.Worker) (*jobs.Task, *uint64) {
 	if j := p.reserved[w]; j != nil {
-		if t := p.next(j); t != nil && p.ready(t, w) {
+		// Kept for a gang: that is placed as a whole. (Its first task was taken alone.)
+		if t := p.next(j); t != nil && !j.Gang() && p.ready(t, w) {
 			return t, &p.Stats.Local
 		}
 		return nil, nil
--- a/internal/standin/gang_test.go
+++ b/internal/standin/gang_test.go
@@ -84,3 +84,42 @@
 		})
 	}
 }
+
+// notices plays a day on which nothing goes wrong but that spot machines are taken,
+// all with a notice.
+func notices(seed uint64, m Mutation) *World {
+	w := New(Config{Seed: seed, Mutation: m, Gangs: true, Length: 250 * time.Second})
+	for at := 40 * time.Second; at < 240*time.Second; at += 20 * time.Second {
+		w.at(at, func() {
+			for _, k := range w.sortedWorkers() {
+				if k.m.standby && k.doomed == 0 && w.rng.IntN(2) == 0 {
+					k.doom(20 * time.Second)
+					w.at(20*time.Second, func() { w.cloud.take(k.m) })
+				}
+			}
+		})
+	}
+	w.Run()
+	return w
+}
+
+// TestGangsStopInOrder: a gang with a machine that will be taken saves as a whole and
+// goes on elsewhere. If only a part of it were told, the checks would say so.
+func TestGangsStopInOrder(t *testing.T) {
+	stops := 0
+	for seed := range uint64(20) {
+		w := notices(seed, None)
+		whole(t, seed, w)
+		stops += w.GangStops
+	}
+	if stops < 3 {
+		t.Errorf("%d gangs were stopped in order", stops)
+	}
+	for seed := range uint64(20) {
+		if w := notices(seed, StopPart); len(w.Broken) > 0 {
+			t.Logf("seed %d: %v", seed, w.Broken)
+			return
+		}
+	}
+	t.Error("that a part of a gang is stopped was not noticed")
+}
