--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -75,7 +75,7 @@
 	}
 	if gangs := 12; w.gangsWelcome() && r.IntN(gangs) < 2 || w.cfg.Gangs && r.IntN(2) == 0 {
 		s.Shape, s.Rank, s.Standby, s.Apart, s.VCPUs = api.Gang, []api.Rank{api.High, api.Standard}[r.IntN(2)], r.IntN(3) == 0, false, 1
-		s.Pieces = 2 + r.IntN(5)
+		s.Pieces, s.RuntimeS = 2+r.IntN(5), 40
 		s.OneZone = r.IntN(3) > 0
 		if r.IntN(4) > 0 {
 			s.SnapshotEveryS, s.SnapshotS = 8, 2
