--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -207,7 +207,7 @@
 		p.searched++
 		for n := len(*left); n > 0; n /= 2 {
 			need := jobs.Need{VCPUs: float64(n) * s.VCPUs, Cards: float64(n) * s.Cards, MemoryGB: float64(n) * s.MemoryGB}
-			if stop, cost, ok := p.choose(w, j, need, now, true); ok {
+			if stop, cost, ok := p.choose(w, j, need, now, true, false); ok {
 				offers = append(offers, offer{w, n, stop, cost})
 				break
 			}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -864,7 +864,7 @@
 		if p.searched++; p.searched >= maxSearched {
 			p.from = (p.from + i + 1) % len(p.order)
 		}
-		victims, cost, ok := p.choose(w, j, jobs.NeedOf(j.Spec), now, holders)
+		victims, cost, ok := p.choose(w, j, jobs.NeedOf(j.Spec), now, holders, !holders && now.Sub(t.Since) > gangPatience)
 		if !ok {
 			continue
 		}
@@ -903,6 +903,11 @@
 // gangCost is what a gang loses by being stopped, in seconds of each of its tasks.
 const gangCost = 30
 
+// gangPatience is how long other work waits for room before a gang is stopped for it.
+// (Gangs were stopped at once when a rack was lost, and again before they had their
+// images, for replicas that found room within seconds.)
+const gangPatience = 5 * time.Second
+
 // spareTime is how long a task that gave way is spared. What has just started
 // costs least to stop: the same tasks were stopped over and over, sixty times
 // within half a minute, while services started on a fleet that booted.
@@ -914,8 +919,9 @@
 
 // choose finds the cheapest set of tasks to stop on a machine so that as much is free
 // for j, counting what is being stopped already as room. With spare set, what gave
-// way of late is left alone, and so are gangs.
-func (p *Planner) choose(w *workers.Worker, j *jobs.Job, s jobs.Need, now ident.Mono, spare bool) ([]*jobs.Task, float64, bool) {
+// way of late is left alone; gangs are stopped only with gangs set, and never again
+// soon.
+func (p *Planner) choose(w *workers.Worker, j *jobs.Job, s jobs.Need, now ident.Mono, spare, gangs bool) ([]*jobs.Task, float64, bool) {
 	vcpus, cards, mem := w.Kind.VCPUs-w.VCPUs, w.Kind.Cards-w.Cards, w.Kind.MemoryGB-w.MemoryGB
 	var cand []*jobs.Task
 	for _, v := range w.Tasks {
@@ -925,7 +931,7 @@
 			mem += v.Job.Spec.MemoryGB
 		} else if v.Job.Gang() {
 			// Never a part of a gang: the whole of it, if all can be told in time.
-			if !spare && p.victim(v, j) && p.act.Stoppable(v.Job) {
+			if gangs && !spared(v, now) && p.victim(v, j) && p.act.Stoppable(v.Job) {
 				cand = append(cand, v)
 			}
 		} else if p.victim(v, j) && !(spare && spared(v, now)) {
