--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -15,6 +15,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
 	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
 	"opaldale/internal/mesh"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
@@ -32,6 +33,9 @@
 	timers []timer
 	keys   []statesvc.Pair
 	asked  map[string]bool
+	values map[string]string // of single keys
+	frames []*mesh.Frame     // sent to siblings
+	ledger uint64
 }
 
 type timer struct {
@@ -43,11 +47,22 @@
 func (w *world) WallMS() int64                              { return 0 }
 func (w *world) After(d time.Duration, f func())            { w.timers = append(w.timers, timer{w.now.Add(d), f}) }
 func (w *world) Cloud(r cloud.Request, f func(cloud.Reply)) {}
-func (w *world) Mesh(ident.NodeID, *mesh.Frame)             {}
+func (w *world) Mesh(_ ident.NodeID, f *mesh.Frame)         { w.frames = append(w.frames, f) }
 
 func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
 	switch r.Op {
+	case statesvc.Txn:
+		w.ledger++
+		f(statesvc.Reply{Outcome: statesvc.OK, Ledger: w.ledger})
 	case statesvc.Get:
+		if v, ok := w.values[r.Path]; ok {
+			f(statesvc.Reply{Outcome: statesvc.OK, Value: json.RawMessage(v)})
+			return
+		}
+		if strings.HasPrefix(r.Path, jobs.OverPrefix) {
+			f(statesvc.Reply{Outcome: statesvc.NotFound})
+			return
+		}
 		if r.Path == catalogKey {
 			f(statesvc.Reply{Outcome: statesvc.OK, Value: api.JSON([]cloud.Model{{SKU: "m8", VCPUs: 8, Sites: []string{"a"}}})})
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,3 +83,28 @@
 		t.Error("an unknown plan is taken")
 	}
 }
+
+// TestNextLimits: announced limits count where they are smaller; one that isn't named
+// stays, and broken ones are named.
+func TestNextLimits(t *testing.T) {
+	next := func(body string) string {
+		return strings.Replace(good, "[cluster.cloud]", "[cluster.state.next]\n"+body+"\n[cluster.cloud]", 1)
+	}
+	s, err := Parse([]byte(next("write_rps = 56.0\nvalue_kb = 2.0\nlater = 1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Cluster.State.Tight(); got.WriteRPS != 56 || got.ValueKB != 2 || got.TxnOps != 24 || got.RPS != 200 {
+		t.Errorf("%+v", got)
+	}
+	plain, err := Parse([]byte(good))
+	if err != nil || plain.Cluster.State.Tight() != plain.Cluster.State {
+		t.Errorf("without an announcement: %+v, %v", plain.Cluster.State.Tight(), err)
+	}
+	_, err = Parse([]byte(next("write_rps = -1.0\nvalue_kb = 0.5\ntxn_ops = 2")))
+	for _, name := range []string{"next.write_rps", "next.value_kb", "next.txn_ops"} {
+		if err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s is not named: %v", name, err)
+		}
+	}
+}
