--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -216,7 +216,7 @@
 }
 
 // Spare says whether there are puts left for what may wait.
-func (c *Committer) Spare() bool { return len(c.queue) == 0 && c.spare() }
+func (c *Committer) Spare() bool { return len(c.queue)+len(c.entries) == 0 && c.spare() }
 
 // Stop ends the committer; nothing of it is called any more.
 func (c *Committer) Stop() { c.dead = true }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -72,8 +72,9 @@
 	fleetPrefix = "fleet/"
 	catalogKey  = "catalog"
 	typesPrefix = "types/"
-	// convertBatch bounds the jobs that a tick begins to move to the newest form.
-	convertBatch = 4
+	// convertBatch bounds the lines and headers that a tick begins to write anew in the
+	// newest form.
+	convertBatch = 50
 	convertAgain = 5 * time.Second
 	// writeShare and opsShare leave room for lease renewals and elections.
 	writeShare   = 0.85
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -326,9 +326,10 @@
 	return len(api.JSON(header{Spec: s, Seq: 1 << 62, AtMS: 1 << 62, Logged: true})) + spareBytes, tb.most
 }
 
-// Convert moves up to n jobs to the form in which the log alone has their tasks, and
-// returns how many are left. Nothing needs it at once: it is for the time between an
-// upgrade and the next change of a job's header.
+// Convert moves jobs to the form in which the log alone has their tasks, for up to n
+// lines and headers, but one at the least, and returns how many jobs are left. Nothing
+// needs it at once: it is for the time between an upgrade and the next change of a job's
+// header.
 func (tb *Table) Convert(n int) int {
 	left := 0
 	if !tb.packed {
@@ -338,11 +339,13 @@
 		if j.form != whole || !j.Known || j.over || !tb.fits(j) {
 			continue
 		}
-		if left++; left <= n {
-			tb.convert(j, nil)
+		if n <= 0 {
+			left++
+			continue
 		}
+		n -= 1 + tb.convert(j, nil)
 	}
-	return max(0, left-n)
+	return left
 }
 
 // fits says whether a job's header without tasks is short enough to be put again. One
@@ -364,16 +367,17 @@
 }
 
 // convert writes what is known of a job's tasks to the log, and once that is durable
-// the header without them; then is called when that is.
-func (tb *Table) convert(j *Job, then func()) {
+// the header without them; then is called when that is. It returns how many lines that
+// takes.
+func (tb *Table) convert(j *Job, then func()) int {
 	if then != nil {
 		j.moved = append(j.moved, then)
 	}
 	if j.form == moving {
-		return
+		return 0
 	}
 	j.form = moving
-	left := 1
+	left, lines := 1, 0
 	done := func() {
 		if left--; left > 0 || j.over {
 			return
@@ -392,10 +396,12 @@
 	for i := range j.Tasks {
 		if t := &j.Tasks[i]; t.Try > 0 && !t.pin.Held() {
 			left++
+			lines++
 			tb.commits.Append(t, done)
 		}
 	}
 	done()
+	return lines
 }
 
 // Add takes in a new job; then is called once it is durable, taken if a job of
