--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,6 +129,8 @@
 	// settling is how long after the first job arrivals count as a backlog and
 	// not as a rate.
 	settling = 15 * time.Second
+	// ceased is how long after the last job of any kind none is expected any more.
+	ceased = 40 * time.Second
 	maxSeen  = 2000
 )
 
@@ -146,6 +148,14 @@
 	a.at, a.cpus = a.at[n:], a.cpus[n:]
 }
 
+// newest returns when the last job came, 0 if none did.
+func (a *arrivals) newest() ident.Mono {
+	if len(a.at) == 0 {
+		return 0
+	}
+	return a.at[len(a.at)-1]
+}
+
 // rate returns CPUs a second, and the mean and the largest job.
 func (a *arrivals) rate(now, began ident.Mono) (perSecond, mean, most float64) {
 	a.trim(now)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -414,3 +414,44 @@
 	r.pass(9*time.Second, r.m)
 	r.onlyDeadFenced(t, dead)
 }
+
+// TestNothingComes: room is kept for jobs to come while they come, and given back
+// within a minute of the last one of any kind.
+func TestNothingComes(t *testing.T) {
+	r := newRig()
+	r.m.cfg.Tuning.IdleKeep = 12 * time.Second
+	r.up(2)
+	r.m.Continue()
+	// pass lets time pass while the machines report.
+	pass := func() {
+		for range 2 {
+			for _, w := range r.table.Sorted() {
+				if w.State == workers.Up {
+					r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(r.now)})
+				}
+			}
+			r.pass(2500*time.Millisecond, r.m)
+		}
+	}
+	returned := func() (n int) {
+		for _, w := range r.table.Sorted() {
+			if w.State == workers.Returning || w.State == workers.Gone {
+				n++
+			}
+		}
+		return n
+	}
+	for range 4 {
+		r.m.Arrived(&api.Spec{Shape: api.Service, Pieces: 4, VCPUs: 3}, r.now)
+		pass()
+	}
+	if n := returned(); n > 0 {
+		t.Fatalf("%d machines are returned while jobs come", n)
+	}
+	for range 12 {
+		pass()
+	}
+	if n := returned(); n != 2 {
+		t.Errorf("%d of 2 idle machines are returned a minute after the last job", n)
+	}
+}
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -591,6 +591,11 @@
 			services[z] = 0
 		}
 	}
+	if now.Sub(max(m.services.newest(), m.arrays.newest())) > ceased {
+		// Machines stood there with nothing to do for a minute and a half after the last
+		// job of all.
+		return services, 0
+	}
 	f := m.cfg.Tuning.Headroom
 	if len(m.services.at) > 0 {
 		rate, _, most := m.services.rate(now, m.began)
