--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -70,7 +70,8 @@
 
 // Entry is something small of a document whose changes go to the log.
 type Entry interface {
-	// Line is its present content, and Home the document that it is part of.
+	// Line is its present content, and Home the document that it is part of; both are of
+	// the first format, as are slots' homes, keep, cover and fold.
 	Line() any
 	Home() *Doc
 	// Text is its present content in the log's own format, beside the name that
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -365,7 +365,8 @@
 	c.pass(to, up, v, job, body, reply)
 }
 
-// learn reads the format level; then is called if gangs may be passed on.
+// learn reads the format level; then is called if gangs may be passed on. It goes with
+// the first format.
 func (c *Controller) learn(then func(), reply func(Reply)) {
 	c.env.State(statesvc.Request{Op: statesvc.Get, Path: election.TermKey, Timeout: commitTime}, func(r statesvc.Reply) {
 		if r.Outcome == statesvc.OK {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -41,7 +41,7 @@
 
 	models  []cloud.Model
 	kinds   map[string]*cloud.Model
-	catalog *commit.Doc   // below ident.Packed
+	catalog *commit.Doc   // of the first format
 	types   []*commit.Doc // from it on: one for each machine type
 
 	level      ident.Level // the format that is written
@@ -163,7 +163,8 @@
 	l.refusePending()
 }
 
-// pack goes over to the format of ident.Packed, now that it is in force.
+// pack goes over to the format of ident.Packed, now that it is in force. It goes with
+// the first format.
 func (l *lead) pack() {
 	if l.dead {
 		return
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -22,7 +22,7 @@
 	Model   string          `json:"model"`
 	Site    string          `json:"site"`
 	Standby bool            `json:"standby,omitempty"`
-	Hosts   []machineRecord `json:"hosts,omitempty"` // below ident.Packed
+	Hosts   []machineRecord `json:"hosts,omitempty"` // of the first format
 	Text    string          `json:"text,omitempty"`  // from it on: host, address and birth of each
 	BaseMS  int64           `json:"base,omitempty"`  // from which births are counted, in seconds
 }
@@ -211,7 +211,7 @@
 	return nil
 }
 
-// fitLoaded brings machines' records that an earlier term left in the form of before
+// fitLoaded goes with the first format; it brings machines' records that an earlier term left in the form of before
 // to the present one.
 func (l *lead) fitLoaded() {
 	for _, g := range l.older {
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -46,7 +46,9 @@
 	Level uint8
 )
 
-// The format levels.
+// The format levels. What reads and writes the format below Packed is marked in the
+// code as of the first format; it can go, with package upgrade, once no deployment is
+// below that level.
 const (
 	// Packed keeps tasks in the log alone, in lines of text, and every value within the
 	// limits that the state service may come to. Gangs need it.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -132,7 +132,9 @@
 	wants  []func() // called once the submission is durable
 }
 
-// form says where a job's tasks are in the state service.
+// form says where a job's tasks are in the state service. All but the last are of the
+// first format, and go with it: so do segments, a header's tasks and LSN, Convert, and a
+// task's Line and Home.
 type form uint8
 
 const (
@@ -238,13 +240,13 @@
 	Logged bool `json:"logged,omitempty"`
 }
 
-// segment is the value of a segment's key.
+// segment is the value of a segment's key, of the first format.
 type segment struct {
 	LSN   uint64   `json:"lsn,omitempty"`
 	Tasks []record `json:"tasks"`
 }
 
-// line is a task's change in the log.
+// line is a task's change in the log, of the first format.
 type line struct {
 	Job   ident.JobID `json:"j"`
 	Index int         `json:"i,omitempty"`
