A job for one zone, with room in none, has its machines opened in one; gang-wait is a setting

Cause: found by TestGangGrowsOneZone: without any room no zone was chosen, and machines were opened in both in turn, so a gang waited for more than it needed and one stood idle. gang-wait (5 s) joins the operators' settings; nothing else changes by it.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -134,7 +134,7 @@
 		Renewed: func() ident.Mono { return l.ledger.Renewed(c.env.Now()) },
 	})
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
-	l.planner.MaxWait = c.set.Tuning.MaxWait
+	l.planner.MaxWait, l.planner.GangWait = c.set.Tuning.MaxWait, c.set.Tuning.GangWait
 	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -455,3 +455,38 @@
 		t.Errorf("%d of 2 idle machines are returned a minute after the last job", n)
 	}
 }
+
+// TestGangGrowsOneZone: for a gang that must be in one zone and that none can hold,
+// machines are rented in one zone, for all of it; where one zone has none to give, in the
+// other.
+func TestGangGrowsOneZone(t *testing.T) {
+	for _, closed := range []string{"", "east", "west"} {
+		r := newRig()
+		r.m.cfg.Tuning.Headroom = 0 // nothing is rented for jobs to come
+		r.m.cfg.Catalog = func() []cloud.Model {
+			return []cloud.Model{{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Sites: []string{"east", "west"}}}
+		}
+		rented := map[string]int{}
+		r.reply = func(q cloud.Request) cloud.Reply {
+			switch {
+			case q.Op != cloud.Rent:
+				return cloud.Reply{Outcome: cloud.OK}
+			case q.Site == closed:
+				return cloud.Reply{Outcome: cloud.NoCapacity}
+			}
+			a := cloud.Reply{Outcome: cloud.OK}
+			for range q.Number {
+				rented[q.Site]++
+				a.Rented = append(a.Rented, ident.HostID(fmt.Sprintf("host-%s%03d", q.Site, rented[q.Site])))
+			}
+			return a
+		}
+		r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Gang, Pieces: 6, VCPUs: 4, OneZone: true}, func() {}, nil)
+		r.commits.Flush()
+		r.pass(2*time.Second, r.m)
+		most := max(rented["east"], rented["west"])
+		if least := min(rented["east"], rented["west"]); most < 3 || least > 0 || closed != "" && rented[closed] > 0 {
+			t.Errorf("closed %q: rented %v for a gang of three machines", closed, rented)
+		}
+	}
+}
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -305,13 +305,16 @@
 		if b == nil && j.Gang() && s.OneZone && j.Held == 0 && a.zone != "" {
 			// Nothing is to be had there: perhaps it is elsewhere, for all of them.
 			a.zone, n = "", s.Pieces
-			if b = open(s, a); b != nil {
-				a.zone = b.pool.site
-			}
+			b = open(s, a)
 		}
 		if b == nil {
 			return
 		}
+		if s.OneZone {
+			// Where the first machine is, the others have to be. (Without room anywhere
+			// they were opened in both zones in turn.)
+			a.zone = b.pool.site
+		}
 		if dear && !b.pool.standby {
 			*late -= b.v
 		}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -45,6 +45,11 @@
 	// MaxWait is how long a job may wait for its first task before it goes first.
 	MaxWait time.Duration
 
+	// GangWait is how long other work waits for room before a gang is stopped for it.
+	// (Gangs were stopped at once when a rack was lost, and again before they had their
+	// images, for replicas that found room within seconds.)
+	GangWait time.Duration
+
 	Stats Stats
 
 	// What follows is of one dispatch.
@@ -97,7 +102,7 @@
 
 // NewPlanner makes a planner without a plan.
 func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool, aims []settings.Objective) *Planner {
-	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}, MaxWait: time.Hour,
+	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}, MaxWait: time.Hour, GangWait: time.Hour,
 		reserved: map[*workers.Worker]*jobs.Job{}, begun: map[string]ident.Mono{}, aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
 	for _, o := range aims {
 		switch o.Kind {
@@ -864,7 +869,7 @@
 		if p.searched++; p.searched >= maxSearched {
 			p.from = (p.from + i + 1) % len(p.order)
 		}
-		victims, cost, ok := p.choose(w, j, jobs.NeedOf(j.Spec), now, holders, !holders && now.Sub(t.Since) > gangPatience)
+		victims, cost, ok := p.choose(w, j, jobs.NeedOf(j.Spec), now, holders, !holders && now.Sub(t.Since) > p.GangWait)
 		if !ok {
 			continue
 		}
@@ -903,11 +908,6 @@
 // gangCost is what a gang loses by being stopped, in seconds of each of its tasks.
 const gangCost = 30
 
-// gangPatience is how long other work waits for room before a gang is stopped for it.
-// (Gangs were stopped at once when a rack was lost, and again before they had their
-// images, for replicas that found room within seconds.)
-const gangPatience = 5 * time.Second
-
 // spareTime is how long a task that gave way is spared. What has just started
 // costs least to stop: the same tasks were stopped over and over, sixty times
 // within half a minute, while services started on a fleet that booted.
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -19,6 +19,7 @@
 	Headroom    float64       // multiplies the room kept free for expected arrivals
 	Spare       float64       // part of the services' machines whose loss others must have room for
 	MaxWait     time.Duration // a job that waits longer for its first task goes before all others
+	GangWait    time.Duration // other work waits so long for room before a whole gang is stopped for it
 	Plan        string        // "asm1", or "none": only local work and stealing
 }
 
@@ -32,6 +33,7 @@
 		Headroom:    1,
 		Spare:       0.05,
 		MaxWait:     2 * time.Minute,
+		GangWait:    5 * time.Second,
 		Plan:        "asm1",
 	}
 }
@@ -50,6 +52,7 @@
 		{"headroom: must be from 0 to 10", t.Headroom < 0 || t.Headroom > 10},
 		{"spare: must be from 0 to 1", t.Spare < 0 || t.Spare > 1},
 		{"max-wait: must be at least 1s", t.MaxWait < time.Second},
+		{"gang-wait: negative", t.GangWait < 0},
 		{"plan: must be asm1 or none", t.Plan != "asm1" && t.Plan != "none"},
 	} {
 		if f.bad {
@@ -93,6 +96,8 @@
 			t.Spare, err = strconv.ParseFloat(value, 64)
 		case "max-wait":
 			t.MaxWait, err = time.ParseDuration(value)
+		case "gang-wait":
+			t.GangWait, err = time.ParseDuration(value)
 		case "plan":
 			t.Plan = value
 		default:
