Read once more: one count of places, one end of a record's hold, less work to convert

Need.Places serves machines and what is rented for them, which counted alike; drop serves both ways in which a record of the log comes free. Convert says whether more is left instead of how much, so it no longer writes out every other job's header each half second to count it. A field of gangs that nothing read, and conditions that another implies, are gone; Cancel and fit read plainly. Behaviour as before; the tests' assertions stand.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -344,9 +344,15 @@
 	}
 	p.slot = nil
 	c.pinned--
+	c.drop(s)
+}
+
+// drop notes that one thing less holds a record; without any its slot is free.
+func (c *Committer) drop(s *slot) {
 	if s.left--; s.left == 0 {
+		// A new one: this is still in its place among the used.
 		c.free = append(c.free, &slot{path: s.path, stamp: s.stamp})
-		s.entries = nil
+		s.homes, s.entries = nil, nil
 		c.live--
 	}
 }
@@ -385,12 +391,7 @@
 			rest = append(rest, s)
 			continue
 		}
-		if s.left--; s.left == 0 {
-			// A new one: this is still in its place among the used.
-			c.free = append(c.free, &slot{path: s.path, stamp: s.stamp})
-			s.homes = nil
-			c.live--
-		}
+		c.drop(s)
 	}
 	d.slots = rest
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -493,7 +493,7 @@
 		began := l.c.env.Now()
 		l.fleet.Tick()
 		l.gangs.Tick()
-		if l.level >= ident.Packed && began > l.converted && l.commits.Spare() && l.jobs.Convert(convertBatch) == 0 {
+		if l.level >= ident.Packed && began > l.converted && l.commits.Spare() && !l.jobs.Convert(convertBatch) {
 			l.converted = began.Add(convertAgain)
 		}
 		l.dirty = true
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -211,14 +211,11 @@
 	return nil
 }
 
-// fitLoaded goes with the first format; it brings machines' records that an earlier term left in the form of before
-// to the present one.
+// fitLoaded brings machines' records that an earlier term left in the first format to
+// the present one. It goes with the first format.
 func (l *lead) fitLoaded() {
 	for _, g := range l.older {
-		if len(g.Members) > 0 {
-			w := g.Members[0]
-			l.fit(g, kindOf{w.Model, w.Site, w.Standby})
-		}
+		l.fit(g)
 	}
 	l.older = nil
 }
@@ -233,12 +230,16 @@
 			continue
 		}
 		seen[g] = true
-		k := kindOf{w.Model, w.Site, w.Standby}
-		l.fit(g, k)
+		l.fit(g)
 	}
 }
 
-func (l *lead) fit(g *workers.Group, k kindOf) {
+func (l *lead) fit(g *workers.Group) {
+	if len(g.Members) == 0 {
+		return
+	}
+	w := g.Members[0]
+	k := kindOf{w.Model, w.Site, w.Standby}
 	if l.groupFits(g, k) {
 		l.commits.MarkLazy(g.Doc, nil)
 	} else {
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -55,13 +55,7 @@
 func floor(x, to float64) float64 { return math.Floor(x/to+1e-6) * to }
 
 func (b *bin) fit(s *api.Spec) int {
-	n := math.MaxInt32
-	for _, x := range [][2]float64{{b.v, s.VCPUs}, {b.c, s.Cards}, {b.g, s.MemoryGB}} {
-		if x[1] > 0 {
-			n = min(n, int((x[0]+1e-6)/x[1]))
-		}
-	}
-	return n
+	return jobs.Need{VCPUs: b.v, Cards: b.c, MemoryGB: b.g}.Places(s)
 }
 
 func (b *bin) allows(s *api.Spec) bool {
--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -144,7 +144,6 @@
 		a = &attempt{job: j, try: j.LastTry() + 1, state: Placed, since: now, began: now, ours: true, used: map[ident.HostID]bool{},
 			sent: map[int]ident.HostID{}}
 		tb.open[j] = a
-		j.Attempt = a.try
 	} else {
 		tb.Replaced += uint64(len(picks))
 	}
@@ -206,8 +205,7 @@
 		case missing:
 			tb.gap(a, n)
 		case n.placing > 0:
-		case a.state == Placed || a.gap > 0 || len(a.sent) < len(j.Tasks) || tb.moved(a):
-			a.gap, j.Joinable = 0, false
+		case a.state == Placed || tb.moved(a):
 			tb.to(a, Gathering, "durable")
 			tb.launch(a)
 		case n.runs == len(j.Tasks):
--- a/internal/jobs/format_test.go
+++ b/internal/jobs/format_test.go
@@ -150,9 +150,9 @@
 		k := g.keep()
 		tb, c := load(t, k, true)
 		same(t, "before conversion", tb, g)
-		whole := 0
+		more := true
 		for n := range steps {
-			whole = tb.Convert(1)
+			more = tb.Convert(1)
 			c.Flush()
 			if n < steps-1 {
 				k.run()
@@ -162,13 +162,13 @@
 		}
 		next, _ := load(t, k, true)
 		same(t, fmt.Sprintf("after %d steps", steps), next, g)
-		if steps > 0 && whole == 0 && steps > 2*len(g.Jobs) {
+		if steps > 0 && !more && steps > 2*len(g.Jobs) {
 			break
 		}
 	}
 	k := g.keep()
 	tb, c := load(t, k, true)
-	for tb.Convert(1) > 0 || !settled(tb) {
+	for tb.Convert(1) || !settled(tb) {
 		c.Flush()
 		k.run()
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -118,9 +118,8 @@
 	// team's earlier unfinished jobs; the planner keeps it.
 	Within bool
 
-	// Attempt is the number that the tasks of a gang share, and Joinable says whether
-	// a lost one may still be replaced in it; the gang's own duty keeps both.
-	Attempt  ident.Try
+	// Joinable says whether a lost task of a gang may still be replaced in its present
+	// attempt; the gang's own duty keeps it.
 	Joinable bool
 
 	head   *commit.Doc
@@ -157,6 +156,20 @@
 	n.VCPUs, n.Cards, n.MemoryGB = min(n.VCPUs, s.VCPUs), min(n.Cards, s.Cards), min(n.MemoryGB, s.MemoryGB)
 }
 
+// Places returns how many tasks of a job find room in as much.
+func (n Need) Places(s *api.Spec) int {
+	k := math.MaxInt32
+	for _, x := range [][2]float64{{n.VCPUs, s.VCPUs}, {n.Cards, s.Cards}, {n.MemoryGB, s.MemoryGB}} {
+		if x[1] > 0 {
+			k = min(k, int((x[0]+slack)/x[1]))
+		}
+	}
+	return k
+}
+
+// slack forgives rounding in sums of amounts.
+const slack = 1e-6
+
 // Gang says whether the job's tasks run together or not at all.
 func (j *Job) Gang() bool { return j.Spec.Shape == api.Gang }
 
@@ -329,25 +342,23 @@
 }
 
 // Convert moves jobs to the form in which the log alone has their tasks, for up to n
-// lines and headers, but one at the least, and returns how many jobs are left. Nothing
+// lines and headers, but one at the least, and says whether more are left. Nothing
 // needs it at once: it is for the time between an upgrade and the next change of a job's
 // header.
-func (tb *Table) Convert(n int) int {
-	left := 0
+func (tb *Table) Convert(n int) (more bool) {
 	if !tb.packed {
-		return 0
+		return false
 	}
 	for _, j := range tb.Sorted() {
 		if j.form != whole || !j.Known || j.over || !tb.fits(j) {
 			continue
 		}
 		if n <= 0 {
-			left++
-			continue
+			return true
 		}
 		n -= 1 + tb.convert(j, nil)
 	}
-	return left
+	return false
 }
 
 // fits says whether a job's header without tasks is short enough to be put again. One
@@ -752,13 +763,13 @@
 		}
 		then()
 	}
-	switch tb.settle(j); {
-	case j.over || !tb.packed || j.form == logged || !j.Known:
-		tb.commits.Mark(j.head, durable)
-	default:
+	tb.settle(j)
+	if tb.packed && j.form != logged && j.Known && !j.over {
 		// Its header can't be put again before the log has its tasks.
 		tb.convert(j, durable)
+		return
 	}
+	tb.commits.Mark(j.head, durable)
 }
 
 // settle moves a job that needs no machine any more to the jobs that are over:
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -114,13 +114,8 @@
 	if w.Kind == nil {
 		return 0
 	}
-	n := s.Pieces
-	for _, x := range [][2]float64{{w.Kind.VCPUs - w.VCPUs, s.VCPUs}, {w.Kind.Cards - w.Cards, s.Cards}, {w.Kind.MemoryGB - w.MemoryGB, s.MemoryGB}} {
-		if x[1] > 0 {
-			n = min(n, int((x[0]+slack)/x[1]))
-		}
-	}
-	return max(n, 0)
+	free := jobs.Need{VCPUs: w.Kind.VCPUs - w.VCPUs, Cards: w.Kind.Cards - w.Cards, MemoryGB: w.Kind.MemoryGB - w.MemoryGB}
+	return max(0, min(s.Pieces, free.Places(s)))
 }
 
 // Room says whether as much is free.
