Guests without a limit are served, mistaken jobs cost little, and the gone say nothing

The guest team's settings say 0 for guarantee and limit, and 0 was read as nothing allowed; 'none' is no limit. Ruled out by the answers' reasons: an unknown team, machine types, overload.

Their work stands back: an array of the house beyond its guarantee may stop less urgent work of a team without one. In the stand-in house jobs waited 26 s for machines to boot behind a vast array of a guest.

Jobs that fail on every machine: their failures count for no machine, they are tried with one task at a time and pauses of up to a minute, and room is sought for one task only.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -491,6 +491,7 @@
 			return
 		}
 		began := l.c.env.Now()
+		l.jobs.Acquit()
 		l.fleet.Tick()
 		l.gangs.Tick()
 		if l.level >= ident.Packed && began > l.converted && l.commits.Spare() && !l.jobs.Convert(convertBatch) {
@@ -512,6 +513,8 @@
 			l.dirty = true
 			if l.planner.Stats.Rounds%12 == 0 {
 				s := l.planner.Stats
+				waits, limited, free := l.idleness()
+				slog.Debug("room", "waiting", waits, "at_limit", limited, "free_vcpus", free)
 				slog.Debug("figures", "planned", s.Planned, "local", s.Local, "new", s.New, "stolen", s.Stolen, "services", s.Services,
 					"rounds", s.Rounds, "extra", s.Extra, "fetched_gb", s.FetchedGB, "plan_ms", s.Took.Seconds()*1000, "preempted", s.Preempted)
 			}
@@ -520,6 +523,22 @@
 	})
 }
 
+// idleness says how many tasks wait, how many of them for their team's limit, and how
+// much room there is.
+func (l *lead) idleness() (waits, limited int, free float64) {
+	for j := range l.jobs.Waiting {
+		n := j.Waits()
+		waits += n
+		limited += n - min(n, l.teams.Room(j.Spec))
+	}
+	for _, w := range l.workers.Sorted() {
+		if w.Open(l.c.env.Now()) && w.Kind != nil {
+			free += w.Kind.VCPUs - w.VCPUs
+		}
+	}
+	return waits, limited, free
+}
+
 func (l *lead) settle() {
 	if l.dead {
 		return
@@ -764,6 +783,10 @@
 	return false
 }
 
+// maxBackoff is the longest pause between two tries of a job whose tasks fail: shorter
+// than any job may be left waiting.
+const maxBackoff = time.Minute
+
 // failed decides when and where a task that ended early is tried again.
 func (l *lead) failed(t *jobs.Task, w *workers.Worker, c api.Cause) {
 	now := l.c.env.Now()
@@ -779,7 +802,11 @@
 		if len(j.Shunned) >= 3 {
 			// Rather the job's fault than that of so many machines.
 			clear(j.Shunned)
-			j.Backoff = min(max(2*j.Backoff, 4*time.Second), 2*time.Minute)
+			j.Suspect = !j.Gang()
+			l.workers.Absolve(j)
+		}
+		if (j.Suspect || len(j.Shunned) == 0) && now >= j.RetryAt { // once for all that fail together
+			j.Backoff = min(max(2*j.Backoff, 4*time.Second), maxBackoff)
 			j.RetryAt = now.Add(j.Backoff)
 		}
 	case api.CauseFull:
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -204,7 +204,7 @@
 	late := m.late(l, now)
 	for _, services := range []bool{true, false} {
 		for _, j := range m.waiting(services) {
-			n := min(j.Waits(), m.teams.Room(j.Spec))
+			n := min(j.Wants(), m.teams.Room(j.Spec))
 			if n > 0 && (!j.Gang() || n == j.Waits()) {
 				m.lay(l, j, n, &late, open, now)
 			}
@@ -338,7 +338,7 @@
 func (m *Manager) waiting(services bool) []*jobs.Job {
 	var out []*jobs.Job
 	for j := range m.jobs.Waiting {
-		if (j.Spec.Shape != api.Batch) == services && j.Backoff < time.Minute {
+		if (j.Spec.Shape != api.Batch) == services && !(j.Suspect && m.port.Now() < j.RetryAt) {
 			out = append(out, j)
 		}
 	}
@@ -477,10 +477,10 @@
 	}
 	m.arraysOpen(func(j *jobs.Job) {
 		s := j.Spec
-		if !s.Standby || j.Waits() == 0 {
+		if !s.Standby || j.Wants() == 0 {
 			return
 		}
-		waits := float64(min(j.Waits(), m.teams.Room(s))) * s.VCPUs * s.RuntimeS
+		waits := float64(min(j.Wants(), m.teams.Room(s))) * s.VCPUs * s.RuntimeS
 		// What can't be done in time by any machine goes last, and doesn't count.
 		if left := (m.cfg.Aim(s.Lane) - now.Sub(j.Arrived)).Seconds() - s.RuntimeS; left > 0 && waits > 0 {
 			work += waits
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -113,6 +113,9 @@
 	Shunned map[ident.HostID]bool
 	RetryAt ident.Mono // the job backs off until then
 	Backoff time.Duration
+	// Suspect says that its tasks failed on several machines and none has completed
+	// since: the fault is rather its own. It is tried with one task at a time.
+	Suspect bool
 
 	// Within says whether the job fits into its team's guarantee along with the
 	// team's earlier unfinished jobs; the planner keeps it.
@@ -204,6 +207,34 @@
 	return len(j.Tasks) - j.Held - j.Done
 }
 
+// Wants returns how many tasks may be placed at the most.
+func (j *Job) Wants() int {
+	if j.Suspect {
+		return min(j.Waits(), max(0, 1-j.Held))
+	}
+	return j.Waits()
+}
+
+// Acquit looks at the suspect jobs that wait: a task that has run for a while shows that
+// it was not their fault.
+func (tb *Table) Acquit() {
+	for j := range tb.Waiting {
+		if !j.Suspect {
+			continue
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.State == Assigned && t.RunsAt > t.Since && tb.now().Sub(t.RunsAt) > acquitAfter {
+				j.Suspect, j.Backoff = false, 0
+				break
+			}
+		}
+	}
+}
+
+// acquitAfter is how long that is. What is submitted with a mistake mostly fails within
+// seconds.
+const acquitAfter = 10 * time.Second
+
 // View is the user's view; only durable phases are told.
 func (j *Job) View() api.View {
 	v := api.View{ID: j.Spec.ID, Status: "queued", Done: j.Done, Running: j.Runs}
@@ -761,6 +792,7 @@
 	t.Fails = 0
 	tb.to(t, Finished)
 	j := t.Job
+	j.Suspect, j.Backoff = false, 0
 	if j.Gang() {
 		// If one is done, all are: they end together.
 		for i := range j.Tasks {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -409,6 +409,9 @@
 // next returns the job's first waiting task that may be placed now.
 func (p *Planner) next(j *jobs.Job) *jobs.Task {
 	now := p.now()
+	if j.Suspect && j.Held > 0 {
+		return nil
+	}
 	for i := p.cursor[j]; i < len(j.Tasks); i++ {
 		t := &j.Tasks[i]
 		if t.State == jobs.Waiting && now >= t.RetryAt && !p.fleet.Orphan(t.Piece()) {
@@ -627,7 +630,7 @@
 // ready says whether a machine may have a task now.
 func (p *Planner) ready(t *jobs.Task, w *workers.Worker) bool {
 	now := p.now()
-	return t.State == jobs.Waiting && t.Job.Phase == jobs.Open && now >= t.RetryAt && now >= t.Job.RetryAt &&
+	return t.State == jobs.Waiting && t.Job.Phase == jobs.Open && t.Job.Wants() > 0 && now >= t.RetryAt && now >= t.Job.RetryAt &&
 		p.fits(t.Job, w) && p.may(t.Job, w) && !p.fleet.Orphan(t.Piece())
 }
 
@@ -830,7 +833,7 @@
 		return false
 	}
 	if v.Job.Spec.Rank.Level() > j.Spec.Rank.Level() {
-		return true
+		return !arrays(j) || j.Within || p.teams.Guest(v.Job.Spec.Desk)
 	}
 	return j.Within && !v.Job.Within && v.Job.Spec.Desk != j.Spec.Desk && arrays(v.Job)
 }
@@ -991,12 +994,14 @@
 const claimAfter = 500 * time.Millisecond
 
 // claimGuarantees gives jobs within their team's guarantee what other teams have
-// borrowed.
+// borrowed, and others what teams without a guarantee have of less urgent work: that
+// is for hours to spare. (A vast array of a guest kept the house's jobs waiting for
+// machines to boot.)
 func (p *Planner) claimGuarantees() {
 	now := p.now()
 	clear(p.cursor)
 	for _, j := range p.arrays {
-		if !j.Within {
+		if !j.Within && (p.teams.Guest(j.Spec.Desk) || !p.teams.Guests()) {
 			continue
 		}
 		for j.Waits() > 0 && p.placed < maxPlaced && p.teams.Allows(j.Spec, 1) {
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -16,15 +16,25 @@
 type team struct {
 	settings.Team
 	vcpus, cards float64 // of tasks that count on a machine
+	guest        bool    // without guarantee and limit
 }
 
 const slack = 1e-6
 
+// unlimited is more than any fleet has, and small enough to be counted in tasks.
+const unlimited = 1e9
+
 // NewTeams makes the teams of the settings, none using anything.
 func NewTeams(list []settings.Team) *Teams {
 	ts := &Teams{byName: make(map[string]*team, len(list))}
 	for _, t := range list {
-		ts.byName[t.Name] = &team{Team: t}
+		guest := t.CPUs == 0 && t.GPUs == 0 && t.CPUsMax == 0 && t.GPUsMax == 0
+		if t.CPUsMax == 0 && t.GPUsMax == 0 {
+			// "0 means none": a team that may use nothing at all would be no team, so it is
+			// one without a limit. (Every job of a guest team was refused with 422.)
+			t.CPUsMax, t.GPUsMax = unlimited, unlimited
+		}
+		ts.byName[t.Name] = &team{Team: t, guest: guest}
 	}
 	return ts
 }
@@ -59,6 +69,22 @@
 	return t != nil && t.vcpus+n*s.VCPUs <= t.CPUsMax+slack && t.cards+n*s.Cards <= t.GPUsMax+slack
 }
 
+// Guest says whether a team has neither guarantee nor limit.
+func (ts *Teams) Guest(name string) bool {
+	t := ts.byName[name]
+	return t != nil && t.guest
+}
+
+// Guests says whether any such team uses anything.
+func (ts *Teams) Guests() bool {
+	for _, t := range ts.byName {
+		if t.guest && t.vcpus > slack {
+			return true
+		}
+	}
+	return false
+}
+
 // Room returns how many more tasks like s a team's limit admits.
 func (ts *Teams) Room(s *api.Spec) int {
 	t := ts.byName[s.Desk]
@@ -67,10 +93,10 @@
 	}
 	n := api.MaxPieces
 	if s.VCPUs > 0 {
-		n = min(n, int((t.CPUsMax-t.vcpus+slack)/s.VCPUs))
+		n = int(min(float64(n), (t.CPUsMax-t.vcpus+slack)/s.VCPUs))
 	}
 	if s.Cards > 0 {
-		n = min(n, int((t.GPUsMax-t.cards+slack)/s.Cards))
+		n = int(min(float64(n), (t.GPUsMax-t.cards+slack)/s.Cards))
 	}
 	return max(n, 0)
 }
--- a/internal/standin/gang_test.go
+++ b/internal/standin/gang_test.go
@@ -23,6 +23,7 @@
 // TestGangs plays days of trouble with many gangs: tasks run together or not at all,
 // and every gang comes to its end.
 func TestGangs(t *testing.T) {
+	t.Parallel()
 	runs := 0
 	for seed := range uint64(20) {
 		w := New(Config{Seed: seed, Faults: true, Gangs: true, Length: 300 * time.Second})
@@ -37,6 +38,7 @@
 
 // TestGangsOfAQuietDay start once each, and again only for those stopped in order.
 func TestGangsOfAQuietDay(t *testing.T) {
+	t.Parallel()
 	w := New(Config{Seed: 3, Gangs: true, Length: 250 * time.Second})
 	w.Run()
 	whole(t, 3, w)
@@ -49,6 +51,7 @@
 // read each other's data, no level is raised before all are new, and after it nothing
 // is larger than the limits to come.
 func TestRollout(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(30) {
 		w := New(Config{Seed: seed, Old: true, Faults: seed%4 > 0, Gangs: true, Length: 300 * time.Second})
 		w.Run()
@@ -64,9 +67,11 @@
 
 // TestGangMutations shows that the checks of gangs and of a rollout can fail.
 func TestGangMutations(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]Mutation{"a new attempt beside an old task": HideGathering, "an attempt's number is used again": OneTry,
 		"level raised early": RaiseEarly, "new field early": WriteEarly} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(40) {
 				w := New(Config{Seed: seed, Mutation: m, Faults: seed > 0, Gangs: true, Old: m == RaiseEarly || m == WriteEarly, Length: 250 * time.Second})
 				if w.Run(); len(w.Broken) > 0 {
@@ -108,6 +113,7 @@
 // TestGangsStopInOrder: a gang with a machine that will be taken saves as a whole and
 // goes on elsewhere. If only a part of it were told, the checks would say so.
 func TestGangsStopInOrder(t *testing.T) {
+	t.Parallel()
 	stops := 0
 	for seed := range uint64(20) {
 		w := notices(seed, None)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -123,7 +123,7 @@
 	w.set = settings.Cluster{
 		Nodes: 3, Zones: []string{"east", "west"}, TimeBoundMS: 200,
 		Teams: []settings.Team{{Name: "red", CPUs: 12, CPUsMax: 28}, {Name: "blue", CPUs: 8, CPUsMax: 20},
-			{Name: "grey", CPUs: 0, CPUsMax: 16}},
+			{Name: "grey", CPUs: 0, CPUsMax: 16}, {Name: "guest"}},
 		Workers: settings.Workers{ReportS: 3, LeaseS: 20, CancelS: 42, GangWaitS: 20, GangPeerS: 4},
 		State: settings.State{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 16,
 			Next: &settings.NextState{WriteRPS: 60, ValueKB: 2, TxnOps: 5}},
@@ -510,7 +510,24 @@
 	if w.cfg.Mutation == NoKills {
 		c.Orders = withoutKills(c.Orders)
 	}
-	w.call(e.n.name, addr, 1200*time.Millisecond, func(reply func(any)) { k.when(func() { k.commands(c, reply) }) }, func(a any) {
+	w.call(e.n.name, addr, 1200*time.Millisecond, func(reply func(any)) {
+		carry := func() {
+			k.when(func() {
+				k.commands(c, func(a any) {
+					if d := w.heldUp(); d > 0 {
+						w.at(d, func() { reply(a) })
+						return
+					}
+					reply(a)
+				})
+			})
+		}
+		if d := w.heldUp(); d > 0 {
+			w.at(d, carry)
+			return
+		}
+		carry()
+	}, func(a any) {
 		e.in(func() {
 			if a == nil {
 				f(workers.Answer{})
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -34,6 +34,7 @@
 
 // TestQuietDay has no faults: nothing may start twice.
 func TestQuietDay(t *testing.T) {
+	t.Parallel()
 	w := New(Config{Seed: 1, Length: 200 * time.Second})
 	w.Run()
 	if len(w.Broken) > 0 || len(w.Undone) > 0 {
@@ -44,9 +45,11 @@
 // TestMutationsAreCaught shows that the checks can fail: without a safeguard,
 // some seed breaks a rule.
 func TestMutationsAreCaught(t *testing.T) {
+	t.Parallel()
 	for name, m := range map[string]Mutation{"launch before durable": LaunchFirst, "no epoch fence": IgnoreEpochs,
 		"no stamp comparison": IgnoreStamps, "polls starve": StarvePolls, "copies count as new": TrustCopies} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(60) {
 				if w := play(seed, m); len(w.Broken) > 0 {
 					t.Logf("seed %d: %v", seed, w.Broken)
@@ -88,6 +91,7 @@
 // TestVouchingEnds: nodes that are cut off with workers keep their leases no longer than
 // a cancellation may take; without that bound the checks notice.
 func TestVouchingEnds(t *testing.T) {
+	t.Parallel()
 	cancelled, noticed := 0, false
 	for seed := range uint64(10) {
 		w, n := cutAndCancelled(seed, None)
@@ -105,6 +109,7 @@
 
 // TestRunsRepeat checks that a seed always plays the same day.
 func TestRunsRepeat(t *testing.T) {
+	t.Parallel()
 	a, b := play(3, None), play(3, None)
 	if a.Starts != b.Starts || len(a.Log) != len(b.Log) {
 		t.Fatalf("%d starts and %d lines, then %d and %d", a.Starts, len(a.Log), b.Starts, len(b.Log))
@@ -134,6 +139,7 @@
 // TestLeaderCutOff: a leader that only the state service hears keeps its lease;
 // it must leave the lead to a node that users and machines can reach.
 func TestLeaderCutOff(t *testing.T) {
+	t.Parallel()
 	w := New(Config{Seed: 5, Length: 120 * time.Second})
 	var old *node
 	w.at(60*time.Second, func() {
@@ -178,6 +184,7 @@
 // ones waiting, nor those of a team without a guarantee, though small ones go
 // first as long as they can.
 func TestLargeJobsBegin(t *testing.T) {
+	t.Parallel()
 	w := New(Config{Seed: 2, Crowd: true, Length: 400 * time.Second})
 	w.Run()
 	if len(w.Broken) > 0 {
@@ -210,6 +217,7 @@
 // a successor's token, and then go to another node. Answered on, they would drop the
 // answers and lose their tasks with their leases.
 func TestLeaderKeepsOnlyWorkers(t *testing.T) {
+	t.Parallel()
 	w := New(Config{Seed: 5, Length: 120 * time.Second})
 	var old *node
 	w.at(60*time.Second, func() {
@@ -251,6 +259,7 @@
 // a sibling that reaches them. It once took their silence for theirs and fenced every
 // machine with replicas within seconds.
 func TestLeaderWithoutWorkers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := New(Config{Seed: seed, Length: 160 * time.Second})
 		var old *node
@@ -289,6 +298,7 @@
 // TestZoneCutOff: in a zone that is cut off for less than a lease and the grace, work
 // goes on, whether the leader is inside or a node that vouches for it.
 func TestZoneCutOff(t *testing.T) {
+	t.Parallel()
 	vouched := uint64(0)
 	for seed := range uint64(8) {
 		w := New(Config{Seed: seed, Length: 160 * time.Second})
@@ -328,6 +338,7 @@
 // dies; the others vouch for it, and no worker loses its lease before the service is
 // back, for as long as lease and grace last together.
 func TestLeaderDiesInOutage(t *testing.T) {
+	t.Parallel()
 	w := New(Config{Seed: 3, Length: 160 * time.Second})
 	vouched := uint64(0)
 	w.at(70*time.Second, func() { w.store.downUntil = w.now.Add(35 * time.Second) })
@@ -358,6 +369,7 @@
 // TestLeaderFreezes: a leader that stands still wakes with its lease over: it launches
 // nothing, a sibling has led meanwhile, and no machine is fenced for what it missed.
 func TestLeaderFreezes(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := New(Config{Seed: seed, Length: 160 * time.Second})
 		var old *node
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -645,7 +645,7 @@
 		return
 	}
 	tb.cfg.Failed(t, w, p.Cause)
-	if p.Cause == api.CauseError && w.lastErr != t.Job.Spec.ID {
+	if p.Cause == api.CauseError && !t.Job.Suspect && w.lastErr != t.Job.Spec.ID {
 		w.Errors++
 		w.lastErr = t.Job.Spec.ID
 	}
@@ -819,6 +819,11 @@
 		if tb.cfg.Asked(w, a.Status != 0); tb.dead {
 			return
 		}
+		if w.State == Gone {
+			// Returned meanwhile, with everything: what its answer lists is there no more.
+			// (It was noted as on a machine all the same, and never started again.)
+			return
+		}
 		if a.Status != 200 && a.Status != 409 || a.Report == nil || a.Report.Host != w.Host {
 			// It may be carried out at any later time, until the worker has seen
 			// a higher token.
@@ -852,6 +857,18 @@
 	}
 }
 
+// Absolve takes back what a job's failures have said of machines: it fails on all of
+// them. (Jobs submitted with a mistake had machines returned as faulty, and others not
+// counted as room, for which more were rented.)
+func (tb *Table) Absolve(j *jobs.Job) {
+	for _, w := range tb.sorted {
+		if w.lastErr == j.Spec.ID && w.Errors > 0 {
+			w.Errors--
+			w.lastErr = ""
+		}
+	}
+}
+
 // Away makes a machine one that is being returned.
 func (tb *Table) Away(w *Worker, why string) { tb.to(w, Returning, why) }
 
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -331,3 +331,47 @@
 		t.Error("with the new token nothing can come late, and it was not renewed")
 	}
 }
+
+// TestJobsFault: what fails on several machines is rather the job's fault. What it has
+// said of machines is taken back, and its further failures say nothing; two other jobs
+// that fail in a row still show a faulty machine.
+func TestJobsFault(t *testing.T) {
+	r := newRig(t)
+	r.answers[0](Answer{})
+	fail := func(id string, suspect bool) *jobs.Job {
+		j := r.jobs.Add(&api.Spec{ID: ident.JobID(id), Shape: api.Batch, Pieces: 1, VCPUs: 1}, func() {}, nil)
+		r.settle()
+		j.Suspect = suspect
+		r.jobs.Place(&j.Tasks[0], "h", 1, func() {})
+		r.settle()
+		r.report(1, api.PieceReport{Piece: j.Tasks[0].Piece(), Try: 1, Status: api.Ended, Cause: api.CauseError})
+		r.settle()
+		return j
+	}
+	j := fail("j-2", false)
+	if r.w.Errors != 1 {
+		t.Fatalf("a first failure: %d", r.w.Errors)
+	}
+	r.tb.Absolve(j)
+	if fail("j-3", true); r.w.Errors != 0 {
+		t.Errorf("jobs that fail everywhere: %d", r.w.Errors)
+	}
+	fail("j-4", false)
+	if fail("j-5", false); r.w.Errors != 2 {
+		t.Errorf("two others in a row: %d", r.w.Errors)
+	}
+}
+
+// TestAnswerOfTheGone: a command's answer that arrives after its machine was returned
+// says nothing of what is there. A task that it listed was thought to be on it in an
+// unknown try, and waited for ever.
+func TestAnswerOfTheGone(t *testing.T) {
+	r := newRig(t)
+	stray := api.PieceReport{Piece: ident.Piece{Job: "j-1", Index: 1}, Try: 9, Status: api.Running}
+	r.tb.Drop(r.w, "returned")
+	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 40,
+		Epoch: ident.MakeEpoch(term, 0), Pieces: []api.PieceReport{stray}}})
+	if r.tb.Orphan(stray.Piece) {
+		t.Error("thought to be on a machine that is gone")
+	}
+}
