--- a/internal/commit/commit_test.go
+++ b/internal/commit/commit_test.go
@@ -3,10 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"log/slog"
 	"math/rand/v2"
-	"os"
 	"sort"
 	"strings"
 	"testing"
@@ -14,13 +11,9 @@
 
 	"opaldale/internal/ident"
 	"opaldale/internal/statesvc"
+	"opaldale/internal/statetest"
 )
 
-func TestMain(m *testing.M) {
-	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
-}
-
 // flaky is a state service whose answers get lost and whose requests are carried
 // out late, or twice.
 type flaky struct {
@@ -28,9 +21,8 @@
 	rng    *rand.Rand
 	now    time.Duration
 	events []timed
-	keys   map[string]statesvc.Pair
-	ledger uint64
-	puts   map[string][]string // the values each key went through
+	*statetest.Store
+	puts map[string][]string // the values each key went through
 }
 
 type timed struct {
@@ -64,34 +56,20 @@
 
 func (f *flaky) serve(r statesvc.Request) statesvc.Reply {
 	if r.Op == statesvc.Get {
-		p, ok := f.keys[r.Path]
-		if !ok {
-			return statesvc.Reply{Outcome: statesvc.NotFound}
-		}
-		return statesvc.Reply{Outcome: statesvc.OK, Stamp: p.Stamp, Value: p.Value}
-	}
-	var failed []string
-	for _, c := range r.If {
-		if f.keys[c.Path].Stamp != c.Stamp {
-			failed = append(failed, c.Path)
-		}
+		return f.Get(r.Path)
 	}
-	if failed != nil {
+	if failed := f.Failed(r.If); failed != nil {
 		return statesvc.Reply{Outcome: statesvc.Conflict, Failed: failed}
 	}
 	if len(r.Then) > 8 {
 		f.t.Errorf("%d changes in a transaction", len(r.Then))
 	}
-	f.ledger++
 	for _, c := range r.Then {
 		if c.Put != "" {
-			f.keys[c.Put] = statesvc.Pair{Value: c.Value, Stamp: ident.Stamp(f.ledger)}
 			f.puts[c.Put] = append(f.puts[c.Put], string(c.Value))
-		} else {
-			delete(f.keys, c.Delete)
 		}
 	}
-	return statesvc.Reply{Outcome: statesvc.OK, Ledger: f.ledger}
+	return f.Apply(r.Then)
 }
 
 func (f *flaky) run(limit time.Duration) {
@@ -117,7 +95,7 @@
 // called once.
 func TestAtMostOnce(t *testing.T) {
 	for seed := range uint64(60) {
-		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 1)), keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1,
+		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 1)), Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 1}),
 			puts: map[string][]string{}}
 		c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
 		called := map[string]int{}
@@ -134,7 +112,7 @@
 				c.Mark(docs[i], func() {
 					called[fmt.Sprint(i, "/", v)]++
 					var have int
-					json.Unmarshal(f.keys[docs[i].Path].Value, &have)
+					json.Unmarshal(f.Keys[docs[i].Path].Value, &have)
 					if have < v {
 						t.Errorf("seed %d: %s is called durable at %d, is %d", seed, docs[i].Path, v, have)
 					}
@@ -144,11 +122,11 @@
 		}
 		f.run(10 * time.Minute)
 		for i, d := range docs {
-			if got := string(f.keys[d.Path].Value); values[i] > 0 && got != fmt.Sprint(values[i]) {
+			if got := string(f.Keys[d.Path].Value); values[i] > 0 && got != fmt.Sprint(values[i]) {
 				t.Errorf("seed %d: %s ends as %s, want %d", seed, d.Path, got, values[i])
 			}
-			if d.Stamp != f.keys[d.Path].Stamp || !d.Idle() {
-				t.Errorf("seed %d: %s: stamp %d, is %d", seed, d.Path, d.Stamp, f.keys[d.Path].Stamp)
+			if d.Stamp != f.Keys[d.Path].Stamp || !d.Idle() {
+				t.Errorf("seed %d: %s: stamp %d, is %d", seed, d.Path, d.Stamp, f.Keys[d.Path].Stamp)
 			}
 			last := 0
 			for _, p := range f.puts[d.Path] {
@@ -179,7 +157,7 @@
 // TestOtherLeader: once the leader key has changed nothing is written, and the
 // term ends.
 func TestOtherLeader(t *testing.T) {
-	f := steady{&flaky{t: t, keys: map[string]statesvc.Pair{"leader": {Stamp: 5}}, ledger: 5, puts: map[string][]string{}}}
+	f := steady{&flaky{t: t, Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 5}), puts: map[string][]string{}}}
 	lost := 0
 	c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) { lost++ })
 	c.Mark(&Doc{Path: "d", Render: func() json.RawMessage { return json.RawMessage("1") }}, func() { t.Error("called durable") })
@@ -193,7 +171,7 @@
 // TestExists: a key that must be absent fails its own document alone; the others
 // of the transaction are written.
 func TestExists(t *testing.T) {
-	f := steady{&flaky{t: t, keys: map[string]statesvc.Pair{"leader": {Stamp: 1}, "over/1": {Stamp: 1}}, ledger: 1, puts: map[string][]string{}}}
+	f := steady{&flaky{t: t, Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 1}, statesvc.Pair{Path: "over/1", Stamp: 1}), puts: map[string][]string{}}}
 	c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
 	exists, stored := 0, 0
 	one := func() json.RawMessage { return json.RawMessage("1") }
@@ -235,7 +213,7 @@
 		Values [parts]int
 	}
 	for seed := range uint64(5) {
-		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 2)), keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1,
+		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 2)), Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 1}),
 			puts: map[string][]string{}}
 		c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 1024}, statesvc.Cond{Path: "leader", Stamp: 1},
 			func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
@@ -256,14 +234,14 @@
 		}
 		load := func() (out [docs]whole, records int) {
 			for d := range docs {
-				json.Unmarshal(f.keys[fmt.Sprintf("d/%d", d)].Value, &out[d])
+				json.Unmarshal(f.Keys[fmt.Sprintf("d/%d", d)].Value, &out[d])
 			}
 			type rec struct {
 				N uint64
 				L []partLine
 			}
 			var recs []rec
-			for k, p := range f.keys {
+			for k, p := range f.Keys {
 				if strings.HasPrefix(k, LogPrefix) {
 					var r rec
 					json.Unmarshal(p.Value, &r)
--- a/internal/commit/limits_test.go
+++ b/internal/commit/limits_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"opaldale/internal/statesvc"
+	"opaldale/internal/statetest"
 )
 
 // stingy is a flaky state service that refuses what is too large, from some moment on,
@@ -41,7 +42,7 @@
 // the next limits announced or not. What came before a 400 may still be carried out.
 func TestLowerLimits(t *testing.T) {
 	for seed := range uint64(40) {
-		f := &stingy{flaky: &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 3)), keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1,
+		f := &stingy{flaky: &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 3)), Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 1}),
 			puts: map[string][]string{}}, ops: 2, value: 400, from: 10 * time.Second}
 		c := New(f, Limits{Ops: 8, PerSecond: 100, ValueBytes: 4096}, statesvc.Cond{Path: "leader", Stamp: 1},
 			func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
@@ -85,7 +86,7 @@
 		}
 		got := readText(f.flaky)
 		for d := range docs {
-			if s := string(f.keys[list[d].Path].Value); values[d] > 0 && s != fmt.Sprint(values[d]) {
+			if s := string(f.Keys[list[d].Path].Value); values[d] > 0 && s != fmt.Sprint(values[d]) {
 				t.Errorf("seed %d: %s ends as %s, want %d", seed, list[d].Path, s, values[d])
 			}
 			for n, p := range all[d] {
@@ -104,7 +105,7 @@
 		T string `json:"t"`
 	}
 	out, newest := map[string]int{}, map[string]uint64{}
-	for k, p := range f.keys {
+	for k, p := range f.Keys {
 		var r rec
 		if !strings.HasPrefix(k, LogPrefix) || json.Unmarshal(p.Value, &r) != nil {
 			continue
@@ -127,7 +128,7 @@
 // entries that are released hold nothing.
 func TestPackedLog(t *testing.T) {
 	for seed := range uint64(2) {
-		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 4)), keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1,
+		f := &flaky{t: t, rng: rand.New(rand.NewPCG(seed, 4)), Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 1}),
 			puts: map[string][]string{}}
 		c := New(f, Limits{Ops: 8, PerSecond: 200, ValueBytes: 256}, statesvc.Cond{Path: "leader", Stamp: 1},
 			func(why string) { t.Errorf("seed %d: term lost: %s", seed, why) })
@@ -172,7 +173,7 @@
 		if c.live != 0 || held == 0 || c.pinned != 0 {
 			t.Errorf("seed %d: %d records held, %d after all were released", seed, held, c.live)
 		}
-		for k, p := range f.keys {
+		for k, p := range f.Keys {
 			if len(p.Value) > 256 {
 				t.Errorf("seed %d: %s has %d bytes", seed, k, len(p.Value))
 			}
@@ -182,7 +183,7 @@
 
 // TestLongLogIsWrittenAnew: records of which little is still held don't pile up.
 func TestLongLogIsWrittenAnew(t *testing.T) {
-	f := steady{&flaky{t: t, keys: map[string]statesvc.Pair{"leader": {Stamp: 1}}, ledger: 1, puts: map[string][]string{}}}
+	f := steady{&flaky{t: t, Store: statetest.New(statesvc.Pair{Path: "leader", Stamp: 1}), puts: map[string][]string{}}}
 	c := New(f, Limits{Ops: 8, PerSecond: 2000, ValueBytes: 1 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
 	c.Pack()
 	rng := rand.New(rand.NewPCG(1, 1))
--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -3,10 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"log/slog"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -20,14 +17,10 @@
 	"opaldale/internal/mesh"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
+	_ "opaldale/internal/statetest"
 	"opaldale/internal/workers"
 )
 
-func TestMain(m *testing.M) {
-	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
-}
-
 // world has a state service with a fleet on record, and machines that don't answer.
 type world struct {
 	now    ident.Mono
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"io"
-	"log/slog"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -17,14 +14,10 @@
 	"opaldale/internal/placement"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
+	_ "opaldale/internal/statetest"
 	"opaldale/internal/workers"
 )
 
-func TestMain(m *testing.M) {
-	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
-}
-
 // world answers the cloud's requests from a script and lets time pass.
 type world struct {
 	dead   map[string]bool
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"log/slog"
-	"os"
 	"testing"
 	"time"
 
@@ -14,14 +11,10 @@
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/statesvc"
+	_ "opaldale/internal/statetest"
 	"opaldale/internal/workers"
 )
 
-func TestMain(m *testing.M) {
-	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
-}
-
 // rig is one gang of three on machines that note what they are sent.
 type rig struct {
 	t       *testing.T
--- a/internal/jobs/format_test.go
+++ b/internal/jobs/format_test.go
@@ -14,6 +14,7 @@
 	"opaldale/internal/commit"
 	"opaldale/internal/ident"
 	"opaldale/internal/statesvc"
+	"opaldale/internal/statetest"
 )
 
 // golden is testdata/production.json: what the version in production (the commit in
@@ -112,8 +113,8 @@
 		tb.Pack()
 	}
 	var log []statesvc.Pair
-	for _, path := range sortedKeys(k.keys) {
-		p := k.keys[path]
+	for _, path := range sortedKeys(k.Keys) {
+		p := k.Keys[path]
 		switch {
 		case strings.HasPrefix(path, LivePrefix):
 			if err := tb.Load(path, p.Value, p.Stamp); err != nil {
@@ -131,10 +132,10 @@
 }
 
 func (g golden) keep() *keep {
-	k := &keep{keys: map[string]statesvc.Pair{}}
+	k := &keep{Store: statetest.New()}
 	for _, p := range g.Pairs {
-		k.keys[p.Path] = p
-		k.ledger = max(k.ledger, uint64(p.Stamp))
+		k.Keys[p.Path] = p
+		k.Ledger = max(k.Ledger, uint64(p.Stamp))
 	}
 	return k
 }
@@ -177,7 +178,7 @@
 	same(t, "converted", tb, g)
 	next, _ := load(t, k, true)
 	same(t, "loaded again", next, g)
-	for path, p := range k.keys {
+	for path, p := range k.Keys {
 		if strings.HasPrefix(path, LivePrefix) && len(p.Value) > 2048 {
 			t.Errorf("%s has %d bytes", path, len(p.Value))
 		}
@@ -200,16 +201,16 @@
 // does, so that an old leader reads it, keeps all of it and writes it again.
 func TestFirstFormatIsWritten(t *testing.T) {
 	g := readGolden(t)
-	k := &keep{keys: map[string]statesvc.Pair{}}
+	k := &keep{Store: statetest.New()}
 	tb, c := table(k)
 	scripted(k, tb, c)
 	same(t, "in memory", tb, g)
-	if len(k.keys) != len(g.Pairs) {
-		t.Errorf("%d keys, want %d", len(k.keys), len(g.Pairs))
+	if len(k.Keys) != len(g.Pairs) {
+		t.Errorf("%d keys, want %d", len(k.Keys), len(g.Pairs))
 	}
 	for _, p := range g.Pairs {
 		var got, want map[string]any
-		if err := json.Unmarshal(k.keys[p.Path].Value, &got); err != nil {
+		if err := json.Unmarshal(k.Keys[p.Path].Value, &got); err != nil {
 			t.Errorf("%s: %v", p.Path, err)
 			continue
 		}
@@ -221,7 +222,7 @@
 			got["lsn"] = want["lsn"]
 		}
 		if !reflect.DeepEqual(got, want) {
-			t.Errorf("%s: %s, want %s", p.Path, k.keys[p.Path].Value, p.Value)
+			t.Errorf("%s: %s, want %s", p.Path, k.Keys[p.Path].Value, p.Value)
 		}
 	}
 }
@@ -230,18 +231,18 @@
 // that record never came to be, and the next term gave its number out again. What the
 // new record says must not be passed over for it.
 func TestLostNumber(t *testing.T) {
-	k := &keep{keys: map[string]statesvc.Pair{}}
+	k := &keep{Store: statetest.New()}
 	head := `{"spec":{"id":"j-1","desk":"red","shape":"batch","pieces":2,"vcpus":1},"seq":1,"phase":"open","lsn":9,"tasks":[{},{}]}`
-	k.keys["live/j-1"] = statesvc.Pair{Path: "live/j-1", Value: json.RawMessage(head), Stamp: 20}
-	k.keys["log/00000"] = statesvc.Pair{Path: "log/00000", Value: json.RawMessage(`{"n":9,"l":[{"j":"j-1","t":1,"h":"host-1","n":1}]}`), Stamp: 31}
-	k.ledger = 40
+	k.Keys["live/j-1"] = statesvc.Pair{Path: "live/j-1", Value: json.RawMessage(head), Stamp: 20}
+	k.Keys["log/00000"] = statesvc.Pair{Path: "log/00000", Value: json.RawMessage(`{"n":9,"l":[{"j":"j-1","t":1,"h":"host-1","n":1}]}`), Stamp: 31}
+	k.Ledger = 40
 	for _, packed := range []bool{false, true} {
 		tb, _ := load(t, k, packed)
 		if got := tb.Jobs["j-1"].Tasks[0].Host; got != "host-1" {
 			t.Errorf("packed %v: the placement is passed over: %q", packed, got)
 		}
 	}
-	delete(k.keys, "log/00000")
+	delete(k.Keys, "log/00000")
 	tb, c := load(t, k, false)
 	tb.Place(&tb.Jobs["j-1"].Tasks[1], "host-2", 1, func() {})
 	c.Flush()
@@ -249,7 +250,7 @@
 	var r struct {
 		N uint64 `json:"n"`
 	}
-	if err := json.Unmarshal(k.keys["log/00000"].Value, &r); err != nil || r.N <= 9 {
+	if err := json.Unmarshal(k.Keys["log/00000"].Value, &r); err != nil || r.N <= 9 {
 		t.Errorf("record %d after a header that has taken over 9 (%v)", r.N, err)
 	}
 }
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -11,14 +11,14 @@
 	"opaldale/internal/commit"
 	"opaldale/internal/ident"
 	"opaldale/internal/statesvc"
+	"opaldale/internal/statetest"
 )
 
 // keep is a state service that carries everything out in order.
 type keep struct {
-	keys   map[string]statesvc.Pair
-	ledger uint64
-	queue  []func()
-	now    ident.Mono
+	*statetest.Store
+	queue []func()
+	now   ident.Mono
 }
 
 func (k *keep) Now() ident.Mono { return k.now }
@@ -29,18 +29,12 @@
 	})
 }
 func (k *keep) State(r statesvc.Request, f func(statesvc.Reply)) {
-	k.ledger++
 	for _, c := range r.Then {
-		if c.Put != "" {
-			if len(c.Value) > 16<<10 {
-				panic(fmt.Sprintf("%s has %d bytes", c.Put, len(c.Value)))
-			}
-			k.keys[c.Put] = statesvc.Pair{Path: c.Put, Value: c.Value, Stamp: ident.Stamp(k.ledger)}
-		} else {
-			delete(k.keys, c.Delete)
+		if len(c.Value) > 16<<10 {
+			panic(fmt.Sprintf("%s has %d bytes", c.Put, len(c.Value)))
 		}
 	}
-	a := statesvc.Reply{Outcome: statesvc.OK, Ledger: k.ledger}
+	a := k.Apply(r.Then)
 	k.queue = append(k.queue, func() { f(a) })
 }
 
@@ -61,7 +55,7 @@
 // leader task by task, and goes over as a whole.
 func TestSegments(t *testing.T) {
 	for _, pieces := range []int{1, 100, 5000} {
-		k := &keep{keys: map[string]statesvc.Pair{}}
+		k := &keep{Store: statetest.New()}
 		tb, c := table(k)
 		s := &api.Spec{ID: "j-1", Shape: api.Batch, Pieces: pieces, Bundle: strings.Repeat("x", 200)}
 		accepted := false
@@ -85,12 +79,12 @@
 
 		next, c2 := table(k)
 		var log []statesvc.Pair
-		for _, p := range sortedKeys(k.keys) { // as the state service lists them
+		for _, p := range sortedKeys(k.Keys) { // as the state service lists them
 			if strings.HasPrefix(p, commit.LogPrefix) {
-				log = append(log, k.keys[p])
+				log = append(log, k.Keys[p])
 				continue
 			}
-			if err := next.Load(p, k.keys[p].Value, k.keys[p].Stamp); err != nil {
+			if err := next.Load(p, k.Keys[p].Value, k.Keys[p].Stamp); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -102,7 +96,7 @@
 		if j.Done != pieces/2 || j.Held != pieces-pieces/2 || j.Tasks[pieces-1].Host != "host-999999" || j.Tasks[pieces-1].Tenure != 1<<40 {
 			t.Fatalf("%d pieces: loaded %d done, %d held", pieces, j.Done, j.Held)
 		}
-		if v, err := ReadLive(k.keys["live/j-1"].Value); err != nil || v.ID != "j-1" {
+		if v, err := ReadLive(k.Keys["live/j-1"].Value); err != nil || v.ID != "j-1" {
 			t.Errorf("%+v, %v", v, err)
 		}
 		for i := range j.Tasks {
@@ -112,14 +106,14 @@
 		}
 		c2.Flush()
 		k.run()
-		for p := range k.keys {
+		for p := range k.Keys {
 			if strings.HasPrefix(p, commit.LogPrefix) {
-				delete(k.keys, p) // slots are kept, and used again
+				delete(k.Keys, p) // slots are kept, and used again
 			}
 		}
 		var e Ended
-		if len(k.keys) != 1 || json.Unmarshal(k.keys["over/j-1"].Value, &e) != nil || e.Phase != Done {
-			t.Errorf("%d pieces: %d keys are left, over: %+v", pieces, len(k.keys), e)
+		if len(k.Keys) != 1 || json.Unmarshal(k.Keys["over/j-1"].Value, &e) != nil || e.Phase != Done {
+			t.Errorf("%d pieces: %d keys are left, over: %+v", pieces, len(k.Keys), e)
 		}
 	}
 }
@@ -127,7 +121,7 @@
 // TestCancelWaits: a cancelled job stays live until its tasks are proven gone,
 // so that a successor knows of them, but is told as cancelled at once.
 func TestCancelWaits(t *testing.T) {
-	k := &keep{keys: map[string]statesvc.Pair{}}
+	k := &keep{Store: statetest.New()}
 	tb, c := table(k)
 	j := tb.Add(&api.Spec{ID: "j-1", Shape: api.Service, Pieces: 2}, func() {}, nil)
 	c.Flush()
@@ -139,14 +133,14 @@
 	tb.Cancel(j, func() { told = j.View().Status })
 	c.Flush()
 	k.run()
-	if told != "cancelled" || k.keys["over/j-1"].Stamp != 0 || k.keys["live/j-1"].Stamp == 0 {
-		t.Fatalf("told %q, keys %v", told, k.keys)
+	if told != "cancelled" || k.Keys["over/j-1"].Stamp != 0 || k.Keys["live/j-1"].Stamp == 0 {
+		t.Fatalf("told %q, keys %v", told, k.Keys)
 	}
 	tb.Gone(&j.Tasks[0], nil)
 	c.Flush()
 	k.run()
-	if k.keys["over/j-1"].Stamp == 0 || k.keys["live/j-1"].Stamp != 0 {
-		t.Errorf("keys %v", k.keys)
+	if k.Keys["over/j-1"].Stamp == 0 || k.Keys["live/j-1"].Stamp != 0 {
+		t.Errorf("keys %v", k.Keys)
 	}
 }
 
@@ -178,7 +172,7 @@
 // not, so this one tells neither. (The answer to a cancellation's transaction was lost; a
 // follower read "cancelled", and the leader still said "running".)
 func TestToldOnceClear(t *testing.T) {
-	k := &keep{keys: map[string]statesvc.Pair{}}
+	k := &keep{Store: statetest.New()}
 	tb, c := table(k)
 	var j *Job
 	told := ""
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"fmt"
 	"io"
-	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"runtime/pprof"
 	"strings"
 	"sync"
@@ -23,13 +21,9 @@
 	"opaldale/internal/mesh"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
+	_ "opaldale/internal/statetest"
 )
 
-func TestMain(m *testing.M) {
-	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
-}
-
 const job = `{"id":"j-000001","lane":"l","desk":"red","shape":"batch","rank":"high","pieces":1,"vcpus":1,"cards":0,"memory_gb":1,
  "bundle":"img","image_gb":1,"one_zone":false,"apart":false,"standby":true,"runtime_s":1,"snapshot_every_s":0,"snapshot_s":0}`
 
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -321,6 +321,14 @@
 	if w.hits(w.quickBoots) {
 		boot = time.Duration(300+w.rng.IntN(1500)) * time.Millisecond
 	}
+	switch {
+	case w.hits(w.neverBoots):
+		w.took("machine never up")
+		m.never = true
+	case w.hits(w.lateBoots):
+		w.took("machine up late")
+		boot *= 6
+	}
 	if !m.never {
 		w.at(boot, func() {
 			if m.gone == 0 {
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -33,6 +33,8 @@
 	slowLinks   spell // what nodes say to each other takes up to half a second
 	heldOrders  spell // commands to machines, and their answers, are held up for seconds
 	quickBoots  spell // machines are up within two seconds
+	lateBoots   spell // several times as late as they should be
+	neverBoots  spell // or never
 	lastMoment  spell // jobs are called off at the moment in which their last task ends
 	closeLooks  spell // users ask at all nodes within milliseconds of what they are told
 	mute        map[string]ident.Mono
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -1,9 +1,6 @@
 package workers
 
 import (
-	"io"
-	"log/slog"
-	"os"
 	"testing"
 	"time"
 
@@ -13,13 +10,9 @@
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/statesvc"
+	_ "opaldale/internal/statetest"
 )
 
-func TestMain(m *testing.M) {
-	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	os.Exit(m.Run())
-}
-
 // world lets the test decide when a transaction is carried out and what becomes
 // of a command.
 type world struct {
