--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -74,3 +74,32 @@
 		t.Errorf("%v %s, want %s", ok, r.Body, want)
 	}
 }
+
+// TestAllowanceShrinks: siblings may vouch for a leader for the grace, less the age of the
+// oldest cancelled job with a task that may be on a machine; once that is proven gone, for
+// the whole of it again. A successor doesn't know when a job was cancelled: for none.
+func TestAllowanceShrinks(t *testing.T) {
+	c, w := alone(ident.Packed)
+	if got := status(c, gangSpec(`"gang"`, `"batch"`)); got != http.StatusCreated {
+		t.Fatalf("submission: %d", got)
+	}
+	l := c.lead
+	j := l.jobs.Jobs["j-1"]
+	l.workers.Add("h", "m8", "a", false, w.now)
+	l.jobs.Place(&j.Tasks[0], "h", 1, func() {})
+	c.Settle()
+	want := func(what string, d time.Duration) {
+		t.Helper()
+		if got := l.allowance(w.now); got != d {
+			t.Errorf("%s: %v, want %v", what, got, d)
+		}
+	}
+	want("nothing is cancelled", c.grace)
+	l.cancel("j-1", func(Reply) {})
+	w.now = w.now.Add(3 * time.Second)
+	want("3 s after a cancellation", c.grace-3*time.Second)
+	w.now = w.now.Add(c.grace)
+	want("long after", 0)
+	l.jobs.Gone(&j.Tasks[0], nil)
+	want("proven gone", c.grace)
+}
