One piece each for renewing a lease, a bounded memory, copies of reports and waiting in tests

- workers: three places judged whether a lease may be renewed, each after building kill orders that two of them threw away, with a map for every report.
One (renew) judges now, and looks at the report only where a command may be on its way.
- controller: its memory of cancelled jobs was the table of ended jobs once more; both are jobs.Recent.
An answer was read back as JSON to learn what it had just been made of.
- jobs: WhenKnown had no caller left.
The planner asks Wants instead of its own rule for suspect jobs.
- commit: one way for a document to leave a transaction, one place that keeps a record.
- stand-in: one leader(), isolate, others, resend, await and taken; dead code gone.

--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -333,6 +333,11 @@
 		c.pinned++
 		s.entries = append(s.entries, e)
 	}
+	c.retain(s)
+}
+
+// retain keeps a record for as long as something holds it.
+func (c *Committer) retain(s *slot) {
 	if s.left == 0 {
 		c.free = append(c.free, s)
 		return
@@ -379,12 +384,7 @@
 		}
 	}
 	s.left = len(s.homes)
-	if s.left == 0 {
-		c.free = append(c.free, s)
-		return
-	}
-	c.used = append(c.used, s)
-	c.live++
+	c.retain(s)
 }
 
 // cover notes that a document has taken over all lines up to its LSN.
@@ -807,14 +807,19 @@
 	c.settle(t)
 }
 
+// leave takes a document out of a transaction that is given up; it waits for another one.
+func (t *txn) leave(d *Doc) {
+	d.waiting = append(d.riding, d.waiting...)
+	d.riding = nil
+	d.doubt = d.doubt || t.unsure
+	d.queued = urgent
+	d.to(dirty)
+}
+
 // undo takes a transaction apart again: documents and lines wait for another one.
 func (c *Committer) undo(t *txn, docs []*Doc) {
 	for _, d := range docs {
-		d.waiting = append(d.riding, d.waiting...)
-		d.riding = nil
-		d.doubt = d.doubt || t.unsure
-		d.queued = urgent
-		d.to(dirty)
+		t.leave(d)
 		c.enqueue(d)
 	}
 	// The lines go into new records; their slots are as they were.
@@ -898,13 +903,9 @@
 		c.limits.ValueBytes = max(minValue, c.limits.ValueBytes/2)
 	case len(t.docs) > 0:
 		d := t.docs[0]
-		d.doubt = d.doubt || t.unsure
 		docs = nil
-		d.waiting = append(d.riding, d.waiting...)
-		d.riding = nil
+		t.leave(d)
 		d.rejected = min(d.rejected+1, 10)
-		d.queued = urgent
-		d.to(dirty)
 		c.port.After(min(time.Second<<d.rejected, maxReject), func() {
 			if !c.dead && d.state == dirty {
 				c.enqueue(d)
--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -62,7 +62,7 @@
 	c.lead = nil
 	w.now = w.now.Add(time.Minute)
 	c.vouch.Trust(5, w.now.Add(-5*time.Second), 20*time.Second)
-	c.cancelled.add("j-7")
+	c.cancelled.Put("j-7", struct{}{})
 	piece := func(id string) api.PieceReport {
 		return api.PieceReport{Piece: ident.Piece{Job: ident.JobID(id)}, Try: 1, Status: api.Running}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -102,7 +102,7 @@
 	echoes vouch.Echoes
 	vouch  vouch.Voucher
 	// cancelled holds jobs that were durably cancelled, as this node has passed on.
-	cancelled memory
+	cancelled *jobs.Recent[struct{}]
 	seen      ident.Mono // when the state service last served this node
 
 	// Counters for the metrics.
@@ -145,7 +145,7 @@
 func New(env Env, set *settings.Settings, rng *rand.Rand) *Controller {
 	w := set.Cluster.Workers
 	c := &Controller{env: env, set: set, rng: rng, peers: map[ident.NodeID]*peer{}, asks: map[uint64]func(Reply){},
-		askID: rng.Uint64()}
+		askID: rng.Uint64(), cancelled: jobs.NewRecent[struct{}](maxCancelled)}
 	// An earlier leader may answer checkins for so long past its validity; a
 	// worker that heard it last still loses its tasks before cancel_s is over.
 	c.grace = max(0, settings.Seconds(w.CancelS-w.LeaseS*1.002)-graceMargin)
@@ -243,46 +243,21 @@
 	o := api.Orders{Epoch: r.Epoch, Orders: []api.Order{}}
 	for _, p := range r.Pieces {
 		// A kill is safe whoever leads; without it the task ends with the lease only.
-		if p.Status != api.Ended && c.cancelled.has(p.Piece.Job) {
+		if _, ok := c.cancelled.Get(p.Piece.Job); ok && p.Status != api.Ended {
 			o.Orders = append(o.Orders, workers.Kill(p.Piece, p.Try))
 		}
 	}
 	return answer(http.StatusOK, o), true
 }
 
-// memory remembers the newest few names that it was told.
-type memory struct {
-	known map[ident.JobID]bool
-	order []ident.JobID
-}
-
-const maxMemory = 5000
-
-func (m *memory) add(id ident.JobID) {
-	if m.known == nil {
-		m.known = map[ident.JobID]bool{}
-	}
-	if m.known[id] {
-		return
-	}
-	m.known[id] = true
-	if m.order = append(m.order, id); len(m.order) > maxMemory {
-		delete(m.known, m.order[0])
-		m.order = m.order[1:]
-	}
-}
-
-func (m *memory) has(id ident.JobID) bool { return m.known[id] }
+// maxCancelled bounds the memory kept for jobs that are known to be cancelled.
+const maxCancelled = 5000
 
-// learned notes what an answer says of a job: that it is cancelled is final.
-func (c *Controller) learned(r Reply) Reply {
-	if r.Status == http.StatusOK {
-		var v api.Ack
-		if json.Unmarshal(r.Body, &v) == nil && v.Status == jobs.Cancelled.String() {
-			c.cancelled.add(v.ID)
-		}
+// learned notes what a job is known to be: that it is cancelled is final.
+func (c *Controller) learned(id ident.JobID, status string) {
+	if status == jobs.Cancelled.String() {
+		c.cancelled.Put(id, struct{}{})
 	}
-	return r
 }
 
 // Lead begins a term.
@@ -297,9 +272,7 @@
 func (c *Controller) Follow(why string) {
 	if c.lead != nil {
 		for _, j := range c.lead.jobs.Sorted() {
-			if j.Durable == jobs.Cancelled {
-				c.cancelled.add(j.Spec.ID) // that can't change any more
-			}
+			c.learned(j.Spec.ID, j.Durable.String()) // what is final can't change any more
 		}
 		c.lead.close()
 		c.lead = nil
@@ -460,8 +433,9 @@
 		return
 	}
 	c.forward(to, v, job, body, forwardTime, func(r Reply) {
-		if v == mesh.Cancel {
-			c.learned(r)
+		var a api.Ack
+		if v == mesh.Cancel && r.Status == http.StatusOK && json.Unmarshal(r.Body, &a) == nil {
+			c.learned(a.ID, a.Status)
 		}
 		reply(r)
 	}, func() {
@@ -543,7 +517,8 @@
 			reply(unavailable("unreadable job"))
 			return
 		}
-		reply(c.learned(answer(http.StatusOK, v)))
+		c.learned(v.ID, v.Status)
+		reply(answer(http.StatusOK, v))
 	}, func() { c.readOver(id, reply) })
 }
 
@@ -556,7 +531,8 @@
 		case !found:
 			reply(problem(http.StatusNotFound, "no such job"))
 		default:
-			reply(c.learned(answer(http.StatusOK, e.View(id))))
+			c.learned(id, e.Phase.String())
+			reply(answer(http.StatusOK, e.View(id)))
 		}
 	})
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -327,8 +327,7 @@
 
 	// Ended remembers jobs that went over in this term, for as long as it has
 	// room; the state service has them all.
-	ended   map[ident.JobID]Ended
-	endedID []ident.JobID
+	ended *Recent[Ended]
 
 	commits *commit.Committer
 	now     func() ident.Mono
@@ -356,7 +355,7 @@
 
 // NewTable makes an empty table.
 func NewTable(commits *commit.Committer, valueBytes int, now func() ident.Mono, wall func() int64) *Table {
-	return &Table{Jobs: map[ident.JobID]*Job{}, Waiting: map[*Job]struct{}{}, Teams: map[string]*Team{}, ended: map[ident.JobID]Ended{}, commits: commits, now: now, wall: wall,
+	return &Table{Jobs: map[ident.JobID]*Job{}, Waiting: map[*Job]struct{}{}, Teams: map[string]*Team{}, ended: NewRecent[Ended](maxEnded), commits: commits, now: now, wall: wall,
 		most: valueBytes, perSeg: max(1, (valueBytes-64)/recordBytes), inline: max(0, (valueBytes-HeaderBytes)/recordBytes),
 		OnMove: func(*Task, State, State) {}, OnWaiting: func(*Task) {}}
 }
@@ -516,15 +515,6 @@
 	}
 }
 
-// WhenKnown calls f once the job's submission is durable.
-func (j *Job) WhenKnown(f func()) {
-	if j.Known {
-		f()
-	} else {
-		j.wants = append(j.wants, f)
-	}
-}
-
 // Clear says whether the job's view is what any node would tell.
 func (j *Job) Clear() bool { return j.Known && (j.Phase == j.Durable || !j.head.Open()) }
 
@@ -847,7 +837,7 @@
 	wants := j.wants
 	j.wants = nil
 	tb.commits.Mark(j.head, func() {
-		tb.remember(j.Spec.ID, end)
+		tb.Remember(j.Spec.ID, end)
 		delete(tb.Jobs, j.Spec.ID)
 		j.durable()
 		for _, f := range append(wants, j.moved...) {
@@ -864,25 +854,11 @@
 	})
 }
 
-func (tb *Table) remember(id ident.JobID, e Ended) {
-	if _, ok := tb.ended[id]; !ok {
-		tb.endedID = append(tb.endedID, id)
-		if len(tb.endedID) > maxEnded {
-			delete(tb.ended, tb.endedID[0])
-			tb.endedID = tb.endedID[1:]
-		}
-	}
-	tb.ended[id] = e
-}
-
 // Ended returns a job that is known to be over.
-func (tb *Table) Ended(id ident.JobID) (Ended, bool) {
-	e, ok := tb.ended[id]
-	return e, ok
-}
+func (tb *Table) Ended(id ident.JobID) (Ended, bool) { return tb.ended.Get(id) }
 
 // Remember notes a job that was read to be over.
-func (tb *Table) Remember(id ident.JobID, e Ended) { tb.remember(id, e) }
+func (tb *Table) Remember(id ident.JobID, e Ended) { tb.ended.Put(id, e) }
 
 // Load takes in what an earlier term left. Pairs come in the order of keys, so a
 // header comes before its segments.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -409,7 +409,7 @@
 // next returns the job's first waiting task that may be placed now.
 func (p *Planner) next(j *jobs.Job) *jobs.Task {
 	now := p.now()
-	if j.Suspect && j.Held > 0 {
+	if j.Wants() == 0 {
 		return nil
 	}
 	for i := p.cursor[j]; i < len(j.Tasks); i++ {
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -89,18 +90,21 @@
 	}
 	term := l.ctl.Election().Term()
 	l.kill(back)
-	var look func()
-	look = func() {
-		if n := w.leader(); n != nil && n.ctl.Election().Term() > term {
-			w.took("new term")
-			if n != l {
-				w.took("another leads")
-			}
-			return
+	w.await(func() bool { n := w.leader(); return n != nil && n.ctl.Election().Term() > term }, func() {
+		w.took("new term")
+		if w.leader() != l {
+			w.took("another leads")
 		}
-		w.at(10*time.Millisecond, look)
+	})
+}
+
+// await calls f as soon as something is so.
+func (w *World) await(so func() bool, f func()) {
+	if so() {
+		f()
+		return
 	}
-	look()
+	w.at(10*time.Millisecond, func() { w.await(so, f) })
 }
 
 // burst submits jobs from one moment to another, so that placements are under way.
@@ -112,43 +116,20 @@
 
 // next calls f when another node than old leads.
 func (w *World) next(old *node, f func(n *node)) {
-	var look func()
-	look = func() {
-		if n := w.leader(); n != nil && n != old {
-			w.took("another leads")
-			f(n)
-			return
-		}
-		w.at(10*time.Millisecond, look)
-	}
-	look()
+	w.await(func() bool { n := w.leader(); return n != nil && n != old }, func() {
+		w.took("another leads")
+		f(w.leader())
+	})
 }
 
 // serving calls f once a node that leads has loaded, and can answer.
 func (w *World) serving(n *node, f func()) {
-	var look func()
-	look = func() {
-		if !n.alive || !n.ctl.Election().Valid() {
-			return
-		}
-		if n.ctl.Snapshot().Jobs > 0 {
+	leads := func() bool { return n.alive && n.ctl.Election().Valid() }
+	w.await(func() bool { return !leads() || n.ctl.Snapshot().Jobs > 0 }, func() {
+		if leads() {
 			f()
-			return
 		}
-		w.at(10*time.Millisecond, look)
-	}
-	look()
-}
-
-// isolate cuts a node from the state service and the other nodes, not from workers and
-// users.
-func (w *World) isolate(n *node, hold bool, d time.Duration) {
-	w.sever(n.name, "state", hold, d)
-	for _, o := range w.nodes {
-		if o != n {
-			w.sever(n.name, o.name, hold, d)
-		}
-	}
+	})
 }
 
 // flock has the machines of a job report to a node, as they do after a failover.
@@ -190,11 +171,7 @@
 		w.store.refuses[old.name] = w.now.Add(14 * time.Second)
 		long := seconds(w.set.Workers.CancelS) + time.Duration(6+w.rng.IntN(8))*time.Second
 		if w.cfg.Seed%4 == 1 {
-			for _, n := range w.nodes {
-				if n != old {
-					w.sever(old.name, n.name, w.cfg.Seed%8 < 4, 40*time.Second)
-				}
-			}
+			w.others(old, func(n *node) { w.sever(old.name, n.name, w.cfg.Seed%8 < 4, 40*time.Second) })
 		}
 		w.next(old, func(n *node) {
 			list := w.running()
@@ -426,11 +403,7 @@
 			w.when(30, func() {
 				w.lostAnswers, w.closeLooks = spell{0.6, second(100)}, spell{1, second(110)}
 				if l := w.leader(); l != nil { // the others read for themselves
-					for _, n := range w.nodes {
-						if n != l {
-							w.sever(l.name, n.name, false, 60*time.Second)
-						}
-					}
+					w.others(l, func(n *node) { w.sever(l.name, n.name, false, 60*time.Second) })
 				}
 			})
 			for s := 31.0; s < 90; s += 1.5 {
@@ -579,13 +552,6 @@
 			w.load(8)
 			w.when(60, func() {
 				zone := w.nodes[1].zone
-				if l := w.leader(); l == nil || l.zone == zone {
-					for i, n := range w.nodes {
-						if n == w.leader() && i == 1 {
-							w.took("leader inside")
-						}
-					}
-				}
 				w.cutZone(zone, w.cfg.Seed%2 == 0, 60*time.Second)
 				w.took("zone cut off")
 				w.at(4*time.Second, func() {
@@ -773,10 +739,7 @@
 }
 
 func (m *meeting) run(seed uint64, without Mutation) *World {
-	length := m.length
-	if length == 0 {
-		length = 130 * time.Second
-	}
+	length := cmp.Or(m.length, 130*time.Second)
 	w := New(Config{Seed: seed, Mutation: without, Length: length, Quiet: !m.crowd, Crowd: m.crowd})
 	m.play(w)
 	w.Run()
@@ -800,10 +763,7 @@
 	for _, m := range meetings {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
-			seeds := max(m.seeds, 1)
-			if m.seeds == 0 {
-				seeds = 3
-			}
+			seeds := cmp.Or(m.seeds, 3)
 			for seed := range seeds {
 				w := m.run(seed, None)
 				if len(w.Broken) > 0 || m.undone(w) {
--- a/internal/standin/nights_test.go
+++ b/internal/standin/nights_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -69,22 +70,10 @@
 	}
 }
 
-// other returns a node beside one, and others calls f for each of them.
-func (w *World) other(n *node) *node {
-	for _, o := range w.nodes {
-		if o != n {
-			return o
-		}
-	}
-	return nil
-}
-
-func (w *World) others(n *node, f func(*node)) {
-	for _, o := range w.nodes {
-		if o != n {
-			f(o)
-		}
-	}
+// other returns a node beside one.
+func (w *World) other(n *node) (found *node) {
+	w.others(n, func(o *node) { found = cmp.Or(found, o) })
+	return found
 }
 
 // TestLateMachines: new machines come up six times as late as they should, or never, while
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -10,7 +10,6 @@
 	"opaldale/internal/commit"
 	"opaldale/internal/controller"
 	"opaldale/internal/ident"
-	"opaldale/internal/jobs"
 	"opaldale/internal/mesh"
 	"opaldale/internal/statesvc"
 )
@@ -39,6 +38,7 @@
 	closeLooks  spell // users ask at all nodes within milliseconds of what they are told
 	mute        map[string]ident.Mono
 	kept        []func()
+	watching    bool // for the next leader, to deliver what is kept
 
 	// What came of them, for tests to see that they took place.
 	seen map[string]int
@@ -101,49 +101,41 @@
 }
 
 // watchLeaders calls f whenever another term has begun.
-func (w *World) watchLeaders(f func(n *node)) {
-	newest := ident.Term(0)
+func (w *World) watchLeaders(f func()) {
+	newest := w.terms()
 	var look func()
 	look = func() {
-		for _, n := range w.nodes {
-			if n.alive && n.ctl.Election().Valid() && n.ctl.Election().Term() > newest {
-				first := newest == 0
-				newest = n.ctl.Election().Term()
-				if !first {
-					f(n)
-				}
-			}
+		if n := w.leader(); n != nil && n.ctl.Election().Term() > newest {
+			newest = n.ctl.Election().Term()
+			f()
 		}
 		w.at(20*time.Millisecond, look)
 	}
 	look()
 }
 
-// copyReport has a copy of a report come again.
+// resend has a copy of a report come to a node.
+func (w *World) resend(m *api.Report, n *node) {
+	if k := w.workers[m.Host]; k != nil {
+		switch {
+		case k.tenure > m.Tenure:
+			w.took("copy of an earlier session")
+		case k.serial > m.Serial:
+			w.took("copy after newer reports")
+		}
+	}
+	c := *m
+	if w.cfg.Mutation == TrustCopies {
+		c.Serial += 1000
+	}
+	w.request("copies", n, mesh.Checkin, "", api.JSON(&c), 4*time.Second, func(*controller.Reply) {})
+}
+
+// copyReport has copies of a report come to all nodes again.
 func (w *World) copyReport(m *api.Report) {
 	again := func(late time.Duration) {
-		body := api.JSON(m)
-		tenure, serial, host := m.Tenure, m.Serial, m.Host
 		for i, n := range w.nodes {
-			w.at(late+time.Duration(i)*time.Millisecond, func() {
-				if k := w.workers[host]; k != nil {
-					switch {
-					case k.tenure > tenure:
-						w.took("copy of an earlier session")
-					case k.serial > serial:
-						w.took("copy after newer reports")
-					}
-				}
-				b := body
-				if w.cfg.Mutation == TrustCopies {
-					var r api.Report
-					if json.Unmarshal(b, &r) == nil {
-						r.Serial += 1000
-						b = api.JSON(r)
-					}
-				}
-				w.request("copies", n, mesh.Checkin, "", b, 4*time.Second, func(*controller.Reply) {})
-			})
+			w.at(late+time.Duration(i)*time.Millisecond, func() { w.resend(m, n) })
 		}
 	}
 	switch {
@@ -157,7 +149,11 @@
 // keepReports has copies wait for the next leader.
 func (w *World) keepReports(share float64, d time.Duration) {
 	w.keptReports = spell{share, w.now.Add(d)}
-	w.watchLeaders(func(*node) {
+	if w.watching {
+		return
+	}
+	w.watching = true
+	w.watchLeaders(func() {
 		kept := w.kept
 		w.kept = nil
 		for _, f := range kept {
@@ -187,11 +183,8 @@
 		if !j.accepted || j.cancelSent > 0 || finalStatus(j.told) {
 			continue
 		}
-		for _, k := range w.sortedWorkers() {
-			if k.count(id) > 0 {
-				out = append(out, j)
-				break
-			}
+		if len(w.hosts(j)) > 0 {
+			out = append(out, j)
 		}
 	}
 	return out
@@ -332,14 +325,11 @@
 	w.at(time.Duration(100+w.rng.IntN(400))*time.Millisecond, func() { w.odd(until) })
 }
 
-// outsider says whether a node answers workers without being surely the leader.
-func (n *node) outsider() bool { return !n.ctl.Election().Valid() }
-
 // mutateCheckin is what mutations make of an answer to a report.
 func (w *World) mutateCheckin(n *node, body []byte, r *controller.Reply) *controller.Reply {
 	var m api.Report
 	switch {
-	case w.cfg.Mutation == RenewOn && n.outsider():
+	case w.cfg.Mutation == RenewOn && !n.ctl.Election().Valid():
 		if json.Unmarshal(body, &m) == nil {
 			return &controller.Reply{Status: 200, Body: api.JSON(api.Orders{Epoch: m.Epoch, Orders: []api.Order{}})}
 		}
@@ -436,6 +426,9 @@
 
 // roomFor says whether a task of a job waits and could start.
 func (w *World) roomFor(j *userJob) bool {
+	if j.mistaken {
+		return false // it could, and would fail
+	}
 	s := &j.spec
 	on := map[int]bool{}
 	cpus, sites := 0.0, map[string]int{}
@@ -456,23 +449,18 @@
 			}
 		}
 	}
-	if j.mistaken {
-		return false
-	}
-	waits := 0
+	waits := false
 	for i, d := range j.done {
-		if !d && !on[i] {
-			waits++
-		}
+		waits = waits || !d && !on[i]
+	}
+	if !waits {
+		return false
 	}
 	for _, t := range w.set.Teams {
 		if t.Name == s.Desk && t.CPUsMax > 0 && cpus+s.VCPUs > t.CPUsMax {
 			return false
 		}
 	}
-	if waits == 0 {
-		return false
-	}
 	for _, k := range w.workers {
 		site := k.m.site
 		if k.faulty || k.doomed > 0 || w.now < k.hung || s.Site != nil && *s.Site != site || k.m.standby && !s.Standby ||
@@ -483,15 +471,7 @@
 		for z, n := range sites {
 			elsewhere = elsewhere || z != site && n > 0
 		}
-		free := w.cloud.models[0].VCPUs
-		for p, tries := range k.pieces {
-			for _, q := range tries {
-				if q.status != api.Ended {
-					free -= w.jobs[p.Job].spec.VCPUs
-				}
-			}
-		}
-		if free >= s.VCPUs && !(s.OneZone && elsewhere) {
+		if w.cloud.models[0].VCPUs-k.taken() >= s.VCPUs && !(s.OneZone && elsewhere) {
 			return true
 		}
 	}
@@ -552,27 +532,11 @@
 	}
 }
 
-// terms counts the terms that there were.
-func (w *World) terms() int {
+// terms returns the newest term, which is also how many there were.
+func (w *World) terms() ident.Term {
 	most := ident.Term(0)
 	for _, n := range w.nodes {
 		most = max(most, n.ctl.Election().Term())
 	}
-	return int(most)
-}
-
-// phaseOf is what the state service says of a job, "" if it knows none.
-func (w *World) phaseOf(id ident.JobID) string {
-	if e := w.store.keys[jobs.OverKey(id)]; e != nil {
-		var v struct{ Phase string }
-		if json.Unmarshal(e.value, &v) == nil {
-			return v.Phase
-		}
-	}
-	if e := w.store.keys[jobs.LiveKey(id)]; e != nil {
-		if v, err := jobs.ReadLive(e.value); err == nil {
-			return v.Status
-		}
-	}
-	return ""
+	return most
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -188,7 +188,6 @@
 }
 
 func (w *World) poll(j *userJob) {
-	asked := w.now
 	if calm := ident.Mono(w.cfg.Length + faultsEnd); w.now > calm && w.now.Sub(max(j.answered, calm)) > knownWithin {
 		w.broken("forgotten: nothing about %s was answered for %v", j.spec.ID, w.now.Sub(max(j.answered, calm)))
 	}
@@ -196,7 +195,7 @@
 		w.at(5*time.Second, func() { w.poll(j) })
 		return
 	}
-	w.ask(j, w.some(), asked, func() {
+	w.ask(j, w.some(), func() {
 		w.at(4*time.Second+time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { w.poll(j) })
 	})
 	if w.rng.IntN(20) == 0 {
@@ -210,9 +209,10 @@
 }
 
 // pollAt asks a node about a job once.
-func (w *World) pollAt(j *userJob, n *node) { w.ask(j, n, w.now, func() {}) }
+func (w *World) pollAt(j *userJob, n *node) { w.ask(j, n, func() {}) }
 
-func (w *World) ask(j *userJob, n *node, asked ident.Mono, then func()) {
+func (w *World) ask(j *userJob, n *node, then func()) {
+	asked := w.now
 	w.request("users", n, mesh.Poll, string(j.spec.ID), nil, 2*time.Second, func(r *controller.Reply) {
 		if r != nil {
 			if r.Status == 404 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -175,15 +175,8 @@
 	if !w.cfg.Faults || w.now > ident.Mono(w.cfg.Length) || w.rng.IntN(30) > 0 {
 		return
 	}
-	m = &api.Report{Host: m.Host, Addr: m.Addr, Model: m.Model, Site: m.Site, Standby: m.Standby, Tenure: m.Tenure,
-		Serial: m.Serial, Epoch: m.Epoch, WarningS: m.WarningS, Pieces: m.Pieces}
 	late := time.Duration(w.rng.Float64() * 2 * w.set.Workers.LeaseS * float64(time.Second))
-	w.at(late, func() {
-		if w.cfg.Mutation == TrustCopies {
-			m.Serial += 1000
-		}
-		w.request("copies", w.nodes[w.rng.IntN(len(w.nodes))], mesh.Checkin, "", api.JSON(m), 4*time.Second, func(*controller.Reply) {})
-	})
+	w.at(late, func() { w.resend(m, w.nodes[w.rng.IntN(len(w.nodes))]) })
 }
 
 // restart ends the worker with all its tasks; it is back at once, in its next
@@ -281,18 +274,26 @@
 	k.changed()
 }
 
-func (k *worker) launch(id ident.Piece, try ident.Try) {
-	p := &piece{id: id, try: try, status: api.Pulling}
-	busy := false
+// taken returns the CPUs of the tasks that have not exited.
+func (k *worker) taken() float64 {
 	cpus := 0.0
 	for _, tries := range k.pieces {
 		for _, o := range tries {
 			if o.status != api.Ended {
 				cpus += k.w.jobs[o.id.Job].spec.VCPUs
-				busy = busy || o.id == id
 			}
 		}
 	}
+	return cpus
+}
+
+func (k *worker) launch(id ident.Piece, try ident.Try) {
+	p := &piece{id: id, try: try, status: api.Pulling}
+	busy := false
+	for _, o := range k.pieces[id] {
+		busy = busy || o.status != api.Ended
+	}
+	cpus := k.taken()
 	if k.pieces[id] == nil {
 		k.pieces[id] = map[ident.Try]*piece{}
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -337,6 +337,22 @@
 	})
 }
 
+// others calls f for each node but one.
+func (w *World) others(n *node, f func(*node)) {
+	for _, o := range w.nodes {
+		if o != n {
+			f(o)
+		}
+	}
+}
+
+// isolate cuts a node from the state service and the other nodes, not from workers and
+// users.
+func (w *World) isolate(n *node, hold bool, d time.Duration) {
+	w.sever(n.name, "state", hold, d)
+	w.others(n, func(o *node) { w.sever(n.name, o.name, hold, d) })
+}
+
 // call is a request with its answer; exec may answer at any time. done gets nil
 // without an answer in time.
 func (w *World) call(from, to string, limit time.Duration, exec func(reply func(any)), done func(any)) {
@@ -629,7 +645,7 @@
 	case 22:
 		w.lateReports = spellOf(0.3)
 	case 23:
-		w.keptReports = spellOf(0.3)
+		w.keepReports(0.3, sec(5, 30))
 	case 24:
 		w.slowState = spellOf(0.8)
 	case 25:
@@ -700,13 +716,7 @@
 		}
 	case 15, 16:
 		// Its workers still reach it.
-		d := sec(3, 40)
-		w.sever(n.name, "state", hold, d)
-		for _, o := range w.nodes {
-			if o != n {
-				w.sever(n.name, o.name, hold, d)
-			}
-		}
+		w.isolate(n, hold, sec(3, 40))
 	case 17:
 		if k != nil {
 			k.restart()
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -67,7 +67,7 @@
 	w = New(Config{Seed: seed, Mutation: m, Length: 220 * time.Second})
 	w.at(70*time.Second, func() {
 		zone := w.nodes[1].zone
-		if l := leading(w); l == nil || l.zone == zone {
+		if l := w.leader(); l == nil || l.zone == zone {
 			return // the leader would be inside
 		}
 		w.cutZone(zone, false, 120*time.Second)
@@ -116,16 +116,6 @@
 	}
 }
 
-// leading returns the node that surely leads.
-func leading(w *World) *node {
-	for _, n := range w.nodes {
-		if n.ctl.Election().Valid() {
-			return n
-		}
-	}
-	return nil
-}
-
 // keptLeases checks that no worker lost tasks with its lease.
 func keptLeases(t *testing.T, w *World) {
 	t.Helper()
@@ -143,12 +133,8 @@
 	w := New(Config{Seed: 5, Length: 120 * time.Second})
 	var old *node
 	w.at(60*time.Second, func() {
-		old = leading(w)
-		for _, n := range w.nodes {
-			if n != old {
-				w.sever(old.name, n.name, false, 40*time.Second)
-			}
-		}
+		old = w.leader()
+		w.others(old, func(n *node) { w.sever(old.name, n.name, false, 40*time.Second) })
 		w.sever(old.name, machines, false, 40*time.Second)
 	})
 	w.at(67*time.Second, func() {
@@ -221,13 +207,8 @@
 	w := New(Config{Seed: 5, Length: 120 * time.Second})
 	var old *node
 	w.at(60*time.Second, func() {
-		old = leading(w)
-		w.sever(old.name, "state", false, 40*time.Second)
-		for _, n := range w.nodes {
-			if n != old {
-				w.sever(old.name, n.name, false, 40*time.Second)
-			}
-		}
+		old = w.leader()
+		w.isolate(old, false, 40*time.Second)
 		for _, k := range w.sortedWorkers() {
 			for i, n := range w.nodes {
 				if n == old {
@@ -266,7 +247,7 @@
 		fenced := 0
 		busy := map[*rented]bool{} // idle ones may be returned for that
 		w.at(80*time.Second, func() {
-			old = leading(w)
+			old = w.leader()
 			w.sever(old.name, machines, seed%2 == 0, 41*time.Second)
 			for _, k := range w.sortedWorkers() {
 				if len(k.pieces) > 0 {
@@ -276,7 +257,7 @@
 			}
 		})
 		w.at(92*time.Second, func() {
-			if n := leading(w); n == nil || n == old {
+			if n := w.leader(); n == nil || n == old {
 				t.Errorf("seed %d: nobody else leads 12 s after the cut", seed)
 			}
 			for _, m := range w.cloud.machines {
@@ -306,7 +287,7 @@
 		w.at(70*time.Second, func() {
 			zone := "west"
 			if seed%4 == 0 {
-				zone = leading(w).zone
+				zone = w.leader().zone
 			}
 			w.cutZone(zone, seed%2 == 0, 32*time.Second)
 			for _, k := range w.sortedWorkers() {
@@ -374,11 +355,11 @@
 		w := New(Config{Seed: seed, Length: 160 * time.Second})
 		var old *node
 		w.at(70*time.Second, func() {
-			old = leading(w)
+			old = w.leader()
 			old.freeze(42 * time.Second)
 		})
 		w.at(76*time.Second, func() {
-			if n := leading(w); n == nil || n == old {
+			if n := w.leader(); n == nil || n == old {
 				t.Errorf("seed %d: nobody else leads 6 s after the leader froze", seed)
 			}
 		})
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -430,29 +430,19 @@
 		}
 		return tb.stranger(r)
 	}
-	now := tb.port.Now()
 	if !tb.take(w, r) {
 		// No effect, but its lease is renewed by any answer, and so each must end what
 		// has to be gone.
 		if tb.dead || r.Tenure < w.Tenure {
 			return nil
 		}
-		orders, sure := tb.unwanted(w, r)
-		if !sure {
-			tb.Probe(w)
-			return nil
-		}
-		w.answered, w.everAns = now, true
-		return &api.Orders{Epoch: tb.epoch(w), Orders: orders}
+		return tb.renew(w, r, unwanted(w, r))
 	}
-	orders := tb.reconcile(w, r)
-	if _, sure := tb.unwanted(w, r); !sure {
-		tb.Probe(w)
-		return nil
+	o := tb.renew(w, r, tb.reconcile(w, r))
+	if o != nil {
+		w.told = o.Epoch
 	}
-	w.answered, w.everAns = now, true
-	w.told = tb.epoch(w)
-	return &api.Orders{Epoch: w.told, Orders: orders}
+	return o
 }
 
 // stranger answers a report of a machine that we don't know. It may be a late
@@ -496,41 +486,49 @@
 		// stay with us until its lease is over.
 		return nil
 	}
-	orders, sure := tb.unwanted(w, r)
-	if !sure {
-		tb.Probe(w) // with the newest token its next report is sure
-		return nil
+	o := tb.renew(w, r, unwanted(w, r))
+	if o != nil {
+		w.heard = w.answered
+	}
+	return o
+}
+
+// renew answers a report, which renews the worker's lease, unless a task of a job that
+// was cancelled longer ago than the grace may yet come to run there, from a command that
+// is still on its way: that must be over with the lease. The worker is then told the
+// newest token, with which its next report shows that nothing can come any more.
+func (tb *Table) renew(w *Worker, r *api.Report, orders []api.Order) *api.Orders {
+	// With the newest token, and no command under way, nothing can come late.
+	if r.Epoch != tb.epoch(w) || w.busy || r.Serial < w.serial {
+		for _, t := range w.Tasks {
+			j := t.Job
+			if j.Phase == jobs.Cancelled && tb.port.Now().Sub(j.Ended) > tb.cfg.Grace && !listed(r, attempt{t.Piece(), t.Try}) {
+				tb.Probe(w)
+				return nil
+			}
+		}
 	}
 	w.answered, w.everAns = tb.port.Now(), true
-	w.heard = w.answered
 	return &api.Orders{Epoch: tb.epoch(w), Orders: orders}
 }
 
+// listed says whether a report has an attempt.
+func listed(r *api.Report, a attempt) bool {
+	return slices.ContainsFunc(r.Pieces, func(p api.PieceReport) bool { return p.Piece == a.piece && p.Try == a.try })
+}
+
 // unwanted returns the orders that stop the tasks in a report which nobody wants any
 // more: those of cancelled jobs, and what doesn't count on the machine. A kill is safe
-// at any time, whoever leads. sure is false if the lease may not be renewed even so: a
-// task of a job that was cancelled longer ago than the grace may yet come to run there,
-// from a command that is still on its way, and must be over with the lease.
-func (tb *Table) unwanted(w *Worker, r *api.Report) (orders []api.Order, sure bool) {
-	orders = []api.Order{}
-	listed := make(map[attempt]bool, len(r.Pieces))
+// at any time, whoever leads.
+func unwanted(w *Worker, r *api.Report) []api.Order {
+	orders := []api.Order{}
 	for _, p := range r.Pieces {
-		a := attempt{p.Piece, p.Try}
-		listed[a] = true
 		t := w.Tasks[p.Piece]
 		if p.Status != api.Ended && (t == nil || t.Try != p.Try || t.Job.Phase == jobs.Cancelled) {
-			orders = append(orders, kill(a, 0))
+			orders = append(orders, Kill(p.Piece, p.Try))
 		}
 	}
-	// With the newest token, and no command under way, nothing can come late.
-	settled := r.Epoch == tb.epoch(w) && !w.busy && r.Serial >= w.serial
-	for _, t := range w.Tasks {
-		j := t.Job
-		if j.Phase == jobs.Cancelled && !settled && !listed[attempt{t.Piece(), t.Try}] && tb.port.Now().Sub(j.Ended) > tb.cfg.Grace {
-			return nil, false
-		}
-	}
-	return orders, true
+	return orders
 }
 
 // take notes what a report says of the worker itself. It returns false for a
@@ -663,9 +661,6 @@
 		named := func(o api.Order) bool { return o.Piece == a.piece && o.Try == a.try }
 		return slices.ContainsFunc(w.flying, named) || slices.ContainsFunc(w.queue, named)
 	}
-	listed := func(a attempt) bool {
-		return slices.ContainsFunc(r.Pieces, func(p api.PieceReport) bool { return p.Piece == a.piece && p.Try == a.try })
-	}
 	for _, p := range r.Pieces {
 		a := attempt{p.Piece, p.Try}
 		t := w.Tasks[p.Piece]
@@ -692,7 +687,7 @@
 	fresh := r.Epoch == tb.epoch(w)
 	for _, t := range tb.TasksOf(w) {
 		a := attempt{t.Piece(), t.Try}
-		if listed(a) || flying(a) {
+		if listed(r, a) || flying(a) {
 			continue
 		}
 		switch {
@@ -849,8 +844,7 @@
 // asked a machine, heard of a cancelled task, and told it only at its next report; by
 // then the state service was down and it had no orders to give any more.)
 func (tb *Table) stopUnwanted(w *Worker, r *api.Report) {
-	orders, _ := tb.unwanted(w, r)
-	for _, o := range orders {
+	for _, o := range unwanted(w, r) {
 		if !slices.ContainsFunc(w.queue, func(q api.Order) bool { return q.Verb == o.Verb && q.Piece == o.Piece && q.Try == o.Try }) {
 			tb.Push(w, o)
 		}
