Nothing that only a sure leader may do is sent once that is over

A process may stand still between a decision and the call that follows from it, or wait for a free socket. Launches, rentals and returns of machines now carry the time until which leadership is sure, and are judged by it right before they are sent; so is the answer to a report that has a launch. What was not sent is told by the worker's next report.

But a task of a job that a successor had confirmed as cancelled could start, and machines that it used could be returned.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"opaldale/internal/ident"
 )
@@ -271,6 +272,11 @@
 	Orders []Order     `json:"orders"`
 }
 
+// Launches says whether any of the orders starts a task.
+func Launches(orders []Order) bool {
+	return slices.ContainsFunc(orders, func(o Order) bool { return o.Verb == Launch })
+}
+
 // Commands is the body of POST /commands.
 type Commands struct {
 	Epoch  ident.Epoch  `json:"epoch"`
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -57,6 +57,9 @@
 	Number  int            `json:"number"`
 	Hosts   []ident.HostID `json:"-"`
 	Since   ident.HostID   `json:"-"`
+	// NotAfter is the time, by this node's clock, from which the request must not be
+	// sent any more; 0: none.
+	NotAfter ident.Mono `json:"-"`
 }
 
 // Outcome is what is known after a call.
@@ -69,6 +72,7 @@
 	NoCapacity                // 503 "no capacity"
 	Refused                   // 429, or 503 of an outage
 	Bad                       // 400
+	Unsent                    // its time was over before it was sent
 )
 
 // Reply is the answer to any request.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -32,7 +32,7 @@
 	After(time.Duration, func())
 	State(statesvc.Request, func(statesvc.Reply))
 	Cloud(cloud.Request, func(cloud.Reply))
-	Worker(addr string, c api.Commands, f func(workers.Answer))
+	Worker(workers.Command, func(workers.Answer))
 	Mesh(to ident.NodeID, f *mesh.Frame)
 }
 
@@ -484,9 +484,15 @@
 		return
 	}
 	var o *api.Orders
+	var until ident.Mono
 	if l := c.lead; l != nil && l.ready {
 		if c.elect.Valid() {
 			o = l.workers.Checkin(r)
+			if o != nil && api.Launches(o.Orders) {
+				// Should this process stand still now, a successor may have told that
+				// the job is cancelled before the answer goes out.
+				until = c.elect.Until()
+			}
 			l.heard(l.workers.Workers[r.Host], direct)
 		} else if c.elect.Within(c.grace) {
 			o = l.workers.Renew(r)
@@ -496,7 +502,9 @@
 		reply(unavailable("not entitled to answer"))
 		return
 	}
-	reply(answer(http.StatusOK, o))
+	a := answer(http.StatusOK, o)
+	a.Until = until
+	reply(a)
 }
 
 // read answers a poll from the state service. A job only ever moves from live to
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -123,7 +123,8 @@
 	l.raiser = upgrade.New(c.env, t, key, nodes, l.commits.Mark, l.pack)
 	l.teams = placement.NewTeams(c.set.Cluster.Teams)
 	w := c.set.Cluster.Workers
-	l.workers = workers.NewTable(c.env, l.jobs, workers.Config{
+	port := leaderPort{Env: c.env, until: c.elect.Until}
+	l.workers = workers.NewTable(port, l.jobs, workers.Config{
 		Term: t, LeaseS: settings.Seconds(w.LeaseS), Grace: c.grace,
 		Catalog: func(m string) *cloud.Model { return l.kinds[m] },
 		Deposed: func() { c.elect.Deposed("a worker has seen a later term") },
@@ -135,7 +136,7 @@
 	})
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
 	l.planner.MaxWait, l.planner.GangWait = c.set.Tuning.MaxWait, c.set.Tuning.GangWait
-	l.fleet = fleet.New(c.env, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
+	l.fleet = fleet.New(port, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
 		Reached: l.reached, Stranded: l.stranded,
--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-func (w *world) Worker(addr string, c api.Commands, f func(workers.Answer)) {
-	w.asked[addr] = true
+func (w *world) Worker(c workers.Command, f func(workers.Answer)) {
+	w.asked[c.Addr] = true
 	w.After(1200*time.Millisecond, func() { f(workers.Answer{}) })
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -42,14 +42,15 @@
 }
 
 // Worker never answers, unless it is said who is dead.
-func (w *world) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+func (w *world) Worker(c workers.Command, f func(workers.Answer)) {
+	addr := c.Addr
 	if gone, ok := w.dead[addr]; gone || !ok {
 		f(workers.Answer{})
 		return
 	}
 	w.serial++
 	f(workers.Answer{Status: 200, Report: &api.Report{Host: ident.HostID(addr), Addr: addr, Model: "m8", Site: "east",
-		Tenure: 1, Serial: w.serial, Epoch: c.Epoch}})
+		Tenure: 1, Serial: w.serial, Epoch: c.Body.Epoch}})
 }
 
 func (w *world) pass(d time.Duration, m *Manager) {
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -45,13 +45,14 @@
 	r.queue = append(r.queue, func() { f(a) })
 }
 
-func (r *rig) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+func (r *rig) Worker(c workers.Command, f func(workers.Answer)) {
+	addr := c.Addr
 	if r.mute[addr] {
 		r.queue = append(r.queue, func() { f(workers.Answer{}) })
 		return
 	}
 	h := ident.HostID(addr)
-	r.sent[h] = append(r.sent[h], c.Orders...)
+	r.sent[h] = append(r.sent[h], c.Body.Orders...)
 	// An answer that tells nothing new: reports come as the test says.
 	r.queue = append(r.queue, func() { f(workers.Answer{Status: 200, Report: &api.Report{Host: h, Addr: addr, Tenure: 1}}) })
 }
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -39,7 +39,7 @@
 func (s *still) State(r statesvc.Request, f func(statesvc.Reply)) {
 	f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 5})
 }
-func (s *still) Worker(string, api.Commands, func(workers.Answer)) {}
+func (s *still) Worker(workers.Command, func(workers.Answer)) {}
 
 // large is a fleet with three waiting tasks a machine.
 type large struct {
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -36,6 +36,9 @@
 // now returns the steady clock's reading.
 func (l *loop) now() ident.Mono { return ident.Mono(time.Since(l.start)) }
 
+// past says whether a time limit is over; 0 is none.
+func (l *loop) past(limit ident.Mono) bool { return limit > 0 && l.now() >= limit }
+
 // post has f run by the loop; for other goroutines.
 func (l *loop) post(f func()) { l.events <- event{f, time.Now()} }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -116,23 +116,29 @@
 
 func (e env) Cloud(r cloud.Request, f func(cloud.Reply)) {
 	go func() {
-		a := e.s.cloud.Do(r)
+		a := cloud.Reply{Outcome: cloud.Unsent}
+		if !e.s.loop.past(r.NotAfter) {
+			a = e.s.cloud.Do(r)
+		}
 		e.s.loop.post(func() { f(a) })
 	}()
 }
 
-func (e env) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+func (e env) Worker(c workers.Command, f func(workers.Answer)) {
 	go func() {
-		a := e.s.command(addr, c)
+		a := e.s.command(c)
 		e.s.loop.post(func() { f(a) })
 	}()
 }
 
 // command sends orders to a worker.
-func (s *Server) command(addr string, c api.Commands) workers.Answer {
+func (s *Server) command(c workers.Command) workers.Answer {
 	s.commands <- struct{}{}
 	defer func() { <-s.commands }()
-	status, b, err := httpcall.Do(s.worker, commandTime, http.MethodPost, "http://"+addr+"/commands", c, maxReport)
+	if s.loop.past(c.NotAfter) {
+		return workers.Answer{Unsent: true}
+	}
+	status, b, err := httpcall.Do(s.worker, commandTime, http.MethodPost, "http://"+c.Addr+"/commands", c.Body, maxReport)
 	if err != nil {
 		return workers.Answer{}
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -45,6 +45,7 @@
 	CacheAnswers              // nodes answer questions from memory for a while
 	ForgetPlacements          // a new leader doesn't know which machines tasks are on
 	LoseZone                  // the controllers don't know that a job is bound to one zone
+	IgnoreLimits              // what a node decided goes out however long after
 )
 
 // Config sets a run up.
@@ -379,6 +380,8 @@
 	alive bool
 	old   bool              // its next process is of the version in production
 	still ident.Mono        // its process stands still until then, though its clocks run on
+	env   *nodeEnv          // of the present process
+	halts halts             // within an event
 	cache map[string]cached // of the mutation CacheAnswers
 }
 
@@ -396,8 +399,10 @@
 	case n.w.now < n.still:
 		n.w.at(n.still.Sub(n.w.now), func() { n.when(life, f) })
 	default:
+		n.halts.begin(n.w)
 		f()
 		n.ctl.Settle()
+		n.halts.end()
 	}
 }
 
@@ -423,6 +428,7 @@
 		}
 	}
 	e := &nodeEnv{n: n, life: n.life, old: n.old, start: n.w.now, rate: 1 + (n.w.rng.Float64()-0.5)*0.001}
+	n.env, n.halts = e, halts{}
 	n.ctl = controller.New(e, set, rand.New(rand.NewPCG(n.w.rng.Uint64(), 1)))
 	n.ctl.Start()
 	n.ctl.Settle()
@@ -450,7 +456,8 @@
 func (e *nodeEnv) w() *World { return e.n.w }
 
 func (e *nodeEnv) Now() ident.Mono {
-	return ident.Mono(float64(e.w().now-e.start) * e.rate)
+	e.mayHalt()
+	return ident.Mono(float64(e.w().now.Add(e.n.halts.halted)-e.start) * e.rate)
 }
 
 func (e *nodeEnv) WallMS() int64 { return 1_700_000_000_000 + e.w().now.Sub(0).Milliseconds() }
@@ -461,7 +468,8 @@
 }
 
 func (e *nodeEnv) After(d time.Duration, f func()) {
-	e.w().at(max(0, time.Duration(float64(d)/e.rate)+time.Microsecond), e.in(f))
+	e.mayHalt()
+	e.w().at(e.n.halts.halted+max(0, time.Duration(float64(d)/e.rate)+time.Microsecond), e.in(f))
 }
 
 func (e *nodeEnv) State(r statesvc.Request, f func(statesvc.Reply)) {
@@ -490,6 +498,7 @@
 			})()
 		})
 	}
+	send = e.afterHalt(send)
 	if w.cfg.Mutation == LaunchFirst && r.Op == statesvc.Txn && r.If[0].Path == "leader" && r.If[0].Stamp != 0 {
 		w.launchPlaced(e.n.name, r)
 		w.at(400*time.Millisecond, e.in(send))
@@ -505,31 +514,47 @@
 
 func (e *nodeEnv) Cloud(r cloud.Request, f func(cloud.Reply)) {
 	w := e.w()
-	w.call(e.n.name, "cloud", 4*time.Second, func(reply func(any)) { w.cloud.serve(r, reply) }, func(a any) {
-		e.in(func() {
+	answer := func(a cloud.Reply) { e.in(func() { f(a) })() }
+	e.afterHalt(func() {
+		if e.past(r.NotAfter) {
+			w.at(0, func() { answer(cloud.Reply{Outcome: cloud.Unsent}) })
+			return
+		}
+		w.call(e.n.name, "cloud", 4*time.Second, func(reply func(any)) { w.cloud.serve(r, reply) }, func(a any) {
 			if a == nil {
-				f(cloud.Reply{Outcome: cloud.Lost})
-			} else {
-				f(a.(cloud.Reply))
+				a = cloud.Reply{Outcome: cloud.Lost}
 			}
-		})()
-	})
+			answer(a.(cloud.Reply))
+		})
+	})()
 }
 
-func (e *nodeEnv) Worker(addr string, c api.Commands, f func(workers.Answer)) {
+func (e *nodeEnv) Worker(c workers.Command, f func(workers.Answer)) {
+	e.afterHalt(func() { e.command(c, f) })()
+}
+
+func (e *nodeEnv) command(c workers.Command, f func(workers.Answer)) {
 	w := e.w()
-	k := w.workers[ident.HostID(addr)]
-	if k == nil {
-		w.at(0, e.in(func() { f(workers.Answer{}) }))
+	answer := func(a workers.Answer) { e.in(func() { f(a) })() }
+	if c.Launches() && !e.past(c.NotAfter) && !e.leads() {
+		w.took("launch without leadership")
+	}
+	k := w.workers[ident.HostID(c.Addr)]
+	switch {
+	case e.past(c.NotAfter):
+		w.at(0, func() { answer(workers.Answer{Unsent: true}) })
+		return
+	case k == nil:
+		w.at(0, func() { answer(workers.Answer{}) })
 		return
 	}
 	if w.cfg.Mutation == NoKills {
-		c.Orders = withoutKills(c.Orders)
+		c.Body.Orders = withoutKills(c.Body.Orders)
 	}
-	w.call(e.n.name, addr, 1200*time.Millisecond, func(reply func(any)) {
+	w.call(e.n.name, c.Addr, 1200*time.Millisecond, func(reply func(any)) {
 		carry := func() {
 			k.when(func() {
-				k.commands(c, func(a any) {
+				k.commands(c.Body, func(a any) {
 					if d := w.heldUp(); d > 0 {
 						w.at(d, func() { reply(a) })
 						return
@@ -544,13 +569,10 @@
 		}
 		carry()
 	}, func(a any) {
-		e.in(func() {
-			if a == nil {
-				f(workers.Answer{})
-			} else {
-				f(a.(workers.Answer))
-			}
-		})()
+		if a == nil {
+			a = workers.Answer{}
+		}
+		answer(a.(workers.Answer))
 	})
 }
 
@@ -569,9 +591,11 @@
 			g.Life.Grace = mesh.Millis(time.Hour)
 		}
 		life := o.life
-		w.deliver(e.n.name, o.name, func() {
-			o.when(life, func() { o.ctl.Frame(ident.NodeID(e.n.name), g) })
-		})
+		e.afterHalt(func() {
+			w.deliver(e.n.name, o.name, func() {
+				o.when(life, func() { o.ctl.Frame(ident.NodeID(e.n.name), g) })
+			})
+		})()
 	}
 }
 
@@ -593,16 +617,21 @@
 				return
 			}
 			n.ctl.Request(v, job, body, func(r controller.Reply) {
-				switch v {
-				case mesh.Poll:
-					if w.cfg.Mutation == CacheAnswers && r.Status == 200 {
-						n.cache[key] = cached{w.now, r.Body}
+				n.env.afterHalt(func() {
+					if w.cfg.Mutation != IgnoreLimits {
+						r = r.Now(n.env.clock())
 					}
-				case mesh.Checkin:
-					reply(w.mutateCheckin(n, body, &r))
-					return
-				}
-				reply(&r)
+					switch v {
+					case mesh.Poll:
+						if w.cfg.Mutation == CacheAnswers && r.Status == 200 {
+							n.cache[key] = cached{w.now, r.Body}
+						}
+					case mesh.Checkin:
+						reply(w.mutateCheckin(n, body, &r))
+						return
+					}
+					reply(&r)
+				})()
 			})
 		})
 	}, func(a any) {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -244,13 +244,27 @@
 type Port interface {
 	Now() ident.Mono
 	After(time.Duration, func())
-	Worker(addr string, c api.Commands, f func(Answer))
+	Worker(Command, func(Answer))
 }
 
-// Answer is what came of POST /commands.
+// Command is a call of a worker's POST /commands.
+type Command struct {
+	Addr string
+	Body api.Commands
+	// NotAfter is the time, by this node's clock, from which the call must not be sent
+	// any more; 0: none.
+	NotAfter ident.Mono
+}
+
+// Launches says whether the command starts a task.
+func (c Command) Launches() bool { return api.Launches(c.Body.Orders) }
+
+// Answer is what came of a Command.
 type Answer struct {
 	Status int // 0: none
 	Report *api.Report
+	// Unsent says that the command was surely not sent: its time was over.
+	Unsent bool
 }
 
 // Config holds the workers' times and the term.
@@ -455,7 +469,7 @@
 	epoch := ident.MakeEpoch(tb.cfg.Term, 0)
 	if !tb.asked[r.Host] && len(tb.asked) < maxStrangers {
 		tb.asked[r.Host] = true
-		tb.port.Worker(r.Addr, api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}, func(a Answer) {
+		tb.port.Worker(Command{Addr: r.Addr, Body: api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}}, func(a Answer) {
 			if tb.dead {
 				return
 			}
@@ -806,11 +820,17 @@
 	if orders == nil {
 		orders = []api.Order{}
 	}
-	tb.port.Worker(w.Addr, api.Commands{Epoch: epoch, Tenure: tenure, Orders: orders}, func(a Answer) {
+	tb.port.Worker(Command{Addr: w.Addr, Body: api.Commands{Epoch: epoch, Tenure: tenure, Orders: orders}}, func(a Answer) {
 		if tb.dead {
 			return
 		}
 		w.flying, w.busy = nil, false
+		if a.Unsent {
+			// What it named is repeated by the answer to the worker's next report, if
+			// this node still leads then.
+			w.queue = nil
+			return
+		}
 		if tb.cfg.Asked(w, a.Status != 0); tb.dead {
 			return
 		}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -33,8 +33,8 @@
 func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
 	w.txns = append(w.txns, func() { f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 9}) })
 }
-func (w *world) Worker(addr string, c api.Commands, f func(Answer)) {
-	w.sent = append(w.sent, c)
+func (w *world) Worker(c Command, f func(Answer)) {
+	w.sent = append(w.sent, c.Body)
 	w.answers = append(w.answers, f)
 }
 
