Overload refuses submissions first, polls next, and never what the lease depends on

The loop took messages in the order in which they came, so that an overload of users' requests kept the answers to lease renewals waiting; submissions, polls and cancellations were refused alike, after their bodies were read; and what siblings passed on was not refused at all. Now answers of the outside services, siblings' heartbeats, reports and cancellations pass users' questions; each kind of request has bounds of its own, checked before it is read; and a request that a sibling passes on is refused like one that comes here.

--- /dev/null
+++ b/internal/server/admission_test.go
@@ -0,0 +1,69 @@
+package server
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"opaldale/internal/mesh"
+)
+
+// TestOverloadOrder: the more a node lags behind, or has under way, the fewer kinds of
+// requests it takes; reports go last. (Submissions and polls were refused alike, and only
+// after their bodies were read.)
+func TestOverloadOrder(t *testing.T) {
+	kinds := []mesh.Verb{mesh.Submit, mesh.Poll, mesh.Cancel, mesh.Checkin}
+	taken := func(a *admission) (out []mesh.Verb) {
+		for _, v := range kinds {
+			if a.admits(v) {
+				out = append(out, v)
+			}
+		}
+		return out
+	}
+	for _, c := range []struct {
+		lag      time.Duration
+		requests int64
+		reports  int64
+		want     []mesh.Verb
+	}{
+		{0, 0, 0, kinds},
+		{500 * time.Millisecond, 0, 0, kinds[1:]},
+		{time.Second, 0, 0, kinds[2:]},
+		{time.Minute, 0, 0, kinds[3:]},
+		{0, 400, 0, kinds[1:]},
+		{0, 600, 0, kinds[2:]},
+		{0, 800, 1199, kinds[3:]},
+		{0, 0, 1200, kinds[:3]},
+		{0, 800, 1200, nil},
+	} {
+		a := &admission{lag: func() time.Duration { return c.lag }}
+		a.requests.Store(c.requests)
+		a.reports.Store(c.reports)
+		if got := taken(a); !slices.Equal(got, c.want) {
+			t.Errorf("lag %v, %d and %d under way: takes %v, want %v", c.lag, c.requests, c.reports, got, c.want)
+		}
+	}
+}
+
+// TestUrgentFirst: what leadership and workers depend on passes all that users have asked
+// before, and a node that has caught up doesn't think that it still lags.
+func TestUrgentFirst(t *testing.T) {
+	l := newLoop()
+	var order []string
+	for range 100 {
+		l.events <- event{func() { order = append(order, "user") }, time.Now().Add(-time.Minute)}
+	}
+	l.postUrgent(func() { order = append(order, "renewal") })
+	if n := l.drain(batch); n != batch || order[0] != "renewal" {
+		t.Errorf("%d events, first %q", n, order[0])
+	}
+	if l.Lag() < time.Minute {
+		t.Errorf("lag %v with users' requests a minute old", l.Lag())
+	}
+	for l.drain(batch) == batch {
+	}
+	if len(order) != 101 || l.Lag() != 0 {
+		t.Errorf("%d events run, lag %v with none left", len(order), l.Lag())
+	}
+}
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"opaldale/internal/api"
@@ -14,32 +13,30 @@
 	"opaldale/internal/mesh"
 )
 
-const (
-	// maxInflight bounds the requests that wait for the loop.
-	maxInflight = 600
-	// maxLag is how far the loop may lag behind before users are refused; checkins
-	// are not, for losing them loses work.
-	maxLag = 700 * time.Millisecond
-	// lastAnswer bounds every request, whatever becomes of it.
-	lastAnswer = 4 * time.Second
-)
+// lastAnswer bounds every request, whatever becomes of it.
+const lastAnswer = 4 * time.Second
 
 func (s *Server) handler() http.Handler {
-	var inflight atomic.Int64
 	m := newMetrics(s)
+	write := func(w http.ResponseWriter, a controller.Reply) {
+		h := w.Header()
+		h.Set("Content-Type", "application/json")
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		if a.Retry > 0 {
+			h.Set("Retry-After", strconv.Itoa(a.Retry))
+		}
+		w.WriteHeader(a.Status)
+		w.Write(a.Body)
+	}
 	// ask passes a request to the controller.
 	ask := func(v mesh.Verb, w http.ResponseWriter, r *http.Request, job string, body []byte) {
 		began := time.Now()
-		if n := inflight.Add(1); n > maxInflight || v != mesh.Checkin && s.loop.Lag() > maxLag {
-			inflight.Add(-1)
-			m.shed.Inc()
-			w.Header().Set("Retry-After", "2")
-			writeJSON(w, http.StatusServiceUnavailable, api.Problem{Error: "overloaded"})
-			return
-		}
-		defer inflight.Add(-1)
 		ch := make(chan controller.Reply, 1)
-		s.loop.post(func() {
+		post := s.loop.post
+		if v == mesh.Checkin || v == mesh.Cancel {
+			post = s.loop.postUrgent
+		}
+		post(func() {
 			s.ctl.Request(v, job, body, func(a controller.Reply) {
 				select {
 				case ch <- a:
@@ -56,19 +53,12 @@
 			a = controller.Reply{Status: http.StatusServiceUnavailable, Retry: 1, Body: api.JSON(api.Problem{Error: "no answer in time"})}
 		}
 		a = a.Now(s.loop.now())
-		h := w.Header()
 		if v == mesh.Checkin && s.sockets.crowded() {
 			// The next report makes a connection of its own: most are idle for most of
 			// the time between two.
-			h.Set("Connection", "close")
+			w.Header().Set("Connection", "close")
 		}
-		h.Set("Content-Type", "application/json")
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-		if a.Retry > 0 {
-			h.Set("Retry-After", strconv.Itoa(a.Retry))
-		}
-		w.WriteHeader(a.Status)
-		w.Write(a.Body)
+		write(w, a)
 		m.observe(v, a.Status, time.Since(began))
 	}
 	// read reads a bounded body, or answers 400.
@@ -92,30 +82,42 @@
 		}
 		return string(id), err == nil
 	}
+	// admit refuses what a node that is overloaded can't take, before it is read.
+	admit := func(v mesh.Verb, next http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if !s.admission.begin(v) {
+				m.shed.WithLabelValues(verbNames[v]).Inc()
+				write(w, overloaded)
+				return
+			}
+			defer s.admission.end(v)
+			next(w, r)
+		}
+	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v2/runs", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST /v2/runs", admit(mesh.Submit, func(w http.ResponseWriter, r *http.Request) {
 		if b, ok := read(w, r); ok {
 			ask(mesh.Submit, w, r, "", b)
 		}
-	})
-	mux.HandleFunc("GET /v2/runs/{id}", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("GET /v2/runs/{id}", admit(mesh.Poll, func(w http.ResponseWriter, r *http.Request) {
 		if id, ok := jobID(w, r); ok {
 			ask(mesh.Poll, w, r, id, nil)
 		}
-	})
-	mux.HandleFunc("POST /v2/runs/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("POST /v2/runs/{id}/cancel", admit(mesh.Cancel, func(w http.ResponseWriter, r *http.Request) {
 		if id, ok := jobID(w, r); ok {
 			ask(mesh.Cancel, w, r, id, nil)
 		}
-	})
-	mux.HandleFunc("POST /checkin", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("POST /checkin", admit(mesh.Checkin, func(w http.ResponseWriter, r *http.Request) {
 		if b, ok := read(w, r); ok {
 			ask(mesh.Checkin, w, r, "", b)
 		}
-	})
+	}))
 	mux.HandleFunc("GET /up", func(w http.ResponseWriter, r *http.Request) {
 		ch := make(chan bool, 1)
-		s.loop.post(func() { ch <- s.ctl.Healthy() })
+		s.loop.postUrgent(func() { ch <- s.ctl.Healthy() })
 		if !<-ch {
 			writeJSON(w, http.StatusServiceUnavailable, api.Problem{Error: "cut off"})
 			return
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -19,18 +19,19 @@
 // loop runs everything that touches the controller, one event at a time.
 type loop struct {
 	start  time.Time
-	events chan event
+	urgent chan event // what leadership and workers depend on
+	events chan event // what users ask
 	timers timerHeap
 	seq    uint64
 	settle func()
-	lag    atomic.Int64 // nanoseconds that the newest event waited
+	lag    atomic.Int64 // nanoseconds that the newest event of users waited
 }
 
-// maxEvents bounds what waits for the loop; beyond it, posting blocks.
+// maxEvents bounds what waits for the loop of either kind; beyond it, posting blocks.
 const maxEvents = 4096
 
 func newLoop() *loop {
-	return &loop{start: time.Now(), events: make(chan event, maxEvents)}
+	return &loop{start: time.Now(), urgent: make(chan event, maxEvents), events: make(chan event, maxEvents)}
 }
 
 // now returns the steady clock's reading.
@@ -42,13 +43,16 @@
 // post has f run by the loop; for other goroutines.
 func (l *loop) post(f func()) { l.events <- event{f, time.Now()} }
 
+// postUrgent has f run by the loop before anything that was only posted.
+func (l *loop) postUrgent(f func()) { l.urgent <- event{f, time.Now()} }
+
 // after has f run by the loop later; only for the loop itself.
 func (l *loop) after(d time.Duration, f func()) {
 	l.seq++
 	heap.Push(&l.timers, timer{l.now().Add(d), l.seq, f})
 }
 
-// Lag returns how long events wait at present.
+// Lag returns how long users' events wait at present.
 func (l *loop) Lag() time.Duration { return time.Duration(l.lag.Load()) }
 
 // batch bounds the events between two settlings.
@@ -65,6 +69,9 @@
 		if wait > 0 {
 			t.Reset(wait)
 			select {
+			case e := <-l.urgent:
+				e.run()
+				n++
 			case e := <-l.events:
 				l.do(e)
 				n++
@@ -74,15 +81,31 @@
 		for now := l.now(); len(l.timers) > 0 && l.timers[0].at <= now && n < batch; n++ {
 			heap.Pop(&l.timers).(timer).run()
 		}
-		for ; n < batch && len(l.events) > 0; n++ {
-			l.do(<-l.events)
-		}
+		n += l.drain(batch - n)
 		if n > 0 {
 			l.settle()
 		}
 	}
 }
 
+// drain runs up to so many events that wait, the urgent ones first.
+func (l *loop) drain(most int) int {
+	n := 0
+	for ; n < most; n++ {
+		switch {
+		case len(l.urgent) > 0:
+			(<-l.urgent).run()
+		case len(l.events) > 0:
+			l.do(<-l.events)
+		default:
+			l.lag.Store(0)
+			return n
+		}
+	}
+	return n
+}
+
+// do runs an event of a user.
 func (l *loop) do(e event) {
 	l.lag.Store(int64(time.Since(e.at)))
 	e.run()
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -15,7 +15,7 @@
 type metrics struct {
 	reg      *prometheus.Registry
 	requests *prometheus.HistogramVec
-	shed     prometheus.Counter
+	shed     *prometheus.CounterVec
 }
 
 func newMetrics(s *Server) *metrics {
@@ -24,7 +24,8 @@
 		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "opaldale_request_seconds",
 			Help:    "Time to answer requests, by kind and status.",
 			Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}}, []string{"kind", "status"}),
-		shed: prometheus.NewCounter(prometheus.CounterOpts{Name: "opaldale_shed_total", Help: "Requests refused for overload."}),
+		shed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "opaldale_shed_total",
+			Help: "Requests refused for overload, by kind."}, []string{"kind"}),
 	}
 	m.reg.MustRegister(m.requests, m.shed, snapshots{s})
 	return m
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,6 +38,9 @@
 	commands chan struct{}
 	sockets  *sockets
 	mesh     *mesh.Transport
+	// admission bounds the requests that are taken, from users and workers or passed on
+	// by siblings.
+	admission admission
 }
 
 // Run serves until the process is killed, or a socket can't be had.
@@ -48,6 +51,7 @@
 	debug.SetGCPercent(300)
 
 	s := &Server{loop: newLoop(), sockets: newSockets(set.Cluster.Resources.Sockets)}
+	s.admission.lag = s.loop.Lag
 	transport := func(perHost, idle int) *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
@@ -65,7 +69,7 @@
 	s.worker = &http.Client{Transport: transport(1, commands)}
 	s.commands = make(chan struct{}, commands)
 	s.mesh = mesh.NewTransport(set.Node, func(from ident.NodeID, f *mesh.Frame) {
-		s.loop.post(func() { s.ctl.Frame(from, f) })
+		s.frame(from, f)
 	})
 
 	meshListener, err := net.Listen("tcp4", set.MeshAddr)
@@ -98,6 +102,21 @@
 	return <-errs
 }
 
+// frame takes a sibling's message. What it passes on for users waits like users' own
+// requests here, and is refused like them.
+func (s *Server) frame(from ident.NodeID, f *mesh.Frame) {
+	take := func() { s.ctl.Frame(from, f) }
+	if f.Kind != mesh.Ask || f.Verb == mesh.Checkin || f.Verb == mesh.Cancel {
+		s.loop.postUrgent(take)
+		return
+	}
+	if !s.admission.admits(f.Verb) {
+		s.mesh.Send(from, &mesh.Frame{Kind: mesh.Tell, ID: f.ID, Status: uint16(overloaded.Status), Retry: uint16(overloaded.Retry), Body: overloaded.Body})
+		return
+	}
+	s.loop.post(take)
+}
+
 // env is the world as a controller sees it. All but the calls' own goroutines is
 // run by the loop.
 type env struct{ s *Server }
@@ -110,7 +129,7 @@
 func (e env) State(r statesvc.Request, f func(statesvc.Reply)) {
 	go func() {
 		a := e.s.state.Do(r)
-		e.s.loop.post(func() { f(a) })
+		e.s.loop.postUrgent(func() { f(a) })
 	}()
 }
 
@@ -120,14 +139,14 @@
 		if !e.s.loop.past(r.NotAfter) {
 			a = e.s.cloud.Do(r)
 		}
-		e.s.loop.post(func() { f(a) })
+		e.s.loop.postUrgent(func() { f(a) })
 	}()
 }
 
 func (e env) Worker(c workers.Command, f func(workers.Answer)) {
 	go func() {
 		a := e.s.command(c)
-		e.s.loop.post(func() { f(a) })
+		e.s.loop.postUrgent(func() { f(a) })
 	}()
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -41,6 +41,7 @@
 	s := &Server{loop: newLoop(), sockets: newSockets(socketsGiven), state: statesvc.NewClient(addr, http.DefaultTransport),
 		cloud: cloud.NewClient(addr, http.DefaultTransport), worker: http.DefaultClient,
 		mesh: mesh.NewTransport("agent-0", func(ident.NodeID, *mesh.Frame) {})}
+	s.admission.lag = s.loop.Lag
 	s.ctl = controller.New(env{s}, set, rand.New(rand.NewPCG(1, 2)))
 	s.loop.settle = s.ctl.Settle
 	s.loop.post(s.ctl.Start)
