--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"container/heap"
-	"sort"
+	"slices"
 	"time"
 
 	"opaldale/internal/api"
@@ -11,8 +12,8 @@
 	"opaldale/internal/workers"
 )
 
-// victim says whether a running task must give way to a job.
-func (p *Planner) victim(v *jobs.Task, j *jobs.Job) bool {
+// givesWay says whether a running task must give way to a job.
+func (p *Planner) givesWay(v *jobs.Task, j *jobs.Job) bool {
 	if v.State != jobs.Assigned {
 		return false
 	}
@@ -109,28 +110,57 @@
 	return nil
 }
 
+// maxOffers bounds the machines that a search finds for a job, beside two for each of its
+// tasks: the least work lost on so many is little more than that on all.
+const maxOffers = 100
+
 // search looks at machines for work that must give way, as many as the dispatch may
-// still look at. Each search begins where one that was cut short ended.
+// still look at: first at those that hold the image, then at the others, from where the
+// search before ended.
 func (p *Planner) search(key searchKey, now ident.Mono) *offers {
 	found := &offers{}
-	for i := range p.order {
-		if p.searched >= maxSearched {
-			p.from = (p.from + i) % len(p.order)
-			break
+	enough := maxOffers + 2*key.job.Waits()
+	look := func(w *workers.Worker) bool {
+		if p.searched >= maxSearched || found.Len() >= enough {
+			return false
 		}
-		w := p.order[(p.from+i)%len(p.order)]
 		if !p.mayOffer(key, w) {
-			continue
+			return true
 		}
 		p.searched++
 		if o := p.offer(key, w, now); o != nil {
 			*found = append(*found, o)
 		}
+		return true
+	}
+	for _, w := range p.holding(key.job.Spec.Bundle) {
+		if !look(w) {
+			break
+		}
+	}
+	if !key.holders {
+		p.lookAround(key.job.Spec.Bundle, look)
 	}
 	heap.Init(found)
 	return found
 }
 
+// lookAround shows the machines that don't hold an image to a search until it has seen
+// enough. The next one goes on from there.
+func (p *Planner) lookAround(image string, look func(*workers.Worker) bool) {
+	for i := range p.order {
+		at := (p.from + i) % len(p.order)
+		w := p.order[at]
+		if w.Holds(image) {
+			continue
+		}
+		if !look(w) {
+			p.from = at
+			return
+		}
+	}
+}
+
 // mayOffer says whether it is worth to look at a machine for work to stop.
 func (p *Planner) mayOffer(key searchKey, w *workers.Worker) bool {
 	j := key.job
@@ -180,13 +210,41 @@
 	return t.GaveWay > 0 && now.Sub(t.GaveWay) < spareTime
 }
 
+// victim is a task that may be stopped, and what is lost by it.
+type victim struct {
+	task *jobs.Task
+	cost float64
+}
+
+// lostBy says how much work is lost when a task is stopped, in CPU seconds.
+func lostBy(t *jobs.Task, now ident.Mono) float64 {
+	ran := now.Sub(t.Since).Seconds()
+	if t.Seen == "" || t.Seen == api.Pulling {
+		ran = 0
+	} else if t.RunsAt > 0 {
+		ran = now.Sub(t.RunsAt).Seconds()
+	}
+	if t.Job.Spec.Saves() {
+		ran = min(ran, t.Job.Spec.SnapshotEveryS)
+	}
+	if spared(t, now) {
+		ran += spareTime.Seconds()
+	}
+	if t.Job.Gang() {
+		// All of its tasks save, wait for each other and start again.
+		ran = (ran + gangCost) * float64(t.Job.Spec.Pieces)
+	}
+	return ran * max(t.Job.Spec.VCPUs, 1)
+}
+
 // choose finds the cheapest set of tasks to stop on a machine so that as much is free
 // for j, counting what is being stopped already as room. With spare set, what gave
 // way of late is left alone; gangs are stopped only with gangs set, and never again
 // soon.
-func (p *Planner) choose(w *workers.Worker, j *jobs.Job, s jobs.Need, now ident.Mono, spare, gangs bool) ([]*jobs.Task, float64, bool) {
+func (p *Planner) choose(w *workers.Worker, j *jobs.Job, need jobs.Need, now ident.Mono, spare, gangs bool) ([]*jobs.Task, float64, bool) {
 	vcpus, cards, mem := w.Kind.VCPUs-w.VCPUs, w.Kind.Cards-w.Cards, w.Kind.MemoryGB-w.MemoryGB
-	var cand []*jobs.Task
+	var cand []victim
+	add := func(v *jobs.Task) { cand = append(cand, victim{v, lostBy(v, now)}) }
 	for _, v := range w.Tasks {
 		if v.State == jobs.Stopping && v.WindDown == 0 {
 			vcpus += v.Job.Spec.VCPUs
@@ -194,44 +252,18 @@
 			mem += v.Job.Spec.MemoryGB
 		} else if v.Job.Gang() {
 			// Never a part of a gang: the whole of it, if all can be told in time.
-			if gangs && !spared(v, now) && p.victim(v, j) && p.act.Stoppable(v.Job) {
-				cand = append(cand, v)
+			if gangs && !spared(v, now) && p.givesWay(v, j) && p.act.Stoppable(v.Job) {
+				add(v)
 			}
-		} else if p.victim(v, j) && !(spare && spared(v, now)) {
-			cand = append(cand, v)
-		}
-	}
-	cost := func(v *jobs.Task) float64 {
-		ran := now.Sub(v.Since).Seconds()
-		if v.Seen == "" || v.Seen == api.Pulling {
-			ran = 0
-		} else if v.RunsAt > 0 {
-			ran = now.Sub(v.RunsAt).Seconds()
-		}
-		if v.Job.Spec.Saves() {
-			ran = min(ran, v.Job.Spec.SnapshotEveryS)
+		} else if p.givesWay(v, j) && !(spare && spared(v, now)) {
+			add(v)
 		}
-		if spared(v, now) {
-			ran += spareTime.Seconds()
-		}
-		if v.Job.Gang() {
-			// All of its tasks save, wait for each other and start again.
-			ran = (ran + gangCost) * float64(v.Job.Spec.Pieces)
-		}
-		return ran * max(v.Job.Spec.VCPUs, 1)
 	}
-	sort.Slice(cand, func(i, k int) bool {
-		a, b := cost(cand[i]), cost(cand[k])
-		if a != b {
-			return a < b
-		}
-		if cand[i].Job.Seq != cand[k].Job.Seq {
-			return cand[i].Job.Seq > cand[k].Job.Seq
-		}
-		return cand[i].Index > cand[k].Index
+	slices.SortFunc(cand, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.task.Job.Seq, a.task.Job.Seq), cmp.Compare(b.task.Index, a.task.Index))
 	})
 	enough := func() bool {
-		return vcpus >= s.VCPUs-slack && cards >= s.Cards-slack && mem >= s.MemoryGB-slack
+		return vcpus >= need.VCPUs-slack && cards >= need.Cards-slack && mem >= need.MemoryGB-slack
 	}
 	var stop []*jobs.Task
 	sum := 0.0
@@ -239,11 +271,12 @@
 		if enough() {
 			break
 		}
-		stop = append(stop, v)
-		sum += cost(v)
-		vcpus += v.Job.Spec.VCPUs
-		cards += v.Job.Spec.Cards
-		mem += v.Job.Spec.MemoryGB
+		stop = append(stop, v.task)
+		sum += v.cost
+		s := v.task.Job.Spec
+		vcpus += s.VCPUs
+		cards += s.Cards
+		mem += s.MemoryGB
 	}
 	return stop, sum, enough()
 }
