--- /dev/null
+++ b/internal/controller/actions.go
@@ -0,0 +1,159 @@
+package controller
+
+import (
+	"log/slog"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/gang"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/settings"
+	"opaldale/internal/workers"
+)
+
+// count keeps machines, teams and zones in step with a task that counts, or
+// doesn't any more.
+func (l *lead) count(t *jobs.Task, w *workers.Worker, sign int) {
+	j := t.Job
+	l.teams.Count(j.Spec, float64(sign))
+	if w == nil {
+		return
+	}
+	if j.Spec.OneZone || j.Spec.Apart {
+		if j.Zones == nil {
+			j.Zones = map[string]int{}
+		}
+		j.Zones[w.Site] += sign
+	}
+	if sign > 0 {
+		l.workers.Hold(w, t)
+	} else {
+		l.workers.Release(w, t)
+	}
+}
+
+func (l *lead) move(t *jobs.Task, from, to jobs.State) {
+	w := l.workers.Workers[t.Host]
+	l.gangs.Touch(t.Job)
+	if !from.Held() && to.Held() {
+		l.count(t, w, 1)
+	}
+	if from.Held() && !to.Held() {
+		l.count(t, w, -1)
+	}
+}
+
+// Place carries out a decision: it is launched once it is durable.
+func (l *lead) Place(t *jobs.Task, w *workers.Worker) {
+	slog.Debug("place", "piece", t.Piece().String(), "host", string(w.Host), "held", w.Holds(t.Job.Spec.Bundle), "within", l.planner.Within(t.Job),
+		"age_s", l.c.env.Now().Sub(t.Job.Arrived).Seconds())
+	l.jobs.Place(t, w.Host, w.Tenure, func() {
+		if l.dead || !l.c.elect.Valid() {
+			return // the answer to its worker's next report launches it
+		}
+		if w.State == workers.Returning || w.State == workers.Gone {
+			return
+		}
+		l.workers.Launch(w, t)
+	})
+}
+
+// PlaceGang carries out the decision for all tasks of a gang that wait.
+func (l *lead) PlaceGang(j *jobs.Job, picks []gang.Pick) {
+	slog.Debug("place gang", "id", string(j.Spec.ID), "tasks", len(picks), "of", len(j.Tasks), "within", l.planner.Within(j),
+		"age_s", l.c.env.Now().Sub(j.Arrived).Seconds())
+	l.gangs.Place(j, picks)
+}
+
+// GangUsed says whether the gang's present attempt was on a machine before.
+func (l *lead) GangUsed(j *jobs.Job, w *workers.Worker) bool { return l.gangs.Used(j, w.Host) }
+
+// Stoppable says whether a gang can be stopped in order.
+func (l *lead) Stoppable(j *jobs.Job) bool { return l.gangs.Stoppable(j) }
+
+// StopGang stops a whole gang so that others find room.
+func (l *lead) StopGang(j *jobs.Job) bool { return l.gangs.Stop(j, "makes room") }
+
+// Preempt stops a task so that another finds room.
+func (l *lead) Preempt(t *jobs.Task, w *workers.Worker, windDown time.Duration) {
+	slog.Info("preempting", "piece", t.Piece().String(), "host", string(w.Host))
+	l.workers.StopTask(w, t, windDown)
+}
+
+func (l *lead) stopAll(j *jobs.Job) {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.State.Held() {
+			l.workers.StopTask(l.workers.Workers[t.Host], t, 0)
+		}
+	}
+}
+
+// drain moves the tasks of a machine that will be taken, unless they will
+// probably complete before.
+func (l *lead) drain(w *workers.Worker) {
+	now := l.c.env.Now()
+	left := w.Doomed.Sub(now)
+	for _, t := range l.workers.TasksOf(w) {
+		s := t.Job.Spec
+		if t.State != jobs.Assigned {
+			continue
+		}
+		need := settings.Seconds(s.RuntimeS)
+		if t.RunsAt > 0 {
+			need -= now.Sub(t.RunsAt)
+		}
+		save := settings.Seconds(s.SnapshotS)
+		switch {
+		case s.Shape == api.Gang:
+			// The whole gang, or none of it: what can't be told in time is lost anyway.
+			save += settings.Seconds(l.c.set.Cluster.Workers.GangPeerS)
+			if need > left && left < save+2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) {
+				l.gangs.Stop(t.Job, "a machine will be taken")
+			}
+		case s.Saves():
+			// As late as it can still save, with a report's time to spare.
+			if left < save+2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) {
+				l.workers.StopTask(w, t, save+time.Millisecond)
+			}
+		case s.Shape == api.Service || need > left:
+			l.workers.StopTask(w, t, 0)
+		}
+	}
+}
+
+// maxBackoff is the longest pause between two tries of a job whose tasks fail: shorter
+// than any job may be left waiting.
+const maxBackoff = time.Minute
+
+// failed decides when and where a task that ended early is tried again.
+func (l *lead) failed(t *jobs.Task, w *workers.Worker, c api.Cause) {
+	now := l.c.env.Now()
+	j := t.Job
+	switch c {
+	case api.CauseError:
+		slog.Info("task failed", "piece", t.Piece().String(), "host", string(w.Host))
+		t.Fails++
+		if j.Shunned == nil {
+			j.Shunned = map[ident.HostID]bool{}
+		}
+		j.Shunned[w.Host] = true
+		if len(j.Shunned) >= 3 {
+			// Rather the job's fault than that of so many machines.
+			clear(j.Shunned)
+			j.Suspect = !j.Gang()
+			l.workers.Absolve(j)
+		}
+		if (j.Suspect || len(j.Shunned) == 0) && now >= j.RetryAt { // once for all that fail together
+			j.Backoff = min(max(2*j.Backoff, 4*time.Second), maxBackoff)
+			j.RetryAt = now.Add(j.Backoff)
+		}
+	case api.CauseFull:
+		slog.Info("refused: full", "piece", t.Piece().String(), "host", string(w.Host))
+		w.Shun = now.Add(time.Second)
+	case api.CauseBusy, api.CauseUnknown:
+		slog.Info("refused", "piece", t.Piece().String(), "host", string(w.Host), "cause", string(c))
+		t.Fails++
+		t.RetryAt = now.Add(min(time.Duration(t.Fails)*time.Second, 10*time.Second))
+	}
+}
--- /dev/null
+++ b/internal/controller/catalog.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// readCatalog takes the machine types from the state service, and failing that
+// from the cloud.
+func (l *lead) readCatalog(done func()) {
+	l.catalog = &commit.Doc{Path: catalogKey}
+	l.catalog.Render = func() json.RawMessage {
+		if l.level >= ident.Packed {
+			return nil
+		}
+		return api.JSON(l.models)
+	}
+	known := func(models []cloud.Model) {
+		if len(models) == 0 {
+			l.askCatalog(done)
+			return
+		}
+		l.setModels(models)
+		done()
+		l.askCatalog(nil)
+	}
+	whole := func() {
+		l.read(statesvc.Request{Op: statesvc.Get, Path: catalogKey, Timeout: commitTime}, func(r statesvc.Reply) {
+			var models []cloud.Model
+			if r.Outcome == statesvc.OK {
+				l.catalog.Stamp = r.Stamp
+				if err := json.Unmarshal(r.Value, &models); err != nil {
+					slog.Error("unreadable catalog", "err", err)
+				}
+			}
+			known(models)
+		})
+	}
+	if l.level < ident.Packed {
+		whole()
+		return
+	}
+	var pairs []statesvc.Pair
+	l.readAll(typesPrefix, "", &pairs, func() {
+		var models []cloud.Model
+		for i, p := range pairs {
+			var m cloud.Model
+			if p.Path != typeKey(i) || json.Unmarshal(p.Value, &m) != nil {
+				slog.Error("unreadable machine type", "path", p.Path)
+				continue
+			}
+			l.typeDoc(i).Stamp = p.Stamp
+			models = append(models, m)
+		}
+		if len(models) == 0 {
+			whole()
+			return
+		}
+		known(models)
+	})
+}
+
+func typeKey(i int) string { return fmt.Sprintf("%s%05d", typesPrefix, i) }
+
+// typeDoc is the record of the i-th machine type.
+func (l *lead) typeDoc(i int) *commit.Doc {
+	for k := len(l.types); k <= i; k++ {
+		d := &commit.Doc{Path: typeKey(k)}
+		d.Render = func() json.RawMessage {
+			if k >= len(l.models) {
+				return nil
+			}
+			b := api.JSON(l.models[k])
+			if len(b) > l.valueBytes {
+				slog.Error("a machine type is too large to be stored; the cloud tells it again", "model", l.models[k].SKU)
+				return nil
+			}
+			return b
+		}
+		l.types = append(l.types, d)
+	}
+	return l.types[i]
+}
+
+// storeCatalog writes the machine types.
+func (l *lead) storeCatalog() {
+	if l.level >= ident.Packed {
+		for i := range max(len(l.models), len(l.types)) {
+			l.commits.Mark(l.typeDoc(i), nil)
+		}
+		if l.catalog.Stamp == 0 {
+			return
+		}
+	}
+	l.commits.Mark(l.catalog, nil)
+}
+
+func (l *lead) setModels(models []cloud.Model) {
+	l.models = models
+	for i := range models {
+		k := models[i]
+		if old := l.kinds[k.SKU]; old != nil {
+			*old = k // machines point to it
+		} else {
+			l.kinds[k.SKU] = &k
+		}
+	}
+}
+
+// askCatalog reads the cloud's catalog; first is called once it is known, or
+// nil: it is then read again in a while, since prices move.
+func (l *lead) askCatalog(first func()) {
+	l.c.env.Cloud(cloud.Request{Op: cloud.Catalog}, func(r cloud.Reply) {
+		if l.dead {
+			return
+		}
+		wait := catalogEvery
+		if r.Outcome == cloud.OK && len(r.Models) > 0 {
+			same := len(r.Models) == len(l.models)
+			for i := 0; same && i < len(r.Models); i++ {
+				a, b := r.Models[i], l.models[i]
+				a.MarketPrice, b.MarketPrice = 0, 0
+				same = string(api.JSON(a)) == string(api.JSON(b))
+			}
+			l.setModels(r.Models)
+			if !same {
+				l.storeCatalog()
+			}
+			if first != nil {
+				first()
+				first = nil
+			}
+		} else {
+			slog.Info("catalog unavailable", "err", r.Error)
+			wait = time.Second
+		}
+		l.c.env.After(wait, func() {
+			if !l.dead {
+				l.askCatalog(first)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/controller/load.go
@@ -0,0 +1,147 @@
+package controller
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/workers"
+)
+
+// load reads what earlier terms left; only then does the leader act.
+func (l *lead) load() {
+	began := l.c.env.Now()
+	left := 4
+	var live, log, machines []statesvc.Pair
+	done := func() {
+		if left--; left > 0 {
+			return
+		}
+		var faults []error
+		for _, p := range machines {
+			faults = append(faults, l.restoreGroup(p))
+		}
+		for _, p := range live {
+			faults = append(faults, l.jobs.Load(p.Path, p.Value, p.Stamp))
+		}
+		faults = append(faults, l.jobs.LoadLog(log))
+		if err := errors.Join(faults...); err != nil {
+			// On half a state a leader would forget jobs, or start tasks that run.
+			slog.Error("unreadable record", "err", err)
+			l.c.elect.Resign(restAfter, "unreadable record")
+			return
+		}
+		slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
+			"took_ms", l.c.env.Now().Sub(began).Milliseconds())
+		l.begin()
+	}
+	l.readAll(jobs.LivePrefix, "", &live, done)
+	l.readAll(commit.LogPrefix, "", &log, done)
+	l.readAll(fleetPrefix, "", &machines, done)
+	l.readCatalog(done)
+}
+
+func (l *lead) readAll(prefix, since string, into *[]statesvc.Pair, done func()) {
+	l.read(statesvc.Request{Op: statesvc.List, Starts: prefix, Since: since, Timeout: loadTime}, func(r statesvc.Reply) {
+		*into = append(*into, r.Pairs...)
+		if r.Truncated && len(r.Pairs) > 0 {
+			l.readAll(prefix, r.Pairs[len(r.Pairs)-1].Path, into, done)
+			return
+		}
+		done()
+	})
+}
+
+// read asks the state service until it answers.
+func (l *lead) read(r statesvc.Request, f func(statesvc.Reply)) {
+	l.c.env.State(r, func(a statesvc.Reply) {
+		switch {
+		case l.dead:
+		case a.Outcome == statesvc.OK || a.Outcome == statesvc.NotFound:
+			f(a)
+		default:
+			l.c.env.After(200*time.Millisecond, func() {
+				if !l.dead {
+					l.read(r, f)
+				}
+			})
+		}
+	})
+}
+
+// begin takes over from the term before.
+func (l *lead) begin() {
+	for _, j := range l.jobs.Sorted() {
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if !t.State.Held() {
+				continue
+			}
+			w := l.workers.Workers[t.Host]
+			if w == nil {
+				// Its machine's record was deleted: it is surely gone, which its
+				// return proves.
+				w = l.workers.Add(t.Host, "", "", false, l.c.env.Now())
+				l.fleet.Return(w, "not on record")
+			}
+			l.count(t, w, 1)
+		}
+	}
+	l.jobs.Loaded()
+	if l.jobs.Seq > 0 {
+		l.fleet.Continue()
+	}
+	for _, j := range l.jobs.Sorted() {
+		if j.Phase == jobs.Open {
+			l.fleet.Arrived(j.Spec, j.Arrived)
+		}
+		if j.Phase == jobs.Cancelled {
+			l.stopAll(j)
+		}
+		l.gangs.Adopt(j)
+	}
+	l.ready, l.dirty = true, true
+	if l.level < ident.NewestLevel {
+		l.raiser.Look()
+	} else {
+		l.fitLoaded()
+	}
+	l.ask()
+	l.tick()
+	l.roundLater()
+}
+
+// ask probes machines of the term before that have not reported yet, a few at a
+// time: nothing is placed on them until they are heard, and all at once would be a
+// storm.
+func (l *lead) ask() {
+	if l.dead {
+		return
+	}
+	n := maxAsked
+	for _, replicas := range []bool{true, false} { // users miss those first
+		for _, w := range l.workers.Sorted() {
+			if w.State != workers.Up || w.Reported() || w.Misses() > 0 || (w.Replicas > 0) != replicas {
+				continue
+			}
+			if n == 0 {
+				l.c.env.After(askEvery, l.ask)
+				return
+			}
+			// One that has not answered yet takes nobody's turn: with a rack silent,
+			// sixteen of it kept all others from being asked.
+			if l.workers.Probe(w) {
+				n--
+			}
+		}
+	}
+}
+
+const (
+	maxAsked = 16
+	askEvery = 200 * time.Millisecond
+)
--- /dev/null
+++ b/internal/controller/snapshot.go
@@ -0,0 +1,50 @@
+package controller
+
+// Snapshot is what the metrics show of a node.
+type Snapshot struct {
+	Leading, Valid              bool
+	Term                        uint64
+	Jobs, Held, Waiting         int
+	Machines                    map[string]int
+	Planned, Local, New, Stolen uint64
+	Services, Gangs, Preempted  uint64
+	Rounds, ExtraRounds         uint64
+	FetchedGB, PlanSeconds      float64
+	Rented, Returned, Fenced    uint64
+	Txns, Puts, Repeats         uint64
+	Relocated, Fences, Stale    uint64
+	Forwarded, Refused, Elected uint64
+	Vouched                     uint64
+	Level                       uint8
+	Rejected                    uint64
+	GangsStarted, GangsLost     uint64
+	GangsReplaced, GangsStopped uint64
+}
+
+// Snapshot reads the node's counters.
+func (c *Controller) Snapshot() Snapshot {
+	s := Snapshot{Leading: c.lead != nil, Valid: c.elect.Valid(), Term: uint64(c.elect.Term()), Machines: map[string]int{},
+		Forwarded: c.Forwarded, Refused: c.Refused, Elected: c.Elections, Vouched: c.Vouched, Level: uint8(c.level)}
+	l := c.lead
+	if l == nil || !l.ready {
+		return s
+	}
+	s.Jobs = len(l.jobs.Jobs)
+	for _, j := range l.jobs.Jobs {
+		s.Held += j.Held
+		s.Waiting += j.Waits()
+	}
+	for _, w := range l.workers.Workers {
+		s.Machines[w.State.String()]++
+	}
+	p := l.planner.Stats
+	s.Planned, s.Local, s.New, s.Stolen = p.Planned, p.Local, p.New, p.Stolen
+	s.Services, s.Gangs, s.Preempted, s.Rounds, s.ExtraRounds = p.Services, p.Gangs, p.Preempted, p.Rounds, p.Extra
+	s.FetchedGB, s.PlanSeconds = p.FetchedGB, p.Took.Seconds()
+	s.Rented, s.Returned, s.Fenced = l.fleet.Rented, l.fleet.Returned, l.fleet.Fenced
+	s.Txns, s.Puts, s.Repeats = l.commits.Txns, l.commits.Puts, l.commits.Repeats
+	s.Rejected = l.commits.Rejected
+	s.GangsStarted, s.GangsLost, s.GangsReplaced, s.GangsStopped = l.gangs.Started, l.gangs.Lost, l.gangs.Replaced, l.gangs.Stopped
+	s.Relocated, s.Fences, s.Stale = l.workers.Relocated, l.workers.Fences, l.workers.Stale
+	return s
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,132 +2,16 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
-	"opaldale/internal/commit"
 	"opaldale/internal/ident"
-	"opaldale/internal/jobs"
-	"opaldale/internal/placement"
-	"opaldale/internal/settings"
-	"opaldale/internal/statesvc"
 	_ "opaldale/internal/statetest"
 	"opaldale/internal/workers"
 )
 
-// world answers the cloud's requests from a script and lets time pass.
-type world struct {
-	dead   map[string]bool
-	serial ident.Serial
-	now    ident.Mono
-	timers []func()
-	calls  []cloud.Request
-	reply  func(cloud.Request) cloud.Reply
-}
-
-func (w *world) Now() ident.Mono { return w.now }
-
-func (w *world) After(d time.Duration, f func()) { w.timers = append(w.timers, f) }
-
-func (w *world) Cloud(r cloud.Request, f func(cloud.Reply)) {
-	w.calls = append(w.calls, r)
-	f(w.reply(r))
-}
-
-func (w *world) State(r statesvc.Request, f func(statesvc.Reply)) {
-	f(statesvc.Reply{Outcome: statesvc.OK, Ledger: 5})
-}
-
-// Worker never answers, unless it is said who is dead.
-func (w *world) Worker(c workers.Command, f func(workers.Answer)) {
-	addr := c.Addr
-	if gone, ok := w.dead[addr]; gone || !ok {
-		f(workers.Answer{})
-		return
-	}
-	w.serial++
-	f(workers.Answer{Status: 200, Report: &api.Report{Host: ident.HostID(addr), Addr: addr, Model: "m8", Site: "east",
-		Tenure: 1, Serial: w.serial, Epoch: c.Body.Epoch}})
-}
-
-func (w *world) pass(d time.Duration, m *Manager) {
-	for end := w.now.Add(d); w.now < end; {
-		w.now = w.now.Add(500 * time.Millisecond)
-		due := w.timers
-		w.timers = nil
-		for _, f := range due {
-			f()
-		}
-		m.Tick()
-	}
-}
-
-type rig struct {
-	*world
-	m                 *Manager
-	table             *workers.Table
-	jobs              *jobs.Table
-	commits           *commit.Committer
-	reached, stranded bool
-}
-
-func newRig() *rig {
-	r := &rig{world: &world{now: ident.Mono(time.Hour)}, reached: true}
-	r.reply = func(q cloud.Request) cloud.Reply { return cloud.Reply{Outcome: cloud.OK} }
-	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Sites: []string{"east"}}
-	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) {})
-	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
-	r.table = workers.NewTable(r, r.jobs, workers.Config{Term: 3, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
-		Catalog: func(string) *cloud.Model { return &kind }, Deposed: func() {}, Changed: func() {},
-		Failed: func(*jobs.Task, *workers.Worker, api.Cause) {}, Asked: func(*workers.Worker, bool) {}, Renewed: func() ident.Mono { return 0 },
-		Commit: func(w *workers.Worker) {
-			w.Recorded = w.State != workers.Gone
-		}})
-	tuning := settings.DefaultTuning()
-	tuning.IdleKeep = time.Hour // these tests are about other reasons to return
-	teams := placement.NewTeams([]settings.Team{{Name: "red", CPUs: 100, CPUsMax: 100}, {Name: "guest"}})
-	r.m = New(r, r.table, r.jobs, teams, rand.New(rand.NewPCG(1, 1)), Config{Term: 3, Tuning: tuning,
-		Cloud: settings.Cloud{RPS: 5, ListLagS: 10}, Workers: settings.Workers{ReportS: 3, LeaseS: 30},
-		Catalog: func() []cloud.Model { return []cloud.Model{kind} },
-		Reached: func() bool { return r.reached },
-		Direct:  func() bool { return true }, Stranded: func(string) bool { return r.stranded },
-		Aim:     func(string) time.Duration { return 0 },
-		Movable: func(*jobs.Task, *workers.Worker) bool { return false }, Drain: func(*workers.Worker) {},
-		Reserve: func(string, float64) {}})
-	return r
-}
-
-// follow counts tasks on their machines as they come and go.
-func (r *rig) follow() {
-	r.jobs.OnMove = func(task *jobs.Task, from, to jobs.State) {
-		if w := r.table.Workers[task.Host]; to.Held() && !from.Held() {
-			r.table.Hold(w, task)
-		} else if !to.Held() && from.Held() {
-			r.table.Release(w, task)
-		}
-	}
-}
-
-func (r *rig) up(n int) {
-	for i := range n {
-		w := r.table.Add(ident.HostID(fmt.Sprintf("host-%06d", i)), "m8", "east", false, r.now)
-		r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 1})
-	}
-}
-
-func (r *rig) count(op cloud.Op) int {
-	n := 0
-	for _, c := range r.calls {
-		if c.Op == op {
-			n++
-		}
-	}
-	return n
-}
-
 // TestGhosts guards against what incident inc-8601 showed: a list older than the
 // term made a new leader adopt a machine that the one before had returned.
 func TestGhosts(t *testing.T) {
@@ -299,41 +183,6 @@
 	}
 }
 
-// newReplicas has machines with a replica on each, some of which answer nothing.
-func newReplicas(machines int, dead func(i int) bool) *rig {
-	r := newRig()
-	r.m.missed, r.m.silent = 10*time.Second, 18*time.Second
-	r.up(machines)
-	r.dead, r.serial = map[string]bool{}, 100
-	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: machines, VCPUs: 1}, func() {}, nil)
-	r.commits.Flush()
-	r.follow()
-	for i, w := range r.table.Sorted() {
-		w.Addr = string(w.Host)
-		r.dead[w.Addr] = dead(i)
-		r.jobs.Place(&j.Tasks[i], w.Host, 1, func() {})
-	}
-	r.commits.Flush()
-	return r
-}
-
-// onlyDeadFenced checks that all machines that answer nothing are gone, and no other.
-func (r *rig) onlyDeadFenced(t *testing.T, dead int) {
-	t.Helper()
-	gone := 0
-	for _, w := range r.table.Sorted() {
-		if w.State == workers.Gone {
-			gone++
-			if !r.dead[w.Addr] {
-				t.Errorf("%s answers, and was fenced", w.Host)
-			}
-		}
-	}
-	if gone != dead {
-		t.Errorf("%d of %d machines are fenced", gone, dead)
-	}
-}
-
 // TestRackGone: machines that go together are found together, though the reports of
 // most of them are not due yet; the others are only asked.
 func TestRackGone(t *testing.T) {
--- /dev/null
+++ b/internal/fleet/layout.go
@@ -0,0 +1,302 @@
+package fleet
+
+import (
+	"math"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/settings"
+	"opaldale/internal/workers"
+)
+
+// bin is a number of machines that are alike, there or to come, while demand is
+// laid out. A fleet of thousands has some hundred different ones.
+type bin struct {
+	kind    *cloud.Model
+	pool    pool
+	n       int
+	v, c, g float64 // free CPUs, cards, memory of each
+	class   class
+	workers []*workers.Worker // of cordoned ones
+}
+
+// class orders the bins: which room is used first.
+type class uint8
+
+const (
+	spotRoom     class = iota // as the planner has it
+	ordinaryRoom              //
+	cordonedRoom              // taken back into use before another machine is rented
+	endingRoom                // of array tasks that will probably end before a machine rented now is up
+	classes
+)
+
+// class is that of the pool's machines while they are not cordoned.
+func (p pool) class() class {
+	if p.standby {
+		return spotRoom
+	}
+	return ordinaryRoom
+}
+
+// quantum is what free amounts of a large fleet's machines are rounded down to, so
+// that some are alike. In a small one it would only hide room.
+const (
+	quantum = 0.25
+	large   = 200
+)
+
+func floor(x, to float64) float64 { return math.Floor(x/to+1e-6) * to }
+
+func (b *bin) fit(s *api.Spec) int {
+	return jobs.Need{VCPUs: b.v, Cards: b.c, MemoryGB: b.g}.Places(s)
+}
+
+func (b *bin) allows(s *api.Spec) bool {
+	return (s.Site == nil || *s.Site == b.pool.site) && (!b.pool.standby || s.Standby) &&
+		(b.class != endingRoom || s.Shape == api.Batch) &&
+		workers.AllowsModel(s, b.pool.model) && workers.Could(b.kind, s)
+}
+
+// layout is what there is, and is coming, while demand is laid out over it.
+type layout struct {
+	bins  [classes][]*bin
+	free  map[pool]float64   // CPUs free on machines that are not cordoned
+	lent  map[pool]float64   // CPUs that arrays have there
+	held  map[string]float64 // CPUs of replicas, by zone
+	later map[pool]float64   // CPUs of machines that are not up yet, part of free
+	count map[pool]int       // machines
+	least jobs.Need          // that anything waiting takes of a machine
+}
+
+func newLayout() *layout {
+	return &layout{free: map[pool]float64{}, lent: map[pool]float64{}, held: map[string]float64{}, later: map[pool]float64{}, count: map[pool]int{},
+		least: jobs.NoNeed()}
+}
+
+// useful says whether anything that waits could find room in a bin.
+func (l *layout) useful(b *bin) bool {
+	return b.n > 0 && b.v+1e-6 >= l.least.VCPUs && b.c+1e-6 >= l.least.Cards && b.g+1e-6 >= l.least.MemoryGB
+}
+
+// put takes room for up to n tasks in a bin and returns how many found it, and
+// the machines that were cordoned and are needed after all.
+func (l *layout) put(b *bin, s *api.Spec, n int) (int, []*workers.Worker) {
+	per := b.fit(s)
+	if per == 0 || b.n == 0 {
+		return 0, nil
+	}
+	k := min(n, per*b.n)
+	full, rest := k/per, k%per
+	left := func(machines, tasks int) {
+		f := float64(tasks)
+		r := &bin{kind: b.kind, pool: b.pool, n: machines, v: b.v - f*s.VCPUs, c: b.c - f*s.Cards, g: b.g - f*s.MemoryGB, class: b.class}
+		if r.class == cordonedRoom {
+			r.class = r.pool.class()
+		}
+		if l.useful(r) {
+			l.bins[r.class] = append(l.bins[r.class], r)
+		}
+	}
+	used := full
+	if rest > 0 {
+		used++
+		left(1, rest)
+	}
+	if full > 0 {
+		left(full, per)
+	}
+	b.n -= used
+	var back []*workers.Worker
+	switch b.class {
+	case cordonedRoom:
+		back, b.workers = b.workers[:used], b.workers[used:]
+		l.free[b.pool] += float64(used)*b.v - float64(k)*s.VCPUs
+	case spotRoom, ordinaryRoom:
+		l.free[b.pool] -= float64(k) * s.VCPUs
+	}
+	return k, back
+}
+
+// oneZone returns the zone that all tasks of a job must be in: where it has some,
+// else where most of them would find room. "" for jobs that don't care.
+func (l *layout) oneZone(s *api.Spec, sites map[string]int) string {
+	if !s.OneZone {
+		return ""
+	}
+	best, most := "", 0
+	room := map[string]int{}
+	for _, bins := range l.bins {
+		for _, b := range bins {
+			if b.allows(s) {
+				room[b.pool.site] += b.fit(s) * b.n
+			}
+		}
+	}
+	for z, n := range room {
+		if n > most || n == most && z < best {
+			best, most = z, n
+		}
+	}
+	for z, n := range sites {
+		if n > 0 {
+			best = z
+		}
+	}
+	return best
+}
+
+// layout counts the machines that can take work now or soon.
+func (m *Manager) layout(catalog []cloud.Model, now ident.Mono) *layout {
+	l := newLayout()
+	for j := range m.jobs.Waiting {
+		l.least.Least(j.Spec)
+	}
+	type alike struct {
+		pool    pool
+		class   class
+		v, c, g float64
+	}
+	all := map[alike]*bin{}
+	var order []*bin
+	add := func(k *cloud.Model, p pool, cl class, v, c, g float64) *bin {
+		// The place of a task that ends is as large as the task: rounded down, the next
+		// one like it would not fit.
+		to := 1e-6
+		if cl != endingRoom && len(m.machine.Sorted()) > large {
+			to = quantum
+		}
+		key := alike{p, cl, floor(v, to), floor(c, to), floor(g, to)}
+		b := all[key]
+		if b == nil {
+			b = &bin{kind: k, pool: p, class: cl, v: key.v, c: key.c, g: key.g}
+			all[key] = b
+			order = append(order, b)
+		}
+		b.n++
+		return b
+	}
+	guests := m.guests()
+	for _, w := range m.machine.Sorted() {
+		// A machine where a task failed is no room to count on: the job keeps off it.
+		// (A job waited for ever while the only idle machine was one that it shunned.)
+		// Nor is one in a zone that is cut off.
+		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Errors > 0 || m.cut[w.Site] {
+			continue
+		}
+		p := pool{w.Model, w.Site, w.Standby}
+		v, c, g := w.Kind.VCPUs, w.Kind.Cards, w.Kind.MemoryGB
+		switch w.State {
+		case workers.Booting:
+			if now.Sub(w.Born) > 2*m.startup(w) {
+				continue // late: don't count on it
+			}
+			l.later[p] += v
+		case workers.Up, workers.Silent:
+			v, c, g = v-w.VCPUs, c-w.Cards, g-w.MemoryGB
+		default:
+			continue
+		}
+		l.count[p]++
+		l.held[p.site] += w.Replicas
+		if w.Cordoned {
+			b := add(w.Kind, p, cordonedRoom, v, c, g)
+			b.workers = append(b.workers, w)
+			continue
+		}
+		l.free[p] += v
+		l.lent[p] += w.Arrays
+		if held, ok := guests[w.Host]; ok {
+			v, c, g = v+held.VCPUs, c+held.Cards, g+held.MemoryGB
+		}
+		add(w.Kind, p, p.class(), v, c, g)
+	}
+	for i := range catalog {
+		k := &catalog[i]
+		for _, site := range k.Sites {
+			for _, standby := range []bool{true, false} {
+				p := pool{k.SKU, site, standby}
+				if mk := m.markets[p]; mk != nil && mk.pending > 0 {
+					add(k, p, p.class(), k.VCPUs, k.Cards, k.MemoryGB).n += mk.pending - 1
+					l.count[p] += mk.pending
+					l.free[p] += float64(mk.pending) * k.VCPUs
+					l.later[p] += float64(mk.pending) * k.VCPUs
+				}
+			}
+		}
+	}
+	m.running(now, func(t *jobs.Task, w *workers.Worker, left time.Duration) {
+		if !w.Cordoned && w.Kind != nil && left < m.startup(w) {
+			s := t.Job.Spec
+			add(w.Kind, pool{w.Model, w.Site, w.Standby}, endingRoom, s.VCPUs, s.Cards, s.MemoryGB)
+		}
+	})
+	for _, b := range order {
+		if l.useful(b) {
+			l.bins[b.class] = append(l.bins[b.class], b)
+		}
+	}
+	return l
+}
+
+// guests returns what tasks of teams without a guarantee have on each machine. It is room
+// for whatever waits, as they give way. (Machines were rented for the house beside some
+// that were full of them.)
+func (m *Manager) guests() map[ident.HostID]jobs.Need {
+	out := map[ident.HostID]jobs.Need{}
+	m.arraysOpen(func(j *jobs.Job) {
+		if j.Held == 0 || !m.teams.Guest(j.Spec.Desk) {
+			return
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.State.Held() {
+				n := out[t.Host]
+				out[t.Host] = jobs.Need{VCPUs: n.VCPUs + j.Spec.VCPUs, Cards: n.Cards + j.Spec.Cards, MemoryGB: n.MemoryGB + j.Spec.MemoryGB}
+			}
+		}
+	})
+	return out
+}
+
+// running calls f for every array task seen running, with how long it will
+// probably go on.
+func (m *Manager) running(now ident.Mono, f func(t *jobs.Task, w *workers.Worker, left time.Duration)) {
+	m.arraysOpen(func(j *jobs.Job) {
+		if j.Runs == 0 {
+			return
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.State == jobs.Assigned && t.RunsAt > 0 {
+				if w := m.machine.Workers[t.Host]; w != nil {
+					f(t, w, settings.Seconds(j.Spec.RuntimeS)-now.Sub(t.RunsAt))
+				}
+			}
+		}
+	})
+}
+
+// zones returns the CPUs of ordinary machines that services could have, by zone.
+func (l *layout) zones() map[string]float64 {
+	out := map[string]float64{}
+	for p, v := range l.free {
+		if !p.standby {
+			out[p.site] += v + l.lent[p]
+		}
+	}
+	for z, v := range out {
+		out[z] = round(v)
+	}
+	return out
+}
+
+// spare returns all CPUs free.
+func (l *layout) spare() float64 {
+	sum := 0.0
+	for _, v := range l.free {
+		sum += v
+	}
+	return round(sum)
+}
--- /dev/null
+++ b/internal/fleet/watch.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/settings"
+	"opaldale/internal/workers"
+)
+
+// stall is a gap between two ticks by which a node is known to have been slow.
+const stall = 2 * time.Second
+
+const (
+	// maxProbes bounds the probes of a tick before machines are late: with a thousand
+	// machines, each would be asked between any two of its reports.
+	maxProbes = 10
+	// maxUrgent bounds those of machines that are late, and of all others while some
+	// of them may have gone together with one that was.
+	maxUrgent = 60
+	// alarmTime is how long one late machine that doesn't answer has all others asked
+	// that were not heard since. Whole racks go at once, and report times are spread
+	// over many seconds.
+	alarmTime = 8 * time.Second
+	// surelySilent is how long a machine with replicas must be quiet, beside two
+	// commands without an answer.
+	surelySilent = 3500 * time.Millisecond
+	// mute is how many machines with replicas that don't answer have all others asked,
+	// though none of them is late: a new leader asks machines before their reports are
+	// due. (It took 8 s for them to be late, and 13 s until a cut rack was fenced.)
+	mute = 3
+)
+
+// probe asks up to so many machines for their state, and returns how many.
+func (m *Manager) probe(list []*workers.Worker, most int) int {
+	n := 0
+	for _, w := range list {
+		if n >= most {
+			break
+		}
+		if m.machine.Probe(w) {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// zoneQuiet is how long nothing must come from a whole zone for it to be thought
+	// cut off, or longer where so few machines are that their reports leave gaps.
+	zoneQuiet = 2 * time.Second
+	// zoneReports is how many reports of the zone are missed then, at the least.
+	zoneReports = 4
+	// zoneLeases is after how many leases machines of such a zone are given up.
+	zoneLeases = 5
+)
+
+// zonesCut finds the zones from which nothing is heard, neither machines nor
+// siblings: they are cut off rather than dead, and work inside goes on for as long
+// as its leases do. (Half a fleet was fenced for its zone's cut, with replicas that
+// were not allowed anywhere else.) Nothing is placed there meanwhile.
+func (m *Manager) zonesCut(now ident.Mono) {
+	type zone struct {
+		up     int
+		newest ident.Mono
+	}
+	zones := map[string]*zone{}
+	for _, w := range m.machine.Sorted() {
+		if w.State != workers.Up && w.State != workers.Silent {
+			continue
+		}
+		z := zones[w.Site]
+		if z == nil {
+			z = &zone{newest: m.stalled}
+			zones[w.Site] = z
+		}
+		z.up++
+		z.newest = max(z.newest, w.Heard())
+	}
+	was := m.cut
+	m.cut = map[string]bool{}
+	for site, z := range zones {
+		quiet := max(zoneQuiet, settings.Seconds(zoneReports*m.cfg.Workers.ReportS/float64(z.up)))
+		if z.up > 2 && now.Sub(z.newest) > quiet && m.cfg.Stranded(site) {
+			m.cut[site] = true
+			if !was[site] {
+				slog.Info("nothing is heard from a zone", "zone", site, "machines", z.up)
+			}
+		} else if was[site] {
+			// Its machines come one after the other, as their calls into the cut end.
+			slog.Info("a zone is heard again", "zone", site)
+			m.back[site] = now
+		}
+	}
+}
+
+// strand keeps work off a machine of a zone that is cut off, and takes what was on it
+// for gone once its lease is surely over.
+func (m *Manager) strand(w *workers.Worker, now ident.Mono) {
+	w.Shun = max(w.Shun, now.Add(time.Second))
+	if !m.machine.Expired(w) {
+		return
+	}
+	m.machine.Expire(w)
+	if m.machine.Silence(w) > zoneLeases*settings.Seconds(m.cfg.Workers.LeaseS) {
+		m.Return(w, "zone is cut off")
+	}
+}
+
+// watch finds machines that are silent, doomed, faulty or never came up.
+func (m *Manager) watch() {
+	now := m.port.Now()
+	// After a stall of our own, reports wait to be read: nobody is silent yet.
+	if now.Sub(m.ticked) > stall {
+		m.stalled = now
+	}
+	m.ticked = now
+	t := m.cfg.Tuning
+	var silent []*workers.Worker
+	var urgent, early []*workers.Worker
+	up, mutes := 0, 0
+	m.zonesCut(now)
+	for _, w := range m.machine.Sorted() {
+		if m.cut[w.Site] && (w.State == workers.Up || w.State == workers.Silent) {
+			m.strand(w, now)
+			continue
+		}
+		quiet := min(m.machine.Silence(w), now.Sub(max(m.stalled, m.back[w.Site])))
+		switch w.State {
+		case workers.Booting:
+			startup := m.startup(w)
+			if now.Sub(w.Born) > time.Duration(t.BootFactor*float64(startup)) && now.Sub(w.Since) > startup {
+				m.Return(w, "never came up")
+			}
+		case workers.Up, workers.Silent:
+			up++
+			limit := m.silent
+			if w.Replicas > 0 {
+				// Users miss replicas at once: don't wait for reports to fail.
+				limit = min(m.silent/2, surelySilent)
+				if w.Misses() > 0 {
+					mutes++
+					if quiet > m.missed {
+						mutes += mute // one that is late as well is enough
+					}
+				}
+				switch {
+				case quiet > m.missed:
+					urgent = append(urgent, w)
+				case now.Sub(m.alarm) < alarmTime && w.Heard() < m.alarm:
+					urgent = append(urgent, w)
+				case quiet > limit/2:
+					early = append(early, w)
+				}
+			}
+			if quiet > m.silent*2/3 {
+				m.machine.Quiet(w)
+				m.machine.Probe(w)
+			}
+			deaf := w.Deaf()
+			if deaf > m.silent/2 {
+				urgent = append(urgent, w)
+			}
+			switch {
+			case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
+				m.Return(w, "taken")
+			case quiet > limit && w.Misses() > 1 || quiet > m.silent && w.Misses() > 0,
+				deaf > m.silent && w.Misses() > 1:
+				silent = append(silent, w)
+			case w.Errors >= 2:
+				m.Return(w, "faulty")
+			case w.Doomed > 0:
+				m.cfg.Drain(w)
+			}
+			if m.machine.Expired(w) {
+				m.machine.Expire(w)
+				m.Return(w, "lease over")
+			}
+		case workers.Returning:
+			// The cloud may be down; the lease ends all the same.
+			if len(w.Tasks) > 0 && m.machine.Expired(w) {
+				m.machine.Expire(w)
+			}
+		case workers.Gone:
+			if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && !w.Recorded {
+				m.machine.Forget(w)
+			}
+		}
+	}
+	if mutes >= mute && now.Sub(m.alarm) > alarmTime {
+		slog.Info("machines with replicas don't answer", "mutes", mutes)
+		m.alarm = now
+	}
+	n := m.probe(urgent, maxUrgent)
+	m.probe(early, maxProbes-n)
+	// Most machines silent at once: rather we are cut off than they. But if a
+	// sibling is heard, they could reach us through it, and have not in twice the
+	// time: then they are gone. (Two leaders that each resigned over machines
+	// long taken kept a cluster without one for good.)
+	// Those fenced a moment ago count as well: machines that fall silent together
+	// are noticed one by one.
+	m.fences = slices.DeleteFunc(m.fences, func(at ident.Mono) bool { return now.Sub(at) > 2*m.silent })
+	n = len(silent) + len(m.fences)
+	mass := n > 1 && 2*n > up+len(m.fences) || len(silent) > 0 && !m.cfg.Direct()
+	if mass && !m.cfg.Reached() {
+		return
+	}
+	for _, w := range silent {
+		if mass && min(m.machine.Silence(w), now.Sub(m.stalled)) < 2*m.silent {
+			continue
+		}
+		m.Fenced++
+		m.fences = append(m.fences, now)
+		m.Return(w, "silent")
+	}
+}
+
+func (m *Manager) startup(w *workers.Worker) time.Duration {
+	if w.Kind == nil || w.Kind.StartupS <= 0 {
+		return 30 * time.Second
+	}
+	return settings.Seconds(w.Kind.StartupS)
+}
--- /dev/null
+++ b/internal/jobs/moves.go
@@ -0,0 +1,204 @@
+package jobs
+
+import (
+	"log/slog"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// Acquit looks at the suspect jobs that wait: a task that has run for a while shows that
+// it was not their fault.
+func (tb *Table) Acquit() {
+	for j := range tb.Waiting {
+		if !j.Suspect {
+			continue
+		}
+		for i := range j.Tasks {
+			if t := &j.Tasks[i]; t.State == Assigned && t.RunsAt > t.Since && tb.now().Sub(t.RunsAt) > acquitAfter {
+				j.Suspect, j.Backoff = false, 0
+				break
+			}
+		}
+	}
+}
+
+// acquitAfter is how long that is. What is submitted with a mistake mostly fails within
+// seconds.
+const acquitAfter = 10 * time.Second
+
+// to is the one place where a task changes its state.
+func (tb *Table) to(t *Task, s State) {
+	from := t.State
+	if from == s {
+		return
+	}
+	j := t.Job
+	if from.Held() && !s.Held() {
+		j.Held--
+	}
+	if !from.Held() && s.Held() {
+		j.Held++
+	}
+	if s == Finished {
+		j.Done++
+	}
+	if from == Finished {
+		panic("a finished task is final")
+	}
+	tb.OnMove(t, from, s)
+	t.State, t.Since = s, tb.now()
+	tb.index(j)
+	if !s.Held() {
+		t.see(tb, "")
+	}
+	if s == Waiting && j.Phase == Open {
+		tb.OnWaiting(t)
+	}
+}
+
+// see notes the newest reported status.
+func (t *Task) see(tb *Table, s api.PieceStatus) {
+	runs := func(s api.PieceStatus) bool { return s == api.Running || s == api.Flushing }
+	if runs(t.Seen) {
+		t.Job.Runs--
+	}
+	if runs(s) {
+		t.Job.Runs++
+		if !runs(t.Seen) {
+			t.RunsAt = tb.now()
+			slog.Debug("task runs", "piece", t.Piece().String(), "host", string(t.Host), "try", uint64(t.Try),
+				"placed_s", t.Since.Sub(0).Seconds(), "job_age_s", t.RunsAt.Sub(t.Job.Arrived).Seconds())
+		}
+	}
+	t.Seen = s
+}
+
+// Observe notes what a worker reports of a task that is on it.
+func (tb *Table) Observe(t *Task, s api.PieceStatus) {
+	if t.State.Held() && t.Seen != s {
+		t.see(tb, s)
+	}
+}
+
+// Place chooses a machine for a waiting task; then is called once that is
+// durable, if it still holds. Only then may the task be launched: a successor
+// must find every task that may be on a machine.
+func (tb *Table) Place(t *Task, h ident.HostID, tenure ident.Tenure, then func()) {
+	tb.PlaceAs(t, h, tenure, t.Try+1, then)
+}
+
+// PlaceAs is Place in an attempt whose number is given.
+func (tb *Table) PlaceAs(t *Task, h ident.HostID, tenure ident.Tenure, try ident.Try, then func()) {
+	if try < t.Try {
+		panic("attempts are never numbered back")
+	}
+	t.Try = try
+	t.placed++
+	t.Host, t.Tenure = h, tenure
+	tb.to(t, Placing)
+	placed := t.placed
+	tb.save(t, func() {
+		if t.placed != placed || t.State != Placing {
+			return
+		}
+		tb.to(t, Assigned)
+		then()
+	})
+}
+
+// Stop notes that a task was told to stop.
+func (tb *Table) Stop(t *Task, windDown time.Duration) {
+	t.WindDown = windDown
+	tb.to(t, Stopping)
+}
+
+// Gone notes that a task that counted on its machine is proven not to be there.
+// then is called once that is durable.
+func (tb *Table) Gone(t *Task, then func()) {
+	if !t.State.Held() {
+		return
+	}
+	tb.to(t, Waiting)
+	tb.save(t, then)
+	tb.settle(t.Job)
+}
+
+// Complete notes that a task has completed; then is called once it is durable.
+func (tb *Table) Complete(t *Task, then func()) {
+	t.Fails = 0
+	tb.to(t, Finished)
+	j := t.Job
+	j.Suspect, j.Backoff = false, 0
+	if j.Gang() {
+		// If one is done, all are: they end together.
+		for i := range j.Tasks {
+			if o := &j.Tasks[i]; o.State != Finished && j.Phase == Open {
+				tb.to(o, Finished)
+			}
+		}
+	}
+	if j.Phase == Open && j.Done == len(j.Tasks) && j.Spec.Shape != api.Service {
+		tb.close(j, Done)
+		// The job goes over as a whole, and its segments go with it.
+		if then != nil {
+			j.wants = append(j.wants, then)
+		}
+	} else {
+		tb.save(t, then)
+	}
+	tb.settle(j)
+}
+
+// Cancel ends a job at its user's wish; then is called once that is durable.
+func (tb *Table) Cancel(j *Job, then func()) {
+	if j.Phase == Open {
+		tb.close(j, Cancelled)
+	}
+	durable := func() {
+		if j.Durable == Open {
+			j.durable()
+		}
+		then()
+	}
+	tb.settle(j)
+	if tb.packed && j.form != logged && j.Known && !j.over {
+		// Its header can't be put again before the log has its tasks.
+		tb.convert(j, durable)
+		return
+	}
+	tb.commits.Mark(j.head, durable)
+}
+
+// settle moves a job that needs no machine any more to the jobs that are over:
+// in one transaction, so that it is always found in one of both places.
+func (tb *Table) settle(j *Job) {
+	if j.Phase == Open || j.Held > 0 || j.over {
+		return
+	}
+	j.over = true
+	end := Ended{Phase: j.Phase, Pieces: len(j.Tasks), Done: j.Done}
+	j.head.Also = func() []statesvc.Change {
+		return []statesvc.Change{{Put: OverKey(j.Spec.ID), Value: api.JSON(end)}}
+	}
+	wants := j.wants
+	j.wants = nil
+	tb.commits.Mark(j.head, func() {
+		tb.Remember(j.Spec.ID, end)
+		delete(tb.Jobs, j.Spec.ID)
+		j.durable()
+		for _, f := range append(wants, j.moved...) {
+			f()
+		}
+		j.moved = nil
+		for i := range j.Tasks {
+			tb.commits.Release(&j.Tasks[i].pin)
+		}
+		// Segments without a header mean nothing; a successor drops them too.
+		for _, d := range j.segs {
+			tb.commits.Mark(d, nil)
+		}
+	})
+}
--- /dev/null
+++ b/internal/jobs/state.go
@@ -0,0 +1,63 @@
+package jobs
+
+import (
+	"fmt"
+)
+
+// Phase is a job's course as its user sees it.
+type Phase uint8
+
+// The phases of a job. Done and Cancelled are final.
+const (
+	Open Phase = iota
+	Cancelled
+	Done
+)
+
+var phaseNames = [...]string{"open", "cancelled", "done"}
+
+func (p Phase) String() string { return phaseNames[p] }
+
+// MarshalText writes the phase's name.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText reads a phase's name.
+func (p *Phase) UnmarshalText(b []byte) error {
+	for i, n := range phaseNames {
+		if n == string(b) {
+			*p = Phase(i)
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown phase %q", b)
+}
+
+// State is where a task stands.
+type State uint8
+
+// The states of a task. From Placing to Stopping it counts on its machine.
+const (
+	Waiting  State = iota // to be placed
+	Placing               // a machine was chosen, not yet durable
+	Assigned              // durable: may be on its machine
+	Stopping              // told to stop, may be on its machine
+	Finished              // completed
+)
+
+func (s State) String() string {
+	return [...]string{"waiting", "placing", "assigned", "stopping", "finished"}[s]
+}
+
+// Held says whether a task in this state counts on its machine.
+func (s State) Held() bool { return s == Placing || s == Assigned || s == Stopping }
+
+// form says where a job's tasks are in the state service. All but the last are of the
+// first format, and go with it: so do segments, a header's tasks and LSN, Convert, and a
+// task's Line and Home.
+type form uint8
+
+const (
+	whole  form = iota // in its header or its segments, and in the log since
+	moving             // on their way to the log alone
+	logged             // in the log alone
+)
--- a/internal/placement/gangs_test.go
+++ b/internal/placement/gangs_test.go
@@ -63,9 +63,9 @@
 	if j.Held > 0 {
 		t.Fatalf("%d of 5 tasks hold room for 4", j.Held)
 	}
-	any := l.gang(6, 8, false)
-	if l.fill(); any.Held != 6 {
-		t.Fatalf("%d of 6 tasks are placed where there is room for 6", any.Held)
+	anywhere := l.gang(6, 8, false)
+	if l.fill(); anywhere.Held != 6 {
+		t.Fatalf("%d of 6 tasks are placed where there is room for 6", anywhere.Held)
 	}
 	l = yard(2, 3)
 	j = l.gang(5, 8, true)
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"time"
+
+	"opaldale/internal/jobs"
+	"opaldale/internal/settings"
+	"opaldale/internal/workers"
+)
+
+// placeService goes first-fit: over the machines that hold the image, then over
+// the others, then where work of less right can be stopped.
+func (p *Planner) placeService(j *jobs.Job) {
+	at := 0 // room only shrinks, so a holder that was passed over needs no second look
+	for p.placed < maxPlaced {
+		t := p.next(j)
+		if t == nil || !p.teams.Allows(j.Spec, 1) {
+			return
+		}
+		var found *workers.Worker
+		for ; at < len(p.roomy); at++ {
+			if w := p.roomy[at]; w.Holds(j.Spec.Bundle) && p.may(j, w) && p.fits(j, w) {
+				found = w
+				break
+			}
+		}
+		if found == nil {
+			// Where the image must be fetched anyway, on the machine with the most
+			// room: the next ones then find it there.
+			for _, w := range p.roomy {
+				if (found == nil || w.Kind.VCPUs-w.VCPUs > found.Kind.VCPUs-found.VCPUs+slack) && p.may(j, w) && p.fits(j, w) {
+					found = w
+				}
+			}
+			// Unless fetching would take longer than its users want to wait.
+			if found != nil && p.impatient(j, found) && p.preempt(t, true) {
+				p.Stats.Services++
+				continue
+			}
+		}
+		if found == nil {
+			if !p.preempt(t, false) {
+				return
+			}
+			p.Stats.Services++
+			continue
+		}
+		p.Stats.Services++
+		p.place(t, found)
+	}
+}
+
+// Movable says whether a replica would find room on another machine that holds
+// its image.
+func (p *Planner) Movable(t *jobs.Task, from *workers.Worker) bool {
+	j := t.Job
+	if !p.teams.Allows(j.Spec, 0) {
+		return false
+	}
+	now := p.now()
+	for _, w := range p.fleet.Sorted() {
+		if w == from || !w.Fits(j.Spec) || !w.Open(now) || !w.Allows(j.Spec) || !w.Holds(j.Spec.Bundle) {
+			continue
+		}
+		// As if it had left its zone already.
+		if w.Site == from.Site || zoneOK(j, w.Site) {
+			return true
+		}
+	}
+	return false
+}
+
+// fetches estimates how long a machine would fetch a job's image.
+func (p *Planner) fetches(j *jobs.Job, w *workers.Worker) time.Duration {
+	if w.Kind.PullGBPerS <= 0 {
+		return 0
+	}
+	return settings.Seconds(j.Spec.ImageGB / w.Kind.PullGBPerS)
+}
+
+// impatient says whether a job's users want it started sooner than a machine
+// would have its image.
+func (p *Planner) impatient(j *jobs.Job, w *workers.Worker) bool {
+	limit, ok := p.waits[j.Spec.Lane]
+	return ok && p.fetches(j, w) > limit
+}
--- a/internal/server/admission_test.go
+++ b/internal/server/admission_test.go
@@ -61,7 +61,8 @@
 	if l.Lag() < time.Minute {
 		t.Errorf("lag %v with users' requests a minute old", l.Lag())
 	}
-	for l.drain(batch) == batch {
+	for range 4 {
+		l.drain(batch)
 	}
 	if len(order) != 101 || l.Lag() != 0 {
 		t.Errorf("%d events run, lag %v with none left", len(order), l.Lag())
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -16,114 +16,132 @@
 // lastAnswer bounds every request, whatever becomes of it.
 const lastAnswer = 4 * time.Second
 
+// frontend serves users, workers and health checks.
+type frontend struct {
+	server  *Server
+	metrics *metrics
+}
+
+// handler returns what answers requests on the node's address.
 func (s *Server) handler() http.Handler {
-	m := newMetrics(s)
-	write := func(w http.ResponseWriter, a controller.Reply) {
-		h := w.Header()
-		h.Set("Content-Type", "application/json")
-		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
-		if a.Retry > 0 {
-			h.Set("Retry-After", strconv.Itoa(a.Retry))
-		}
-		w.WriteHeader(a.Status)
-		w.Write(a.Body)
-	}
-	// ask passes a request to the controller.
-	ask := func(v mesh.Verb, w http.ResponseWriter, r *http.Request, job string, body []byte) {
-		began := time.Now()
-		ch := make(chan controller.Reply, 1)
-		post := s.loop.post
-		if v == mesh.Checkin || v == mesh.Cancel {
-			post = s.loop.postUrgent
-		}
-		post(func() {
-			s.ctl.Request(v, job, body, func(a controller.Reply) {
-				select {
-				case ch <- a:
-				default:
-				}
-			})
-		})
-		var a controller.Reply
-		t := time.NewTimer(lastAnswer)
-		defer t.Stop()
-		select {
-		case a = <-ch:
-		case <-t.C:
-			a = controller.Reply{Status: http.StatusServiceUnavailable, Retry: 1, Body: api.JSON(api.Problem{Error: "no answer in time"})}
-		}
-		a = a.Now(s.loop.now())
-		if v == mesh.Checkin && s.sockets.crowded() {
-			// The next report makes a connection of its own: most are idle for most of
-			// the time between two.
-			w.Header().Set("Connection", "close")
+	f := &frontend{server: s, metrics: newMetrics(s)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v2/runs", f.admit(mesh.Submit, f.withBody(mesh.Submit)))
+	mux.HandleFunc("GET /v2/runs/{id}", f.admit(mesh.Poll, f.withJob(mesh.Poll)))
+	mux.HandleFunc("POST /v2/runs/{id}/cancel", f.admit(mesh.Cancel, f.withJob(mesh.Cancel)))
+	mux.HandleFunc("POST /checkin", f.admit(mesh.Checkin, f.withBody(mesh.Checkin)))
+	mux.HandleFunc("GET /up", f.health)
+	mux.Handle("GET /metrics", f.metrics.handler())
+	return mux
+}
+
+// admit refuses what a node that is overloaded can't take, before it is read.
+func (f *frontend) admit(v mesh.Verb, next http.HandlerFunc) http.HandlerFunc {
+	admission := &f.server.admission
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !admission.begin(v) {
+			f.metrics.shed.WithLabelValues(verbNames[v]).Inc()
+			writeReply(w, overloaded)
+			return
 		}
-		write(w, a)
-		m.observe(v, a.Status, time.Since(began))
+		defer admission.end(v)
+		next(w, r)
 	}
-	// read reads a bounded body, or answers 400.
-	read := func(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-		b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxBody))
+}
+
+// withBody passes on a request whose body says what it is about.
+func (f *frontend) withBody(v mesh.Verb) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxBody))
 		if err != nil {
 			text := "unreadable body"
-			var big *http.MaxBytesError
-			if errors.As(err, &big) {
+			var tooLarge *http.MaxBytesError
+			if errors.As(err, &tooLarge) {
 				text = "body: over 64 KiB"
 			}
 			writeJSON(w, http.StatusBadRequest, api.Problem{Error: text})
+			return
 		}
-		return b, err == nil
+		f.ask(v, w, "", body)
 	}
-	// jobID answers 404 for what can't be a job.
-	jobID := func(w http.ResponseWriter, r *http.Request) (string, bool) {
+}
+
+// withJob passes on a request about the job that the path names, and answers 404 for
+// what can't be a job.
+func (f *frontend) withJob(v mesh.Verb) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		id, err := ident.ParseJobID(r.PathValue("id"))
 		if err != nil {
 			writeJSON(w, http.StatusNotFound, api.Problem{Error: "no such job"})
+			return
 		}
-		return string(id), err == nil
+		f.ask(v, w, string(id), nil)
+	}
+}
+
+// ask passes a request to the controller and writes its answer.
+func (f *frontend) ask(v mesh.Verb, w http.ResponseWriter, job string, body []byte) {
+	began := time.Now()
+	a := f.answer(v, job, body)
+	// Judged once more right before it goes out: the process may have stood still.
+	a = a.Now(f.server.loop.now())
+	if v == mesh.Checkin && f.server.sockets.crowded() {
+		// The next report makes a connection of its own: most are idle for most of
+		// the time between two.
+		w.Header().Set("Connection", "close")
 	}
-	// admit refuses what a node that is overloaded can't take, before it is read.
-	admit := func(v mesh.Verb, next http.HandlerFunc) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			if !s.admission.begin(v) {
-				m.shed.WithLabelValues(verbNames[v]).Inc()
-				write(w, overloaded)
-				return
+	writeReply(w, a)
+	f.metrics.observe(v, a.Status, time.Since(began))
+}
+
+// answer has the loop handle a request and waits for its answer.
+func (f *frontend) answer(v mesh.Verb, job string, body []byte) controller.Reply {
+	replies := make(chan controller.Reply, 1)
+	post := f.server.loop.post
+	if v == mesh.Checkin || v == mesh.Cancel {
+		post = f.server.loop.postUrgent
+	}
+	post(func() {
+		f.server.ctl.Request(v, job, body, func(a controller.Reply) {
+			select {
+			case replies <- a:
+			default:
 			}
-			defer s.admission.end(v)
-			next(w, r)
+		})
+	})
+	timer := time.NewTimer(lastAnswer)
+	defer timer.Stop()
+	select {
+	case a := <-replies:
+		return a
+	case <-timer.C:
+		return controller.Reply{
+			Status: http.StatusServiceUnavailable,
+			Retry:  1,
+			Body:   api.JSON(api.Problem{Error: "no answer in time"}),
 		}
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v2/runs", admit(mesh.Submit, func(w http.ResponseWriter, r *http.Request) {
-		if b, ok := read(w, r); ok {
-			ask(mesh.Submit, w, r, "", b)
-		}
-	}))
-	mux.HandleFunc("GET /v2/runs/{id}", admit(mesh.Poll, func(w http.ResponseWriter, r *http.Request) {
-		if id, ok := jobID(w, r); ok {
-			ask(mesh.Poll, w, r, id, nil)
-		}
-	}))
-	mux.HandleFunc("POST /v2/runs/{id}/cancel", admit(mesh.Cancel, func(w http.ResponseWriter, r *http.Request) {
-		if id, ok := jobID(w, r); ok {
-			ask(mesh.Cancel, w, r, id, nil)
-		}
-	}))
-	mux.HandleFunc("POST /checkin", admit(mesh.Checkin, func(w http.ResponseWriter, r *http.Request) {
-		if b, ok := read(w, r); ok {
-			ask(mesh.Checkin, w, r, "", b)
-		}
-	}))
-	mux.HandleFunc("GET /up", func(w http.ResponseWriter, r *http.Request) {
-		ch := make(chan bool, 1)
-		s.loop.postUrgent(func() { ch <- s.ctl.Healthy() })
-		if !<-ch {
-			writeJSON(w, http.StatusServiceUnavailable, api.Problem{Error: "cut off"})
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-	mux.Handle("GET /metrics", m.handler())
-	return mux
+}
+
+// health answers the load balancer's probes.
+func (f *frontend) health(w http.ResponseWriter, _ *http.Request) {
+	healthy := make(chan bool, 1)
+	f.server.loop.postUrgent(func() { healthy <- f.server.ctl.Healthy() })
+	if !<-healthy {
+		writeJSON(w, http.StatusServiceUnavailable, api.Problem{Error: "cut off"})
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// writeReply writes an answer of the controller.
+func writeReply(w http.ResponseWriter, a controller.Reply) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if a.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(a.Retry))
+	}
+	w.WriteHeader(a.Status)
+	w.Write(a.Body)
 }
--- /dev/null
+++ b/internal/standin/mutation.go
@@ -0,0 +1,113 @@
+package standin
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/commit"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// mutateCheckin is what mutations make of an answer to a report.
+func (w *World) mutateCheckin(n *node, body []byte, r *controller.Reply) *controller.Reply {
+	var m api.Report
+	switch {
+	case w.cfg.Mutation == RenewOn && !n.ctl.Election().Valid():
+		if json.Unmarshal(body, &m) == nil {
+			return &controller.Reply{Status: 200, Body: api.JSON(api.Orders{Epoch: m.Epoch, Orders: []api.Order{}})}
+		}
+	case w.cfg.Mutation == NoKills && r.Status == 200:
+		var o api.Orders
+		if json.Unmarshal(r.Body, &o) == nil {
+			o.Orders = withoutKills(o.Orders)
+			return &controller.Reply{Status: 200, Body: api.JSON(o)}
+		}
+	}
+	return r
+}
+
+func withoutKills(list []api.Order) []api.Order {
+	out := []api.Order{}
+	for _, o := range list {
+		if o.Verb != api.Kill {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// cached is the mutation that has nodes answer questions from memory for a while.
+type cached struct {
+	at   ident.Mono
+	body []byte
+}
+
+const cacheTime = 3 * time.Second
+
+// forgetPlacements is the mutation in which a new leader doesn't know where tasks are.
+func forgetPlacements(a statesvc.Reply) statesvc.Reply {
+	pairs := append([]statesvc.Pair(nil), a.Pairs...)
+	for i, p := range pairs {
+		var v struct {
+			LSN  uint64 `json:"n"`
+			Text string `json:"t"`
+		}
+		if !strings.HasPrefix(p.Path, commit.LogPrefix) || json.Unmarshal(p.Value, &v) != nil {
+			continue
+		}
+		var rows []string
+		commit.Unpack(v.Text, func(group, line string) error {
+			if f := strings.Split(line, ","); len(f) < 4 {
+				rows = append(rows, group+" "+line)
+			} else {
+				rows = append(rows, group+" "+f[0]+","+f[1])
+			}
+			return nil
+		})
+		v.Text = strings.Join(rows, "\n")
+		pairs[i].Value = api.JSON(v)
+	}
+	a.Pairs = pairs
+	return a
+}
+
+// loseZone is the mutation in which the controllers don't know that a job is bound to
+// one zone.
+func loseZone(body []byte) []byte {
+	var s api.Spec
+	if json.Unmarshal(body, &s) != nil {
+		return body
+	}
+	s.Site, s.OneZone = nil, false
+	return api.JSON(s)
+}
+
+// Mutation switches off one of the safeguards, to show that the checks notice.
+type Mutation uint8
+
+// The mutations.
+const (
+	None             Mutation = iota
+	LaunchFirst               // launches are sent before the placement is durable
+	IgnoreEpochs              // workers carry out commands with any token
+	IgnoreStamps              // transactions are carried out whatever their stamps
+	StarvePolls               // polls for some jobs get no answer
+	TrustCopies               // late copies of reports have new serials, as if they were sent now
+	NoMaxWait                 // nothing bounds how long a job waits for its first task
+	VouchOn                   // nodes that are cut off with workers answer them for as long as it lasts
+	StopPart                  // only the first task of a gang hears that it should save and stop
+	HideGathering             // reports don't tell of tasks that wait for their gang
+	OneTry                    // every attempt of a gang has the same number
+	RaiseEarly                // the format level is raised while old nodes are there
+	WriteEarly                // new fields are written below the level
+	RenewOn                   // nodes that don't surely lead renew every lease for ever
+	NoKills                   // no order to stop a task reaches a machine
+	CacheAnswers              // nodes answer questions from memory for a while
+	ForgetPlacements          // a new leader doesn't know which machines tasks are on
+	LoseZone                  // the controllers don't know that a job is bound to one zone
+	IgnoreLimits              // what a node decided goes out however long after
+)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -3,13 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
 	"opaldale/internal/api"
 	"opaldale/internal/controller"
 	"opaldale/internal/ident"
-	"opaldale/internal/jobs"
 	"opaldale/internal/mesh"
 )
 
@@ -36,11 +34,6 @@
 
 func (j *userJob) runOf(i int) time.Duration { return j.runs + time.Duration(i)*j.step }
 
-func jobOf(key string) (ident.JobID, bool) {
-	s, ok := strings.CutPrefix(key, jobs.LivePrefix)
-	return ident.JobID(s), ok && !strings.Contains(s, "/")
-}
-
 // arrive submits jobs, more at the start.
 func (w *World) arrive() {
 	if w.now > ident.Mono(w.cfg.Length) {
--- /dev/null
+++ b/internal/workers/report.go
@@ -0,0 +1,305 @@
+package workers
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+)
+
+// Checkin takes a worker's report and returns the answer to it, nil for a
+// report that is not newer than what is known.
+func (tb *Table) Checkin(r *api.Report) *api.Orders {
+	w := tb.Workers[r.Host]
+	if w == nil || w.State == Gone {
+		if w != nil {
+			// Held up on its way while its machine was being returned.
+			return nil
+		}
+		return tb.stranger(r)
+	}
+	if !tb.take(w, r) {
+		// No effect, but its lease is renewed by any answer, and so each must end what
+		// has to be gone.
+		if tb.dead || r.Tenure < w.Tenure {
+			return nil
+		}
+		return tb.renew(w, r, unwanted(w, r))
+	}
+	o := tb.renew(w, r, tb.reconcile(w, r))
+	if o != nil {
+		w.told = o.Epoch
+	}
+	return o
+}
+
+// stranger answers a report of a machine that we don't know. It may be a late
+// copy, from one long returned; so the machine is asked before it counts.
+func (tb *Table) stranger(r *api.Report) *api.Orders {
+	if r.Epoch.Term() > tb.cfg.Term {
+		tb.cfg.Deposed()
+		return nil
+	}
+	epoch := ident.MakeEpoch(tb.cfg.Term, 0)
+	if !tb.asked[r.Host] && len(tb.asked) < maxStrangers {
+		tb.asked[r.Host] = true
+		tb.port.Worker(Command{Addr: r.Addr, Body: api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}}, func(a Answer) {
+			if tb.dead {
+				return
+			}
+			delete(tb.asked, r.Host)
+			if a.Report == nil || a.Report.Host != r.Host {
+				return
+			}
+			slog.Info("unexpected machine", "host", string(r.Host))
+			w := tb.Add(r.Host, r.Model, r.Site, r.Standby, tb.port.Now())
+			if w.State != Gone && tb.take(w, a.Report) && !tb.dead {
+				tb.stopUnwanted(w, a.Report)
+			}
+		})
+	}
+	return &api.Orders{Epoch: epoch, Orders: []api.Order{}}
+}
+
+// maxStrangers bounds the unknown machines that are asked at a time.
+const maxStrangers = 100
+
+// Renew answers a report without taking anything from it, for a leader that may not be
+// one any more, but whose workers had better keep their tasks. Nothing starts by that;
+// what must be gone is stopped.
+func (tb *Table) Renew(r *api.Report) *api.Orders {
+	w := tb.Workers[r.Host]
+	if w == nil || w.State == Gone || r.Epoch > tb.epoch(w) || r.Tenure < w.Tenure {
+		// One that has seen a successor's token would have to drop our answer, and
+		// stay with us until its lease is over.
+		return nil
+	}
+	o := tb.renew(w, r, unwanted(w, r))
+	if o != nil {
+		w.heard = w.answered
+	}
+	return o
+}
+
+// renew answers a report, which renews the worker's lease, unless a task of a job that
+// was cancelled longer ago than the grace may yet come to run there, from a command that
+// is still on its way: that must be over with the lease. The worker is then told the
+// newest token, with which its next report shows that nothing can come any more.
+func (tb *Table) renew(w *Worker, r *api.Report, orders []api.Order) *api.Orders {
+	// With the newest token, and no command under way, nothing can come late.
+	if r.Epoch != tb.epoch(w) || w.busy || r.Serial < w.serial {
+		for _, t := range w.Tasks {
+			j := t.Job
+			if j.Phase == jobs.Cancelled && tb.port.Now().Sub(j.Ended) > tb.cfg.Grace && !listed(r, attempt{t.Piece(), t.Try}) {
+				tb.Probe(w)
+				return nil
+			}
+		}
+	}
+	w.answered, w.everAns = tb.port.Now(), true
+	return &api.Orders{Epoch: tb.epoch(w), Orders: orders}
+}
+
+// listed says whether a report has an attempt.
+func listed(r *api.Report, a attempt) bool {
+	return slices.ContainsFunc(r.Pieces, func(p api.PieceReport) bool { return p.Piece == a.piece && p.Try == a.try })
+}
+
+// unwanted returns the orders that stop the tasks in a report which nobody wants any
+// more: those of cancelled jobs, and what doesn't count on the machine. A kill is safe
+// at any time, whoever leads.
+func unwanted(w *Worker, r *api.Report) []api.Order {
+	orders := []api.Order{}
+	for _, p := range r.Pieces {
+		t := w.Tasks[p.Piece]
+		if p.Status != api.Ended && (t == nil || t.Try != p.Try || t.Job.Phase == jobs.Cancelled) {
+			orders = append(orders, Kill(p.Piece, p.Try))
+		}
+	}
+	return orders
+}
+
+// take notes what a report says of the worker itself. It returns false for a
+// report that is not newer than the newest seen.
+func (tb *Table) take(w *Worker, r *api.Report) bool {
+	if r.Tenure < w.Tenure || r.Tenure == w.Tenure && r.Serial <= w.serial {
+		tb.Stale++
+		return false
+	}
+	now := tb.port.Now()
+	if r.Epoch.Term() > tb.cfg.Term {
+		tb.cfg.Deposed()
+		return false
+	}
+	if r.Epoch > tb.epoch(w) {
+		// A token of ours that we don't remember: not possible within a term.
+		slog.Error("worker has seen a token from the future", "host", string(w.Host))
+		w.fence = uint32(r.Epoch-ident.MakeEpoch(tb.cfg.Term, 0)) + 1
+	}
+	if w.Addr != r.Addr || w.Kind == nil {
+		w.Addr = r.Addr
+		w.Kind = tb.cfg.Catalog(w.Model)
+		tb.cfg.Commit(w)
+	}
+	if r.Tenure > w.Tenure {
+		// The worker has killed and forgotten all tasks of earlier sessions, and
+		// orders for them are refused.
+		w.Tenure = r.Tenure
+		w.queue = nil
+		w.images = nil
+		tb.clearOrphans(w)
+		// Its lease has its full time from when the session began, which was not
+		// after this: nobody need have answered it yet. (A placement learned of by
+		// a probe was thought lost with the lease before, and ran twice.)
+		w.answered, w.everAns = now, true
+		for _, t := range tb.TasksOf(w) {
+			if t.Tenure < r.Tenure {
+				tb.lose(w, t, "newer tenure")
+			}
+		}
+	}
+	w.serial, w.heard = r.Serial, now
+	// To hear a machine is no proof that it hears us: our answers and commands may
+	// be lost on the way there. A token that we gave it is.
+	switch {
+	case r.Epoch >= w.told:
+		w.misses, w.deaf = 0, 0
+	case w.deaf == 0:
+		w.deaf = now
+	}
+	if r.Epoch == tb.epoch(w) {
+		w.dull = false
+	}
+	if w.State == Booting || w.State == Silent {
+		tb.to(w, Up, "reports")
+		w.probing = false
+		tb.cfg.Changed()
+	}
+	if r.WarningS == nil {
+		w.Doomed = 0
+	} else {
+		at := now.Add(time.Duration(*r.WarningS * float64(time.Second)))
+		if w.Doomed == 0 {
+			slog.Info("machine will be taken", "host", string(w.Host), "in_s", *r.WarningS)
+			tb.cfg.Changed()
+		}
+		w.Doomed = max(at, 1)
+	}
+	tb.clearOrphans(w)
+	for _, p := range r.Pieces {
+		t := w.Tasks[p.Piece]
+		if p.Status != api.Ended && (t == nil || t.Try != p.Try) {
+			tb.orphan(w, p.Piece, p.Try)
+			continue
+		}
+		if t == nil || t.Try != p.Try {
+			continue
+		}
+		if p.Status == api.Running || p.Status == api.Flushing || p.Status == api.Gathering || p.Cause == api.CauseDone {
+			w.cache(t.Job.Spec.Bundle, t.Job.Spec.ImageGB)
+		}
+		if p.Status != api.Ended {
+			tb.jobs.Observe(t, p.Status)
+			continue
+		}
+		tb.ended(w, t, p)
+	}
+	return true
+}
+
+// ended handles a task that exited. Its attempt is cleared from the worker only
+// when that is durable: else a successor would start it again.
+func (tb *Table) ended(w *Worker, t *jobs.Task, p api.PieceReport) {
+	a := attempt{p.Piece, p.Try}
+	if now := tb.port.Now(); t.RunsAt > 0 {
+		slog.Debug("task ended", "piece", p.Piece.String(), "cause", string(p.Cause), "host", string(w.Host),
+			"ran_s", now.Sub(t.RunsAt).Seconds(), "job_age_s", now.Sub(t.Job.Arrived).Seconds(), "runtime_s", t.Job.Spec.RuntimeS)
+	}
+	w.unclear[a] = true
+	durable := func() {
+		if tb.dead {
+			return
+		}
+		delete(w.unclear, a)
+		tb.Push(w, api.Order{Verb: api.Clear, Piece: a.piece, Try: a.try})
+	}
+	if p.Cause == api.CauseDone {
+		if w.lastErr != t.Job.Spec.ID {
+			w.Errors = 0
+		}
+		tb.jobs.Complete(t, durable)
+		return
+	}
+	tb.cfg.Failed(t, w, p.Cause)
+	if p.Cause == api.CauseError && !t.Job.Suspect && w.lastErr != t.Job.Spec.ID {
+		w.Errors++
+		w.lastErr = t.Job.Spec.ID
+	}
+	tb.jobs.Gone(t, durable)
+}
+
+// reconcile finds what the report of a checkin proves to be gone, and the
+// orders that are missing on the worker.
+func (tb *Table) reconcile(w *Worker, r *api.Report) []api.Order {
+	orders := []api.Order{}
+	// What a command under way or queued names is left to it: a launch repeated
+	// here could be carried out, end and be cleared before the command's own
+	// comes and starts the task again.
+	flying := func(a attempt) bool {
+		named := func(o api.Order) bool { return o.Piece == a.piece && o.Try == a.try }
+		return slices.ContainsFunc(w.flying, named) || slices.ContainsFunc(w.queue, named)
+	}
+	for _, p := range r.Pieces {
+		a := attempt{p.Piece, p.Try}
+		t := w.Tasks[p.Piece]
+		known := t != nil && t.Try == p.Try
+		switch {
+		case known && t.State == jobs.Stopping && t.Job.Phase == jobs.Cancelled && p.Status != api.Ended:
+			// A command that says so may be lost, and this answer renews the lease.
+			orders = append(orders, kill(a, 0))
+		case flying(a):
+		case p.Status == api.Ended:
+			if !known && !w.unclear[a] {
+				orders = append(orders, api.Order{Verb: api.Clear, Piece: p.Piece, Try: p.Try})
+			}
+		case !known:
+			orders = append(orders, kill(a, 0))
+		case t.State == jobs.Stopping:
+			orders = append(orders, kill(a, tb.windDown(t)))
+		}
+	}
+	// Without the newest token, a command of before may still be on its way to
+	// the worker, so what is missing is not proven to be gone. Reports follow one
+	// another: an order in the answer to an earlier one was carried out before
+	// this report was sent, or never will be.
+	fresh := r.Epoch == tb.epoch(w)
+	for _, t := range tb.TasksOf(w) {
+		a := attempt{t.Piece(), t.Try}
+		if listed(r, a) || flying(a) {
+			continue
+		}
+		switch {
+		case t.State == jobs.Assigned && t.Seen == "":
+			if w.State == Up && t.Job.Phase == jobs.Open && t.Job.Ready() {
+				orders = append(orders, launch(t))
+			}
+		case t.State == jobs.Assigned && fresh:
+			tb.lose(w, t, "not in the report")
+		case t.State == jobs.Stopping && fresh:
+			tb.lose(w, t, "stopped before it started")
+		}
+	}
+	return orders
+}
+
+// windDown gives a stopping task the rest of its time to save.
+func (tb *Table) windDown(t *jobs.Task) time.Duration {
+	left := t.WindDown - tb.port.Now().Sub(t.Since)
+	if t.WindDown == 0 || left <= 0 {
+		return 0
+	}
+	return t.WindDown
+}
--- /dev/null
+++ b/internal/workers/worker.go
@@ -0,0 +1,234 @@
+package workers
+
+import (
+	"slices"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+)
+
+// State is a machine's course.
+type State uint8
+
+// The states of a machine.
+const (
+	Booting   State = iota // rented or listed, its worker was not heard of in this term
+	Up                     // its worker reports
+	Silent                 // its worker has not reported for a while
+	Returning              // is being returned; nothing is placed on it
+	Gone                   // returned, with everything that was on it
+)
+
+func (s State) String() string {
+	return [...]string{"booting", "up", "silent", "returning", "gone"}[s]
+}
+
+// Image is a cached image.
+type Image struct {
+	Bundle string
+	GB     float64
+}
+
+// attempt names one try of a task.
+type attempt struct {
+	piece ident.Piece
+	try   ident.Try
+}
+
+// Worker is a machine and the worker on it.
+type Worker struct {
+	Host    ident.HostID
+	Addr    string
+	Model   string
+	Kind    *cloud.Model // nil while the catalog doesn't list it
+	Site    string
+	Standby bool
+	State   State
+
+	Since    ident.Mono // when it entered its state
+	Born     ident.Mono // when it was rented, as far as known
+	IdleFrom ident.Mono // when its last task left it
+	Doomed   ident.Mono // when the cloud takes it; 0: not announced
+	Shun     ident.Mono // nothing is placed on it earlier
+	Cordoned bool       // being emptied, to be returned
+	Errors   int        // tasks of different jobs that failed on it in a row
+	lastErr  ident.JobID
+
+	Tenure   ident.Tenure
+	serial   ident.Serial
+	told     ident.Epoch // token in the newest answer to a report of this term
+	fence    uint32
+	heard    ident.Mono // newest report or answer
+	answered ident.Mono // last time a report was answered
+	everAns  bool
+
+	Tasks   map[ident.Piece]*jobs.Task
+	Plan    []*jobs.Task // of the current round
+	images  []Image      // newest last
+	orphans map[ident.Piece]ident.Try
+	unclear map[attempt]bool // ended, and not yet durably so
+
+	flying  []api.Order // of the command under way
+	busy    bool
+	queue   []api.Order
+	dull    bool // a command was not answered; wait for its report
+	probing bool
+	misses  int        // commands and probes without an answer since it last showed that it hears us
+	deaf    ident.Mono // since when its reports show that our answers don't arrive; 0: they do
+
+	VCPUs, Cards, MemoryGB float64 // taken by Tasks
+	Arrays, Replicas       float64 // CPUs of them, by the shape of their jobs; gangs count as replicas
+	ranks                  [ranks]int
+
+	Group    *Group // that it is on record with
+	Recorded bool   // its record is durable
+}
+
+// Group is a few machines whose records share one key: with a key each, a fleet
+// of a thousand machines takes all puts of half a minute before anything can be
+// placed.
+type Group struct {
+	Doc     *commit.Doc
+	Members []*Worker
+	Leaving []*Worker // on record here until their next group is durable
+	Dropped bool      // its key is deleted
+}
+
+// Fits says whether a task would find room now, and Could whether it would on
+// the empty machine.
+func (w *Worker) Fits(s *api.Spec) bool { return w.Room(jobs.NeedOf(s)) }
+
+// Places returns how many tasks of a job would find room now.
+func (w *Worker) Places(s *api.Spec) int {
+	if w.Kind == nil {
+		return 0
+	}
+	free := jobs.Need{VCPUs: w.Kind.VCPUs - w.VCPUs, Cards: w.Kind.Cards - w.Cards, MemoryGB: w.Kind.MemoryGB - w.MemoryGB}
+	return max(0, min(s.Pieces, free.Places(s)))
+}
+
+// Room says whether as much is free.
+func (w *Worker) Room(n jobs.Need) bool {
+	return w.Kind != nil && w.VCPUs+n.VCPUs <= w.Kind.VCPUs+slack && w.Cards+n.Cards <= w.Kind.Cards+slack &&
+		w.MemoryGB+n.MemoryGB <= w.Kind.MemoryGB+slack
+}
+
+// Images returns what the machine surely or probably has cached.
+func (w *Worker) Images() []Image { return w.images }
+
+// ranks is the number of priorities.
+const ranks = 4
+
+func lesser(counts *[ranks]int, r api.Rank) int {
+	n := 0
+	for _, k := range counts[r.Level()+1:] {
+		n += k
+	}
+	return n
+}
+
+// Lesser returns how many tasks of a lower priority count on the machine.
+func (w *Worker) Lesser(r api.Rank) int { return lesser(&w.ranks, r) }
+
+// slack forgives rounding in sums of amounts.
+const slack = 1e-6
+
+// Allows says whether the job may use the machine at all.
+func (w *Worker) Allows(s *api.Spec) bool {
+	if s.Site != nil && *s.Site != w.Site || w.Standby && !s.Standby || w.Kind == nil {
+		return false
+	}
+	return AllowsModel(s, w.Model) && Could(w.Kind, s)
+}
+
+// AllowsModel says whether the job may run on a type of machine.
+func AllowsModel(s *api.Spec, model string) bool {
+	for _, m := range s.Models {
+		if m == model {
+			return true
+		}
+	}
+	return s.Models == nil
+}
+
+// Could says whether a task fits an empty machine.
+func Could(m *cloud.Model, s *api.Spec) bool {
+	return s.VCPUs <= m.VCPUs+slack && s.Cards <= m.Cards+slack && s.MemoryGB <= m.MemoryGB+slack
+}
+
+// Open says whether tasks may be placed on the machine now.
+func (w *Worker) Open(now ident.Mono) bool {
+	return w.State == Up && w.Doomed == 0 && !w.Cordoned && now >= w.Shun && !w.dull && w.Tenure != 0 &&
+		w.Recorded // a successor must know every machine that tasks may be on
+}
+
+// Holds says whether the machine surely or probably has an image.
+func (w *Worker) Holds(bundle string) bool {
+	for _, im := range w.images {
+		if im.Bundle == bundle {
+			return true
+		}
+	}
+	return false
+}
+
+// Deaf returns for how long the worker's reports have shown that our answers to
+// them don't arrive.
+func (w *Worker) Deaf() time.Duration {
+	if w.deaf == 0 {
+		return 0
+	}
+	return w.heard.Sub(w.deaf)
+}
+
+// Misses counts the commands and probes that went without an answer since the
+// worker last showed that it hears us.
+func (w *Worker) Misses() int { return w.misses }
+
+// Reported says whether the worker was heard of in this term.
+func (w *Worker) Reported() bool { return w.serial > 0 }
+
+// Heard returns when the worker was last heard of.
+func (w *Worker) Heard() ident.Mono { return w.heard }
+
+// cache notes that an image was used: the workers keep the most recently used
+// ones, as far as their disk reaches.
+func (w *Worker) cache(bundle string, gb float64) {
+	n := len(w.images)
+	i := slices.IndexFunc(w.images, func(im Image) bool { return im.Bundle == bundle })
+	if i >= 0 && i == n-1 {
+		return
+	}
+	if i >= 0 {
+		// The others keep their order.
+		im := w.images[i]
+		copy(w.images[i:], w.images[i+1:])
+		w.images[n-1] = im
+		return
+	}
+	w.images = append(w.images, Image{bundle, gb})
+	sum := 0.0
+	for _, im := range w.images {
+		sum += im.GB
+	}
+	drop := 0
+	for w.Kind != nil && drop < len(w.images)-1 && sum > w.Kind.LocalGB {
+		sum -= w.images[drop].GB
+		drop++
+	}
+	w.images = slices.Delete(w.images, 0, drop)
+}
+
+// Pulls says whether a task on the machine waits for an image.
+func (w *Worker) Pulls(bundle string) bool {
+	for _, t := range w.Tasks {
+		if t.Job.Spec.Bundle == bundle {
+			return true
+		}
+	}
+	return false
+}
