What gives way to a gang is told so on its own machine

Every task that was stopped for a gang was told by a command to the gang's first machine, and heard of it from the answer to its own machine's next report, up to 8 s later. The tests' stand-in for the leader now refuses such a command; TestGangsTakeRoom failed by it.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -110,7 +110,12 @@
 func (l *large) Place(t *jobs.Task, w *workers.Worker) {
 	l.jobs.Place(t, w.Host, 1, func() {})
 }
-func (l *large) Preempt(t *jobs.Task, w *workers.Worker, d time.Duration) { l.fleet.StopTask(w, t, d) }
+func (l *large) Preempt(t *jobs.Task, w *workers.Worker, d time.Duration) {
+	if w.Host != t.Host {
+		panic("a task is stopped on another machine than its own")
+	}
+	l.fleet.StopTask(w, t, d)
+}
 
 // fill places all there is, in as many dispatches as it takes.
 func (l *large) fill() {
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -79,7 +79,7 @@
 		return
 	}
 	for _, v := range best.stop {
-		p.stopVictim(v, best.picks[0].Worker, now)
+		p.stopVictim(v, p.fleet.Workers[v.Host], now)
 	}
 	if best.wait {
 		for _, t := range tasks {
