--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -26,44 +26,9 @@
 	k := w.anyWorker()
 	kinds := 20
 	if w.cfg.Meet {
-		kinds = 34
+		kinds = 35
 	}
-	spellOf := func(share float64) spell { return spell{share, w.now.Add(sec(5, 30))} }
-	switch w.rng.IntN(kinds) {
-	case 20:
-		w.lateWrites = spellOf(0.4)
-	case 21:
-		w.lostAnswers = spellOf(0.5)
-	case 22:
-		w.lateReports = spellOf(0.3)
-	case 23:
-		w.keepReports(0.3, sec(5, 30))
-	case 24:
-		w.slowState = spellOf(0.8)
-	case 25:
-		w.slowLinks = spellOf(0.7)
-	case 26:
-		w.heldOrders = spellOf(0.4)
-	case 27:
-		w.quickBoots = spellOf(1)
-	case 28:
-		w.lastMoment = spellOf(0.7)
-	case 29:
-		w.closeLooks = spellOf(1)
-	case 30:
-		if k != nil {
-			w.silence(k, sec(3, 40))
-		}
-	case 31:
-		w.cancelNow(1+w.rng.IntN(3), time.Duration(w.rng.IntN(2))*sec(2, 19))
-	case 32:
-		w.odd(w.now.Add(10 * time.Second))
-	case 33:
-		// The leader alone is refused, then everybody for longer than cancel_s.
-		if l := w.leader(); l != nil {
-			w.store.refuses[l.name] = w.now.Add(14 * time.Second)
-			w.at(sec(1, 5), func() { w.store.downUntil = w.now.Add(seconds(w.set.Workers.CancelS) + sec(1, 12)) })
-		}
+	switch kind := w.rng.IntN(kinds); kind {
 	case 0, 1:
 		n.kill(back)
 	case 2:
@@ -117,6 +82,8 @@
 		n.freeze(sec(3, 45))
 	case 18:
 		w.cutZone(w.set.Zones[w.rng.IntN(2)], hold, sec(5, 60))
+	default:
+		w.meetingFault(kind, n, k)
 	}
 	pause := 14000
 	if w.cfg.Meet {
@@ -124,3 +91,47 @@
 	}
 	w.at(time.Duration(1000+w.rng.IntN(pause))*time.Millisecond, w.fault)
 }
+
+// meetingFault lets one of the operators' further troubles happen, which may meet others.
+func (w *World) meetingFault(kind int, n *node, k *worker) {
+	sec := func(a, b int) time.Duration { return time.Duration(a+w.rng.IntN(b-a)) * time.Second }
+	spellOf := func(share float64) spell { return spell{share, w.now.Add(sec(5, 30))} }
+	switch kind {
+	case 20:
+		w.lateWrites = spellOf(0.4)
+	case 21:
+		w.lostAnswers = spellOf(0.5)
+	case 22:
+		w.lateReports = spellOf(0.3)
+	case 23:
+		w.keepReports(0.3, sec(5, 30))
+	case 24:
+		w.slowState = spellOf(0.8)
+	case 25:
+		w.slowLinks = spellOf(0.7)
+	case 26:
+		w.heldOrders = spellOf(0.4)
+	case 27:
+		w.quickBoots = spellOf(1)
+	case 28:
+		w.lastMoment = spellOf(0.7)
+	case 29:
+		w.closeLooks = spellOf(1)
+	case 30:
+		if k != nil {
+			w.silence(k, sec(3, 40))
+		}
+	case 31:
+		w.cancelNow(1+w.rng.IntN(3), time.Duration(w.rng.IntN(2))*sec(2, 19))
+	case 32:
+		w.odd(w.now.Add(10 * time.Second))
+	case 34:
+		n.halts.spell = spellOf(0.01)
+	case 33:
+		// The leader alone is refused, then everybody for longer than cancel_s.
+		if l := w.leader(); l != nil {
+			w.store.refuses[l.name] = w.now.Add(14 * time.Second)
+			w.at(sec(1, 5), func() { w.store.downUntil = w.now.Add(seconds(w.set.Workers.CancelS) + sec(1, 12)) })
+		}
+	}
+}
