--- a/internal/jobs/moves.go
+++ b/internal/jobs/moves.go
@@ -150,7 +150,10 @@
 	}
 	if j.Phase == Open && (j.Done == len(j.Tasks) || j.Gang()) && j.Spec.Shape != api.Service {
 		tb.close(j, Done)
-		// The job goes over as a whole, and its segments go with it.
+	}
+	if j.Phase == Done && !j.over {
+		// The job goes over as a whole, and its segments go with it: a successor must not
+		// find a part of a gang done.
 		if then != nil {
 			j.wants = append(j.wants, then)
 		}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -365,7 +365,7 @@
 func TestGangIsDone(t *testing.T) {
 	r := newRig(t)
 	r.answers[0](Answer{})
-	j := r.jobs.Add(&api.Spec{ID: "j-7", Shape: api.Gang, Pieces: 3, VCPUs: 1}, func() {}, nil)
+	j := r.jobs.Add(&api.Spec{ID: "j-7", Shape: api.Gang, Pieces: 4, VCPUs: 1}, func() {}, nil)
 	r.settle()
 	for i := range j.Tasks {
 		r.jobs.Place(&j.Tasks[i], "h", 1, func() {})
@@ -375,17 +375,25 @@
 	r.report(1, running)
 	done := api.PieceReport{Piece: j.Tasks[0].Piece(), Try: 1, Status: api.Ended, Cause: api.CauseDone}
 	r.report(1, done, running)
-	if j.Phase != jobs.Done || j.Held != 1 || j.Tasks[2].State != jobs.Stopping {
+	if j.Phase != jobs.Done || j.Held != 2 || j.Tasks[2].State != jobs.Stopping {
 		t.Fatalf("job %v, %d tasks held, the last one %v", j.Phase, j.Held, j.Tasks[2].State)
 	}
-	r.settle()
+	r.settle() // the command that stops the last task is under way from here on
+	r.report(1, done, api.PieceReport{Piece: j.Tasks[3].Piece(), Try: 1, Status: api.Ended, Cause: api.CauseDone})
+	for range 3 { // long enough for the pace of the log
+		r.now = r.now.Add(time.Second)
+		r.settle()
+	}
+	if len(r.w.queue) > 0 {
+		t.Errorf("a part of the gang is durable, and a successor would place the rest: %+v", r.w.queue)
+	}
 	if last := r.sent[len(r.sent)-1].Orders; len(last) == 0 || last[0].Verb != api.Kill {
 		t.Errorf("sent %+v", last)
 	}
 	r.answers[len(r.answers)-1](Answer{})
 	r.report(2)
 	r.settle()
-	if e, ok := r.jobs.Ended("j-7"); !ok || e.Phase != jobs.Done || e.Done != 3 {
+	if e, ok := r.jobs.Ended("j-7"); !ok || e.Phase != jobs.Done || e.Done != 4 {
 		t.Errorf("ended %v: %+v", ok, e)
 	}
 }
