--- a/internal/standin/halt_test.go
+++ b/internal/standin/halt_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"opaldale/internal/api"
 )
 
 // haltedDay plays a day on which processes stand still for up to 12 s in the middle of
@@ -14,14 +12,7 @@
 	w := New(Config{Seed: seed, Mutation: m, Quiet: true, Length: 150 * time.Second})
 	w.load(5)
 	w.when(30, func() { w.closeLooks = spell{1, second(150)} })
-	for s := 35.0; s < 140; s += 0.5 {
-		w.when(s, func() {
-			j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Duration(2+w.rng.IntN(10))*time.Second)
-			if w.rng.IntN(3) == 0 {
-				w.at(time.Duration(w.rng.IntN(6000))*time.Millisecond, func() { w.callOff(j, nil) })
-			}
-		})
-	}
+	w.stream(35.0, 140, 0.5, 6*time.Second)
 	for s := 40.0; s < 130; s += 15 {
 		w.when(s, func() {
 			for _, n := range w.nodes {
--- a/internal/standin/nights_test.go
+++ b/internal/standin/nights_test.go
@@ -40,14 +40,7 @@
 				w := New(Config{Seed: seed, Quiet: true, Length: 150 * time.Second})
 				w.load(5)
 				w.when(30, func() { w.closeLooks = spell{1, second(150)} })
-				for s := 40.0; s < 140; s += 2 {
-					w.when(s, func() {
-						j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Duration(2+w.rng.IntN(10))*time.Second)
-						if w.rng.IntN(3) == 0 {
-							w.at(time.Duration(w.rng.IntN(8000))*time.Millisecond, func() { w.callOff(j, nil) })
-						}
-					})
-				}
+				w.stream(40.0, 140, 2, 8*time.Second)
 				w.when(60, func() { silence(w, w.leader()) })
 				led := 0
 				for s := 66.0; s < 128; s += 0.5 {
--- a/internal/standin/outage_test.go
+++ b/internal/standin/outage_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"opaldale/internal/api"
 	"opaldale/internal/ident"
 )
 
@@ -27,14 +26,7 @@
 	w := New(Config{Seed: seed, Quiet: true, Length: 130 * time.Second})
 	w.load(4)
 	w.when(30, func() { w.closeLooks = spell{0.3, ident.Mono(140 * time.Second)} })
-	for s := 40.0; s < 120; s += 2 {
-		w.when(s, func() {
-			j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Duration(2+w.rng.IntN(10))*time.Second)
-			if w.rng.IntN(3) == 0 {
-				w.at(time.Duration(w.rng.IntN(8000))*time.Millisecond, func() { w.callOff(j, nil) })
-			}
-		})
-	}
+	w.stream(40.0, 120, 2, 8*time.Second)
 	term := ident.Term(0)
 	w.when(60, func() {
 		n := w.leader()
--- a/internal/standin/play_test.go
+++ b/internal/standin/play_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// stream submits jobs of one short task every so many seconds of a run. A third of them
+// are cancelled within a time.
+func (w *World) stream(from, to, every float64, cancelled time.Duration) {
+	for s := from; s < to; s += every {
+		w.when(s, func() {
+			j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Duration(2+w.rng.IntN(10))*time.Second)
+			if w.rng.IntN(3) == 0 {
+				w.at(time.Duration(w.rng.Int64N(int64(cancelled))), func() { w.callOff(j, nil) })
+			}
+		})
+	}
+}
+
 // next calls f when another node than old leads.
 func (w *World) next(old *node, f func(n *node)) {
 	w.await(func() bool { n := w.leader(); return n != nil && n != old }, func() {
