ASM1 passes over groups without unassigned tasks once

Need: a plan for 4,500 machines took 171 ms of a whole core, seconds of a node's share, in the loop that renews the lease. Most paths have one step: the machine takes a task of a group it holds. They were found by walking over all groups before it that have nothing left, in each search anew. A group's unassigned tasks never become more, so each machine keeps a cursor. Ruled out: fewer tasks in a plan, which changes what is planned. The paths are the same, as the tests against brute force and against single tasks show.

--- a/internal/placement/asm1.go
+++ b/internal/placement/asm1.go
@@ -22,7 +22,7 @@
 	s := &search{
 		near: make([][]int32, n), owners: make([][]Share, len(groups)), left: make([]int, len(groups)),
 		dead: make([]bool, len(groups)), seenGroup: make([]int32, len(groups)), via: make([]int32, len(groups)),
-		seenMachine: make([]int32, n), from: make([]int32, n),
+		seenMachine: make([]int32, n), from: make([]int32, n), cursor: make([]int32, n),
 	}
 	for g, gr := range groups {
 		s.left[g] = gr.Tasks
@@ -55,6 +55,7 @@
 // search holds the breadth-first search's arrays from one path to the next.
 type search struct {
 	near        [][]int32 // groups that a machine could take tasks of
+	cursor      []int32   // by machine, the first of those that may have unassigned tasks
 	owners      [][]Share // by group
 	left        []int     // unassigned tasks of each group
 	dead        []bool    // groups from which no path leads to an unassigned task any more
@@ -76,17 +77,18 @@
 	s.from[p] = -1
 	for head := 0; head < len(s.queue); head++ {
 		m := s.queue[head]
+		if g, ok := s.unassigned(m); ok {
+			s.via[g] = m
+			s.left[g]--
+			s.flip(g)
+			return true
+		}
 		for _, g := range s.near[m] {
 			if s.dead[g] || s.seenGroup[g] == s.round {
 				continue
 			}
 			s.seenGroup[g] = s.round
 			s.via[g] = m
-			if s.left[g] > 0 {
-				s.left[g]--
-				s.flip(g)
-				return true
-			}
 			s.reached = append(s.reached, g)
 			for _, o := range s.owners[g] {
 				if o.Tasks > 0 && s.seenMachine[o.Machine] != s.round {
@@ -105,6 +107,20 @@
 	return false
 }
 
+// unassigned returns the first group with unassigned tasks that a machine could take. No
+// group ever gets more of them, so each is passed over once: on a large fleet most paths
+// are found here, without a search.
+func (s *search) unassigned(m int32) (int32, bool) {
+	near := s.near[m]
+	for s.cursor[m] < int32(len(near)) {
+		if g := near[s.cursor[m]]; s.left[g] > 0 {
+			return g, true
+		}
+		s.cursor[m]++
+	}
+	return 0, false
+}
+
 // flip hands a task of each group on the path to the machine that reached it.
 func (s *search) flip(g int32) {
 	for g >= 0 {
