--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -190,8 +190,9 @@
 	return answer(http.StatusOK, o), true
 }
 
-// maxCancelled bounds the memory kept for jobs that are known to be cancelled.
-const maxCancelled = 5000
+// maxCancelled bounds the memory kept for jobs that are known to be cancelled: those of the
+// last minute, were 4,000 machines each to lose several to cancellations in it.
+const maxCancelled = 20_000
 
 // learned notes what a job is known to be: that it is cancelled is final.
 func (c *Controller) learned(id ident.JobID, status string) {
--- /dev/null
+++ b/internal/controller/takeover_bench_test.go
@@ -0,0 +1,87 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+)
+
+// fleetOnRecord is a state service's content: machines in groups, and three running tasks
+// on each, in the newest format.
+func fleetOnRecord(machines int) []statesvc.Pair {
+	var pairs []statesvc.Pair
+	put := func(path string, v any) {
+		b, err := json.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		pairs = append(pairs, statesvc.Pair{Path: path, Value: b, Stamp: ident.Stamp(len(pairs) + 1)})
+	}
+	host := func(i int) string { return fmt.Sprintf("host-%06d", i) }
+	for at := 0; at < machines; at += groupSize {
+		g := groupRecord{Model: "m8", Site: "a"}
+		var list []machineRecord
+		for i := at; i < min(at+groupSize, machines); i++ {
+			list = append(list, machineRecord{Host: ident.HostID(host(i)), Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250)})
+		}
+		g.pack(list)
+		put(fmt.Sprintf("%s1-%d", fleetPrefix, at), g)
+	}
+	type record struct {
+		LSN  uint64 `json:"n"`
+		Text string `json:"t"`
+	}
+	const tasks = 60
+	for j := range 3 * machines / tasks {
+		id := fmt.Sprintf("j-%06d", j)
+		put("live/"+id, json.RawMessage(fmt.Sprintf(`{"spec":{"id":%q,"desk":"red","shape":"batch","rank":"standard","pieces":%d,"vcpus":2,"bundle":"img-%d","image_gb":1},"seq":%d,"phase":"open","lsn":0}`,
+			id, tasks, j%16, j+1)))
+		var lines strings.Builder
+		lines.WriteString(id)
+		for i := range tasks {
+			fmt.Fprintf(&lines, " %d,1,%s,1", i, host((j*tasks+i)%machines))
+		}
+		put(fmt.Sprintf("%s%05d", commit.LogPrefix, j), record{LSN: uint64(j + 1), Text: lines.String()})
+	}
+	return pairs
+}
+
+// BenchmarkTakeover loads what a term left, until the next leader may place.
+func BenchmarkTakeover(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, machines := range []int{500, 1000, 2000, 4500} {
+		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
+			pairs := fleetOnRecord(machines)
+			set := &settings.Settings{Node: "agent-0", Tuning: settings.DefaultTuning(), Cluster: settings.Cluster{
+				Teams:   []settings.Team{{Name: "red", CPUs: 1e6, CPUsMax: 1e6}},
+				Workers: settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 61},
+				State:   settings.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16}, Cloud: settings.Cloud{RPS: 5}}}
+			for b.Loop() {
+				w := &world{now: ident.Mono(time.Hour), asked: map[string]bool{}, keys: pairs,
+					values: map[string]string{catalogKey: `[{"sku":"m8","vcpus":8,"memory_gb":32,"sites":["a"]}]`}}
+				c := New(w, set, rand.New(rand.NewPCG(1, 2)))
+				c.Lead(2, ident.NewestLevel, statesvc.Cond{Path: "leader", Stamp: 9})
+				if c.lead == nil || !c.lead.ready || len(c.lead.workers.Workers) != machines {
+					b.Fatal("the leader has not loaded everything")
+				}
+				held := 0
+				for _, j := range c.lead.jobs.Jobs {
+					held += j.Held
+				}
+				if held == 0 {
+					b.Fatal("no task is known to be on a machine")
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -20,8 +20,10 @@
 	// not as a rate.
 	settling = 15 * time.Second
 	// ceased is how long after the last job of any kind none is expected any more.
-	ceased  = 40 * time.Second
-	maxSeen = 2000
+	ceased = 40 * time.Second
+	// maxSeen bounds the jobs remembered of a window: 4,000 machines that each begin a job
+	// every ten seconds are 36,000.
+	maxSeen = 50_000
 )
 
 func (a *arrivals) add(now ident.Mono, cpus float64) {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -17,9 +17,11 @@
 	// maxProbes bounds the probes of a tick before machines are late: with a thousand
 	// machines, each would be asked between any two of its reports.
 	maxProbes = 10
-	// maxUrgent bounds those of machines that are late, and of all others while some
-	// of them may have gone together with one that was.
-	maxUrgent = 60
+	// minUrgent bounds those of machines that are late, and of all others while some
+	// of them may have gone together with one that was; in a large fleet the bound is a
+	// part of it, so that a zone is asked within the same time whatever its size.
+	minUrgent  = 60
+	urgentPart = 25
 	// alarmTime is how long one late machine that doesn't answer has all others asked
 	// that were not heard since. Whole racks go at once, and report times are spread
 	// over many seconds.
@@ -193,7 +195,7 @@
 		slog.Info("machines with replicas don't answer", "mutes", mutes)
 		m.alarm = now
 	}
-	n := m.probe(urgent, maxUrgent)
+	n := m.probe(urgent, max(minUrgent, up/urgentPart))
 	m.probe(early, maxProbes-n)
 	// Most machines silent at once: rather we are cut off than they. But if a
 	// sibling is heard, they could reach us through it, and have not in twice the
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -19,7 +19,10 @@
 	// echo beats far more often.
 	quietTime = 4 * time.Second
 	redial    = 300 * time.Millisecond
-	queued    = 512
+	// maxQueued and maxQueuedBytes bound what waits for a sibling: the reports that a fleet
+	// of some thousand machines sends within a few seconds of a connection's silence.
+	maxQueued      = 8192
+	maxQueuedBytes = 16 << 20
 	// readBuffer takes in several reports with one call of the system.
 	readBuffer = 32 << 10
 	// maxInbound bounds the connections of siblings.
@@ -30,7 +33,7 @@
 // theirs for what is received.
 type Transport struct {
 	self  ident.NodeID
-	out   map[ident.NodeID]chan *Frame
+	out   map[ident.NodeID]*outbox
 	known map[ident.NodeID]bool
 	take  func(from ident.NodeID, f *Frame)
 	slots chan struct{}
@@ -39,41 +42,38 @@
 // NewTransport makes the transport of a node; take is called for every frame
 // received, from several goroutines.
 func NewTransport(self ident.NodeID, take func(ident.NodeID, *Frame)) *Transport {
-	return &Transport{self: self, out: map[ident.NodeID]chan *Frame{}, known: map[ident.NodeID]bool{}, take: take,
+	return &Transport{self: self, out: map[ident.NodeID]*outbox{}, known: map[ident.NodeID]bool{}, take: take,
 		slots: make(chan struct{}, maxInbound)}
 }
 
 // Connect keeps a connection to a sibling from now on.
 func (t *Transport) Connect(n ident.NodeID, addr string) {
-	ch := make(chan *Frame, queued)
-	t.out[n] = ch
+	o := newOutbox()
+	t.out[n] = o
 	t.known[n] = true
-	go t.keep(addr, ch)
+	go t.keep(addr, o)
 }
 
 // Send queues a frame; what doesn't fit is dropped, as if lost on the way.
 func (t *Transport) Send(n ident.NodeID, f *Frame) {
-	select {
-	case t.out[n] <- f:
-	default:
+	if o := t.out[n]; o != nil {
+		o.put(f)
 	}
 }
 
-func (t *Transport) keep(addr string, ch chan *Frame) {
+func (t *Transport) keep(addr string, o *outbox) {
 	for {
 		if conn, err := net.DialTimeout("tcp", addr, dialTime); err == nil {
-			t.write(conn, ch)
+			t.write(conn, o)
 			conn.Close()
 		}
 		time.Sleep(redial + rand.N(redial))
 		// What waited for the connection is too old by now.
-		for len(ch) > 0 {
-			<-ch
-		}
+		o.drain()
 	}
 }
 
-func (t *Transport) write(conn net.Conn, ch chan *Frame) {
+func (t *Transport) write(conn net.Conn, o *outbox) {
 	broken := make(chan struct{})
 	go func() {
 		defer close(broken)
@@ -92,10 +92,10 @@
 			return
 		}
 		select {
-		case f := <-ch:
-			buf = f.Append(buf[:0])
-			for n := len(ch); n > 0 && len(buf) < MaxFrame; n-- {
-				buf = (<-ch).Append(buf)
+		case f := <-o.frames:
+			buf = o.taken(f).Append(buf[:0])
+			for n := len(o.frames); n > 0 && len(buf) < MaxFrame; n-- {
+				buf = o.taken(<-o.frames).Append(buf)
 			}
 		case <-broken:
 			return
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -21,7 +21,7 @@
 // BenchmarkASM1 plans for fleets of growing size, each image on a third of the
 // machines and twenty tasks a job.
 func BenchmarkASM1(b *testing.B) {
-	for _, machines := range []int{64, 500, 2000} {
+	for _, machines := range sizes {
 		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
 			gs, _, _ := grouped(rand.New(rand.NewPCG(5, 6)), 3*machines/20, machines, 39, 0.33)
 			for b.Loop() {
@@ -127,7 +127,8 @@
 	l.commits.Flush()
 }
 
-var sizes = []int{64, 500, 2000}
+// sizes are fleets up to more machines than the users run.
+var sizes = []int{500, 1000, 2000, 4500}
 
 // BenchmarkFill places three tasks a machine on an empty fleet.
 func BenchmarkFill(b *testing.B) {
@@ -183,21 +184,25 @@
 // BenchmarkCheckin reads and answers the report of a machine with four tasks that
 // has nothing new to say.
 func BenchmarkCheckin(b *testing.B) {
-	l := newLarge(500)
-	l.fill()
-	w := l.fleet.Sorted()[1]
-	r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: "east", Tenure: 1, Epoch: ident.MakeEpoch(1, 0)}
-	for _, t := range l.fleet.TasksOf(w) {
-		r.Pieces = append(r.Pieces, api.PieceReport{Piece: t.Piece(), Try: t.Try, Status: api.Running})
-	}
-	body, _ := json.Marshal(r)
-	for b.Loop() {
-		got, err := api.ParseReport(body)
-		if err != nil {
-			b.Fatal(err)
-		}
-		l.serial++
-		got.Serial = l.serial
-		api.JSON(l.fleet.Checkin(got))
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("%d machines", n), func(b *testing.B) {
+			l := newLarge(n)
+			l.fill()
+			w := l.fleet.Sorted()[1]
+			r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: "east", Tenure: 1, Epoch: ident.MakeEpoch(1, 0)}
+			for _, t := range l.fleet.TasksOf(w) {
+				r.Pieces = append(r.Pieces, api.PieceReport{Piece: t.Piece(), Try: t.Try, Status: api.Running})
+			}
+			body, _ := json.Marshal(r)
+			for b.Loop() {
+				got, err := api.ParseReport(body)
+				if err != nil {
+					b.Fatal(err)
+				}
+				l.serial++
+				got.Serial = l.serial
+				api.JSON(l.fleet.Checkin(got))
+			}
+		})
 	}
 }
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -32,7 +32,8 @@
 }
 
 const (
-	// gangSearch bounds the machines that are looked at for work to stop for a gang.
+	// gangSearch bounds the machines that are looked at for work to stop for a gang, or as
+	// many as it has tasks.
 	gangSearch = 64
 	// gangHold is the part of MaxWait after which machines are kept for a gang that
 	// finds no place, and gangHeld bounds those machines.
@@ -197,8 +198,9 @@
 		cost float64
 	}
 	var offers []offer
+	enough := max(gangSearch, s.Pieces)
 	for _, w := range p.order {
-		if len(offers) >= gangSearch || p.searched >= maxSearched {
+		if len(offers) >= enough || p.searched >= p.searchLimit() {
 			break
 		}
 		if taken[w] > 0 || holders && !w.Holds(s.Bundle) || w.Lesser(s.Rank) == 0 && (!j.Within || w.Arrays == 0) || !allowed(w) {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -7,8 +7,15 @@
 	"opaldale/internal/workers"
 )
 
-// maxPlanned bounds the tasks that a plan covers, and with it its time.
-const maxPlanned = 4000
+// The bound on the tasks that a plan covers, and with it on its time: so many, or a few
+// for each machine where the fleet is larger.
+const (
+	minPlanned        = 4000
+	plannedPerMachine = 2
+)
+
+// planLimit returns the number of tasks that a plan may cover.
+func planLimit(machines int) int { return max(minPlanned, plannedPerMachine*machines) }
 
 // plan joins the waiting array tasks within their teams' limits to the machines
 // that hold their image and could fit them, and runs ASM1.
@@ -31,7 +38,7 @@
 	var groups []Group
 	var tasks [][]*jobs.Task
 	room := map[string]int{}
-	total := 0
+	total, limit := 0, planLimit(len(p.order))
 	for _, j := range p.arrays {
 		left, ok := room[j.Spec.Desk]
 		if !ok {
@@ -40,7 +47,7 @@
 		var of []*jobs.Task
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
-			if left <= 0 || total >= maxPlanned {
+			if left <= 0 || total >= limit {
 				break
 			}
 			if t.State != jobs.Waiting {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -77,8 +77,9 @@
 	// maxPlaced bounds what one dispatch places, and with it for how long reports
 	// and the renewal of the lease wait for it.
 	maxPlaced = 300
-	// maxSearched bounds the machines that a dispatch looks at for work to stop.
-	maxSearched = 1000
+	// minSearched bounds the machines that a dispatch looks at for work to stop, or the
+	// whole fleet where it is larger.
+	minSearched = 1000
 	// maxStocks bounds the plans that a machine looks into for something to steal.
 	maxStocks = 64
 	// maxReserved bounds the machines kept free for jobs that wait too long.
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -89,7 +89,7 @@
 func (p *Planner) cheapest(key searchKey, now ident.Mono) *offer {
 	found := p.searches[key]
 	if found == nil {
-		if p.searched >= maxSearched {
+		if p.searched >= p.searchLimit() {
 			return nil
 		}
 		found = p.search(key, now)
@@ -110,6 +110,9 @@
 	return nil
 }
 
+// searchLimit returns how many machines a dispatch may look at for work to stop.
+func (p *Planner) searchLimit() int { return max(minSearched, len(p.order)) }
+
 // maxOffers bounds the machines that a search finds for a job, beside two for each of its
 // tasks: the least work lost on so many is little more than that on all.
 const maxOffers = 100
@@ -121,7 +124,7 @@
 	found := &offers{}
 	enough := maxOffers + 2*key.job.Waits()
 	look := func(w *workers.Worker) bool {
-		if p.searched >= maxSearched || found.Len() >= enough {
+		if p.searched >= p.searchLimit() || found.Len() >= enough {
 			return false
 		}
 		if !p.mayOffer(key, w) {
--- a/internal/server/admission.go
+++ b/internal/server/admission.go
@@ -16,8 +16,14 @@
 	reports  atomic.Int64 // under way
 	requests atomic.Int64 // of users, under way
 	lag      func() time.Duration
+	// reportLimit bounds the reports under way, by the connections that a node takes;
+	// minReports where that is less or unknown.
+	reportLimit int64
 }
 
+// minReports is the least bound on reports under way.
+const minReports = 1200
+
 // limit bounds one kind of request.
 type limit struct {
 	inflight int64         // that are under way: reports, or users' requests of all kinds
@@ -27,10 +33,10 @@
 // limitOf returns the bounds for a kind of request. Workers' reports come before
 // cancellations, for losing them loses work; those before polls, and polls before
 // submissions, which cost most and are only the beginning of more work.
-func limitOf(v mesh.Verb) limit {
+func (a *admission) limitOf(v mesh.Verb) limit {
 	switch v {
 	case mesh.Checkin:
-		return limit{inflight: 1200}
+		return limit{inflight: max(minReports, a.reportLimit)}
 	case mesh.Cancel:
 		return limit{inflight: 800, lag: 1500 * time.Millisecond}
 	case mesh.Poll:
@@ -51,7 +57,7 @@
 
 // admits says whether a request may begin now.
 func (a *admission) admits(v mesh.Verb) bool {
-	l := limitOf(v)
+	l := a.limitOf(v)
 	if a.inflight(v).Load() >= l.inflight {
 		return false
 	}
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -27,8 +27,10 @@
 	lag    atomic.Int64 // nanoseconds that the newest event of users waited
 }
 
-// maxEvents bounds what waits for the loop of either kind; beyond it, posting blocks.
-const maxEvents = 4096
+// maxEvents bounds what waits for the loop of either kind; beyond it, posting blocks. It
+// stands above what workers of a fleet of 4,000 can have under way together, reports and
+// answers to commands, so that siblings' frames never wait for room.
+const maxEvents = 16_384
 
 func newLoop() *loop {
 	return &loop{start: time.Now(), urgent: make(chan event, maxEvents), events: make(chan event, maxEvents)}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -52,6 +52,8 @@
 
 	s := &Server{loop: newLoop(), sockets: newSockets(set.Cluster.Resources.Sockets)}
 	s.admission.lag = s.loop.Lag
+	// A report under way has a connection, so more can't come.
+	s.admission.reportLimit = int64(s.sockets.limit)
 	transport := func(perHost, idle int) *http.Transport {
 		return &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -16,7 +16,13 @@
 // deliver carries something from one party to another: after a short time, after
 // a long one, or never.
 func (w *World) deliver(from, to string, f func()) {
-	if c := w.cut(from, to); c != nil {
+	c := w.cut(from, to)
+	if c == nil {
+		if c = w.directed(from, to); c != nil {
+			w.lostOneWay++
+		}
+	}
+	if c != nil {
 		if c.hold {
 			c.held = append(c.held, f)
 		}
@@ -115,6 +121,40 @@
 	})
 }
 
+// directed returns the break of a link in the direction from one party to another.
+func (w *World) directed(from, to string) *cut {
+	for _, k := range [][2]string{{from, to}, {from, "*"}, {"*", to}, {from, kind(to)}, {kind(from), to}} {
+		if c := w.oneWay[k]; c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// severWay breaks a link in one direction for a while: nothing that the first says comes to
+// the second, requests and answers alike.
+func (w *World) severWay(from, to string, hold bool, d time.Duration) {
+	k := [2]string{from, to}
+	if w.oneWay[k] != nil {
+		return
+	}
+	w.logf("one way cut from %s to %s, hold=%v, for %v", from, to, hold, d)
+	c := &cut{hold: hold}
+	w.oneWay[k] = c
+	w.at(d, func() {
+		delete(w.oneWay, k)
+		w.logf("the way from %s to %s heals", from, to)
+		w.release(c)
+	})
+}
+
+// flap breaks a link in one direction again and again, for down out of each period.
+func (w *World) flap(from, to string, down, period, whole time.Duration) {
+	for at := time.Duration(0); at < whole; at += period {
+		w.at(at, func() { w.severWay(from, to, false, down) })
+	}
+}
+
 // others calls f for each node but one.
 func (w *World) others(n *node, f func(*node)) {
 	for _, o := range w.nodes {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -65,7 +65,7 @@
 		}
 	}
 	if len(set.Siblings) == 0 {
-		for i := range 3 {
+		for i := range n.w.set.Nodes {
 			if name := fmt.Sprintf("agent-%d", i); name != n.name {
 				set.Siblings = append(set.Siblings, settings.Sibling{Node: ident.NodeID(name)})
 			}
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -251,7 +251,11 @@
 		LocalGB: 4, PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 6, Sites: []string{"east", "west"}}}}
 }
 
-const capacity = 6 // of a zone and kind
+// capacity returns how many machines of a zone and kind there are.
+func (p *provider) capacity() int {
+	const small = 6
+	return max(small, p.w.cfg.Fleet/(2*len(p.w.set.Zones)))
+}
 
 func (p *provider) serve(r cloud.Request, reply func(any)) {
 	w := p.w
@@ -274,7 +278,7 @@
 				have++
 			}
 		}
-		n := min(r.Number, capacity-have)
+		n := min(r.Number, p.capacity()-have)
 		if n <= 0 {
 			reply(cloud.Reply{Outcome: cloud.NoCapacity})
 			return
@@ -349,6 +353,7 @@
 	if k := p.w.workers[m.host]; k != nil {
 		k.dead = true
 		delete(p.w.workers, m.host)
+		p.w.sorted = nil
 	}
 }
 
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -143,7 +143,7 @@
 // some returns a node that accepts connections, if there is one.
 func (w *World) some() *node {
 	for range 3 {
-		if n := w.nodes[w.rng.IntN(3)]; n.alive {
+		if n := w.nodes[w.rng.IntN(len(w.nodes))]; n.alive {
 			return n
 		}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -48,9 +48,10 @@
 }
 
 func newWorker(w *World, m *rented) *worker {
-	k := &worker{w: w, m: m, host: m.host, tenure: 1, leaseAt: w.now, node: w.rng.IntN(3),
+	k := &worker{w: w, m: m, host: m.host, tenure: 1, leaseAt: w.now, node: w.rng.IntN(len(w.nodes)),
 		pieces: map[ident.Piece]map[ident.Try]*piece{}, images: map[string]bool{}, faulty: w.cfg.Faults && w.rng.IntN(25) == 0}
 	w.workers[m.host] = k
+	w.sorted = nil
 	k.tick()
 	return k
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -27,6 +27,17 @@
 	Crowd    bool          // small jobs of one team all the time, and large ones now and then
 	Quiet    bool          // no jobs come by themselves
 	Meet     bool          // the faults are those of the page on two at once as well
+	Nodes    int           // controllers; 0: three
+	Fleet    int           // machines that the cloud has in all, with limits of teams to match; 0: a small one
+	Calm     time.Duration // after the faults; 0: calm
+}
+
+// nodeCount returns how many controllers there are.
+func (c Config) nodeCount() int {
+	if c.Nodes > 0 {
+		return c.Nodes
+	}
+	return 3
 }
 
 // World is one run.
@@ -46,6 +57,8 @@
 	gangs   map[gangKey]*gangRun
 	order   []ident.JobID
 	cuts    map[[2]string]*cut
+	oneWay  map[[2]string]*cut    // links broken in one direction, from the first to the second
+	sorted  []*worker             // the workers by name, nil when they have changed
 	zones   map[string]*cut       // zones cut off from everything outside
 	deaf    map[string]ident.Mono // machines that nothing reaches until then
 	nextJob int
@@ -59,6 +72,8 @@
 	Starts int
 	// GangRuns and GangStops count what gangs did.
 	GangRuns, GangStops int
+	// lostOneWay counts the messages that a link broken in one direction has held up.
+	lostOneWay int
 	// TooLarge counts the transactions that the state service refused for its limits.
 	TooLarge int
 }
@@ -87,10 +102,10 @@
 // New makes a world of three controllers in two zones.
 func New(cfg Config) *World {
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), workers: map[ident.HostID]*worker{},
-		jobs: map[ident.JobID]*userJob{}, gangs: map[gangKey]*gangRun{}, cuts: map[[2]string]*cut{}, zones: map[string]*cut{}, deaf: map[string]ident.Mono{},
+		jobs: map[ident.JobID]*userJob{}, gangs: map[gangKey]*gangRun{}, cuts: map[[2]string]*cut{}, oneWay: map[[2]string]*cut{}, zones: map[string]*cut{}, deaf: map[string]ident.Mono{},
 		troubles: troubles{mute: map[string]ident.Mono{}, seen: map[string]int{}}}
 	w.set = settings.Cluster{
-		Nodes: 3, Zones: []string{"east", "west"}, TimeBoundMS: 200,
+		Nodes: cfg.nodeCount(), Zones: []string{"east", "west"}, TimeBoundMS: 200,
 		Teams: []settings.Team{{Name: "red", CPUs: 12, CPUsMax: 28}, {Name: "blue", CPUs: 8, CPUsMax: 20},
 			{Name: "grey", CPUs: 0, CPUsMax: 16}, {Name: "guest"}},
 		Workers: settings.Workers{ReportS: 3, LeaseS: 20, CancelS: 42, GangWaitS: 20, GangPeerS: 4},
@@ -99,9 +114,12 @@
 		Cloud:     settings.Cloud{RPS: 5, ListLagS: 4},
 		Resources: settings.Resources{Cores: 1, MemoryMB: 256, Sockets: 1000},
 	}
+	if cfg.Fleet > 0 {
+		w.enlarge()
+	}
 	w.store = newStore(w)
 	w.cloud = newProvider(w)
-	for i := range 3 {
+	for i := range w.set.Nodes {
 		n := &node{w: w, old: cfg.Old, name: fmt.Sprintf("agent-%d", i), zone: w.set.Zones[i%2]}
 		w.nodes = append(w.nodes, n)
 	}
@@ -111,6 +129,16 @@
 	return w
 }
 
+// enlarge sets the cluster up for a large fleet: as on the operators' largest, reports come
+// less often.
+func (w *World) enlarge() {
+	for i := range w.set.Teams {
+		w.set.Teams[i].CPUs *= float64(w.cfg.Fleet)
+		w.set.Teams[i].CPUsMax *= float64(w.cfg.Fleet)
+	}
+	w.set.Workers.ReportS, w.set.Workers.LeaseS, w.set.Workers.CancelS = 8, 36, 70
+}
+
 func (w *World) at(d time.Duration, f func()) {
 	w.seq++
 	heap.Push(&w.queue, event{w.now.Add(d), w.seq, f})
@@ -144,7 +172,11 @@
 		lower += rollAt
 	}
 	w.at(lower, w.store.lower)
-	end := ident.Mono(w.cfg.Length + calm)
+	quiet := calm
+	if w.cfg.Calm > 0 {
+		quiet = w.cfg.Calm
+	}
+	end := ident.Mono(w.cfg.Length + quiet)
 	for len(w.queue) > 0 && len(w.Broken) == 0 {
 		e := heap.Pop(&w.queue).(event)
 		if e.at > end {
@@ -177,12 +209,14 @@
 }
 
 func (w *World) sortedWorkers() []*worker {
-	out := make([]*worker, 0, len(w.workers))
-	for _, k := range w.workers {
-		out = append(out, k)
+	if w.sorted == nil {
+		w.sorted = make([]*worker, 0, len(w.workers))
+		for _, k := range w.workers {
+			w.sorted = append(w.sorted, k)
+		}
+		sort.Slice(w.sorted, func(i, k int) bool { return w.sorted[i].host < w.sorted[k].host })
 	}
-	sort.Slice(out, func(i, k int) bool { return out[i].host < out[k].host })
-	return out
+	return w.sorted
 }
 
 func (w *World) anyWorker() *worker {
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	epoch := ident.MakeEpoch(tb.cfg.Term, 0)
-	if !tb.asked[r.Host] && len(tb.asked) < maxStrangers {
+	if !tb.asked[r.Host] && len(tb.asked) < tb.strangerLimit() {
 		tb.asked[r.Host] = true
 		tb.port.Worker(Command{Addr: r.Addr, Body: api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}}, func(a Answer) {
 			if tb.dead {
@@ -64,8 +64,14 @@
 	return &api.Orders{Epoch: epoch, Orders: []api.Order{}}
 }
 
-// maxStrangers bounds the unknown machines that are asked at a time.
-const maxStrangers = 100
+// The bound on the unknown machines that are asked at a time: so many, or a part of the
+// fleet where it is larger.
+const (
+	minStrangers  = 100
+	strangersPart = 10
+)
+
+func (tb *Table) strangerLimit() int { return max(minStrangers, len(tb.sorted)/strangersPart) }
 
 // Renew answers a report without taking anything from it, for a leader that may not be
 // one any more, but whose workers had better keep their tasks. Nothing starts by that;
