A leader whose renewals go without answers asks before it renews again

Cause: with the answers of the state service cut off from the leader alone, its renewals were carried out all the same. The lease lived on, the leader could not be sure of it, and for as long as the break lasted nobody led: in the stand-in for 60 s, with workers' leases lost. Change: once renewals have had no answer for half a lease, the leader key is read first, and the lease extended only when that is answered. Ruled out: to ask whenever the newest renewal has no answer, which costs renewals where the state service is slow but sound. Taking machines in from records no longer copies the sorted list for each. TestAnswersLost fails without the change.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -122,6 +122,10 @@
 	grant uint64
 	valid ident.Mono
 	rest  ident.Mono
+	stamp ident.Stamp // of the leader key, while it is ours
+	// waits says that no renewal since waiting has had an answer.
+	waits   bool
+	waiting ident.Mono
 
 	known     record
 	knownDown bool // the known leader's key is gone
@@ -356,7 +360,8 @@
 			return
 		}
 		m.to(Leading, "claim carried out")
-		m.term, m.grant = term, grant
+		m.term, m.grant, m.stamp = term, grant, ident.Stamp(r.Ledger)
+		m.waits = false
 		m.extendValid(sent)
 		m.known, m.knownDown = record{}, false
 		slog.Info("leading", "term", uint64(term), "level", uint8(level))
@@ -381,9 +386,26 @@
 	})
 }
 
+// renew extends the lease. When renewals have had no answer for half of it, it asks first
+// whether answers arrive at all: were renewals carried out whose answers get lost, the lease would
+// live on with a leader that can't be sure of it, and nobody could follow. (A leader whose
+// answers from the state service were cut off kept the cluster without one for as long as
+// the cut lasted.)
 func (m *Machine) renew() {
+	if m.waits && m.port.Now().Sub(m.waiting) >= m.ttl/2 {
+		m.confirm()
+		return
+	}
+	m.extend()
+}
+
+func (m *Machine) extend() {
 	sent := m.port.Now()
+	if !m.waits {
+		m.waits, m.waiting = true, sent
+	}
 	m.call(statesvc.Request{Op: statesvc.Extend, Grant: m.grant, Timeout: m.ttl}, func(r statesvc.Reply) {
+		m.waits = m.waits && r.Outcome == statesvc.Lost
 		switch r.Outcome {
 		case statesvc.OK:
 			m.extendValid(sent)
@@ -392,3 +414,18 @@
 		}
 	})
 }
+
+// confirm reads the leader key, and extends the lease if that is answered and the key is
+// still ours.
+func (m *Machine) confirm() {
+	m.call(statesvc.Request{Op: statesvc.Get, Path: LeaderKey, Timeout: callTime}, func(r statesvc.Reply) {
+		switch {
+		case r.Outcome == statesvc.OK && r.Stamp == m.stamp:
+			m.extend()
+		case r.Outcome == statesvc.OK, r.Outcome == statesvc.NotFound:
+			m.stepDown("the leader key is not ours")
+		case r.Outcome != statesvc.Lost:
+			m.waits = false
+		}
+	})
+}
--- a/internal/standin/one_way_test.go
+++ b/internal/standin/one_way_test.go
@@ -48,3 +48,28 @@
 		}
 	}
 }
+
+// TestAnswersLost: the leader's renewals reach the state service, and their answers don't
+// come back. Somebody else leads within seconds. (The renewals were carried out, so that the
+// lease lived on with a leader that could not be sure of it, for as long as the break.)
+func TestAnswersLost(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := New(Config{Seed: seed, Length: 150 * time.Second})
+		var old *node
+		w.when(60, func() {
+			old = w.leader()
+			w.severWay("state", old.name, false, 60*time.Second)
+		})
+		w.when(66, func() {
+			if n := w.leader(); n == nil || n == old {
+				t.Errorf("seed %d: nobody else leads 6 s after the answers were cut off", seed)
+			}
+		})
+		w.Run()
+		if len(w.Broken) > 0 || len(w.Undone) > 0 {
+			t.Errorf("seed %d: %v %v\n%s", seed, w.Broken, w.Undone, w.Tail(40))
+		}
+		keptLeases(t, w)
+	}
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -125,8 +125,13 @@
 		Born: born, Since: now, IdleFrom: now, heard: now, Tasks: map[ident.Piece]*jobs.Task{},
 		orphans: map[ident.Piece]ident.Try{}, unclear: map[attempt]bool{}}
 	tb.Workers[h] = w
+	i := tb.place(h)
+	if i == len(tb.sorted) {
+		tb.sorted = append(tb.sorted, w) // beyond what anybody walks over
+		return w
+	}
 	// A copy: somebody may be walking over the old one.
-	tb.sorted = slices.Insert(slices.Clone(tb.sorted), tb.place(h), w)
+	tb.sorted = slices.Insert(slices.Clone(tb.sorted), i, w)
 	return w
 }
 
