--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -83,6 +83,7 @@
 	Rented    []ident.HostID
 	Listed    []Listed
 	Truncated bool
+	Rejected  bool // the connection was refused; the request was not sent
 }
 
 const (
@@ -121,7 +122,7 @@
 	}
 	status, b, err := httpcall.Do(c.http, timeout, method, c.base+path, body, maxReply)
 	if err != nil {
-		return Reply{Outcome: Lost, Error: err.Error()}
+		return Reply{Outcome: Lost, Error: err.Error(), Rejected: httpcall.Rejected(err)}
 	}
 	return decode(r.Op, status, b)
 }
--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -74,6 +74,7 @@
 	strikes int        // transactions refused in a row
 	paused  ident.Mono // nothing is sent earlier
 	dead    bool
+	quiet   bool // nothing new is sent
 	down    bool // the service refused or did not answer last time
 
 	entries []Entry            // changed, not yet in a record
@@ -120,6 +121,12 @@
 // Spare says whether there are puts left for what may wait.
 func (c *Committer) Spare() bool { return len(c.queue)+len(c.entries) == 0 && c.spare() }
 
+// Quiesce has nothing new sent from now on; what is under way is still settled.
+func (c *Committer) Quiesce() { c.quiet = true }
+
+// Settled says whether no transaction is under way.
+func (c *Committer) Settled() bool { return c.open == 0 }
+
 // Stop ends the committer; nothing of it is called any more.
 func (c *Committer) Stop() { c.dead = true }
 
@@ -131,7 +138,7 @@
 
 // Flush sends what is queued, as far as the limits allow.
 func (c *Committer) Flush() {
-	for !c.dead && c.open < maxOpen {
+	for !c.dead && !c.quiet && c.open < maxOpen {
 		now := c.port.Now()
 		if now < c.paused {
 			c.wake(c.paused.Sub(now))
--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"opaldale/internal/api"
+	"opaldale/internal/authority"
 	"opaldale/internal/gang"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
@@ -49,7 +50,7 @@
 	slog.Debug("place", "piece", t.Piece().String(), "host", string(w.Host), "held", w.Holds(t.Job.Spec.Bundle), "within", l.planner.Within(t.Job),
 		"age_s", l.c.env.Now().Sub(t.Job.Arrived).Seconds())
 	l.jobs.Place(t, w.Host, w.Tenure, func() {
-		if l.dead || !l.c.elect.Valid() {
+		if l.dead || !l.c.may(authority.Launch) {
 			return // the answer to its worker's next report launches it
 		}
 		if w.State == workers.Returning || w.State == workers.Gone {
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -72,6 +72,9 @@
 	if now.Sub(l.direct) < directAfter || !w.Reported() || now.Sub(w.Heard()) > 2*directAfter {
 		return
 	}
+	if l.c.links != nil {
+		return // a sibling that is better placed shows by its row
+	}
 	if l.missing[w] = true; len(l.missing) >= unreached && l.c.elect.Valid() {
 		l.c.elect.Resign(restAfter, "machines are heard by siblings only")
 	}
@@ -112,6 +115,8 @@
 	if l.c.hears(peerSilent) || len(l.c.set.Siblings) == 0 {
 		return true
 	}
-	l.c.elect.Resign(restAfter, "neither machines nor siblings are heard")
+	if l.c.links == nil {
+		l.c.elect.Resign(restAfter, "neither machines nor siblings are heard")
+	}
 	return false
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"opaldale/internal/api"
+	"opaldale/internal/authority"
 	"opaldale/internal/cloud"
 	"opaldale/internal/election"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/links"
 	"opaldale/internal/mesh"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
@@ -60,6 +62,8 @@
 	// cancelled holds jobs that were durably cancelled, as this node has passed on.
 	cancelled *jobs.Recent[struct{}]
 	seen      ident.Mono // when the state service last served this node
+	links     *linkView  // nil unless links are watched
+	authority authority.Machine
 
 	// Counters for the metrics.
 	Forwarded, Refused, Elections, Vouched uint64
@@ -94,7 +98,14 @@
 	}
 	rate := readShare * set.Cluster.State.RPS / float64(max(1, set.Cluster.Nodes))
 	c.reads = bucket{tokens: rate, perSecond: rate, filled: env.Now()}
-	c.elect = election.New(env, c, set.Node, set.Tuning.LeaderLease, rng)
+	if set.Tuning.Links.Enabled {
+		c.links = newLinkView(c)
+		c.env = observedEnv{Env: env, view: c.links}
+	}
+	c.elect = election.New(c.env, c, set.Node, set.Tuning.LeaderLease, rng)
+	if c.links != nil {
+		c.elect.Hesitate = c.links.hesitate
+	}
 	return c
 }
 
@@ -102,6 +113,9 @@
 func (c *Controller) Start() {
 	c.elect.Start()
 	c.beat()
+	if c.links != nil {
+		c.links.start()
+	}
 	upgrade.Announce(c.env, c.rng, c.set.Node)
 }
 
@@ -139,10 +153,18 @@
 		}
 	}
 	c.echoes.Sent(f.ID, now)
+	var own links.Row
+	if c.links != nil {
+		own = c.links.row(now)
+	}
 	for _, s := range c.set.Siblings {
 		g := f
 		g.Life.Echo = c.peers[s.Node].beat
 		c.env.Mesh(s.Node, &g)
+		if c.links != nil {
+			c.links.monitor.Sent(siblingLink(s.Node), now)
+			c.links.send(s.Node, own, now)
+		}
 	}
 	c.env.After(beatEvery, c.beat)
 }
@@ -161,6 +183,14 @@
 	now := c.env.Now()
 	p.beat = f.ID
 	at, echoed := c.echoes.When(f.Life.Echo)
+	if c.links != nil {
+		if echoed {
+			c.links.monitor.Echoed(siblingLink(from), at, now)
+		}
+		if f.Node != "" {
+			c.links.history.Saw(f.Term, now)
+		}
+	}
 	if echoed && f.Node == from {
 		c.vouch.Trust(f.Term, at, mesh.Duration(f.Life.Grace))
 	}
@@ -205,6 +235,9 @@
 func (c *Controller) Lead(t ident.Term, l ident.Level, key statesvc.Cond) {
 	c.Elections++
 	c.level = max(c.level, l)
+	if c.links != nil {
+		c.links.history.Saw(t, c.env.Now())
+	}
 	c.lead = newLead(c, t, l, key)
 	c.lead.load()
 }
@@ -245,7 +278,13 @@
 // reachable says whether frames to a sibling probably arrive.
 func (c *Controller) reachable(n ident.NodeID) bool {
 	p := c.peers[n]
-	return p != nil && p.ever && c.env.Now().Sub(p.heard) < peerSilent
+	if p == nil {
+		return false
+	}
+	if c.links != nil && !c.links.monitor.Passing(siblingLink(n)) {
+		return false // it is heard, and doesn't hear
+	}
+	return p.ever && c.env.Now().Sub(p.heard) < peerSilent
 }
 
 // Frame takes a sibling's message.
@@ -255,7 +294,16 @@
 		return
 	}
 	p.heard, p.ever = c.env.Now(), true
+	if c.links != nil {
+		c.links.monitor.Heard(siblingLink(from), p.heard)
+	}
 	switch f.Kind {
+	case mesh.Links:
+		if c.links != nil {
+			c.links.take(f)
+		}
+	case mesh.Yield:
+		c.elect.Prefer(f.Node, f.Term)
 	case mesh.Beat:
 		if f.Node != "" {
 			c.elect.Heard(f.Node, f.Term)
@@ -289,12 +337,10 @@
 	switch {
 	case v == mesh.Checkin:
 		c.checkin(body, direct, reply)
-	case l == nil || !l.ready || !c.elect.Valid():
+	case v == mesh.Poll && !c.may(authority.Answer):
 		// Past the surely valid time memory may be behind a successor's.
-		if v == mesh.Poll {
-			c.read(job, reply)
-			return
-		}
+		c.read(job, reply)
+	case v != mesh.Poll && !c.may(authority.Accept):
 		c.Refused++
 		reply(unavailable("no leader at present"))
 	case v == mesh.Submit:
@@ -315,8 +361,11 @@
 	}
 	var o *api.Orders
 	var until ident.Mono
-	if l := c.lead; l != nil && l.ready {
-		if c.elect.Valid() {
+	if l := c.lead; l != nil {
+		if c.links != nil {
+			c.links.reported(r, direct)
+		}
+		if c.may(authority.Command) {
 			o = l.workers.Checkin(r)
 			if o != nil && api.Launches(o.Orders) {
 				// Should this process stand still now, a successor may have told that
@@ -324,7 +373,7 @@
 				until = c.elect.Until()
 			}
 			l.heard(l.workers.Workers[r.Host], direct)
-		} else if c.elect.Within(c.grace) {
+		} else if c.may(authority.KeepLeases) {
 			o = l.workers.Renew(r)
 		}
 	}
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -35,6 +35,9 @@
 		c.serve(v, job, body, true, reply)
 		return
 	}
+	if c.links != nil && v == mesh.Checkin {
+		c.links.sample(body)
+	}
 	to, known := c.elect.Leader()
 	up := known && c.reachable(to)
 	switch v {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -4,10 +4,12 @@
 	"log/slog"
 	"time"
 
+	"opaldale/internal/authority"
 	"opaldale/internal/cloud"
 	"opaldale/internal/commit"
 	"opaldale/internal/fleet"
 	"opaldale/internal/gang"
+	"opaldale/internal/handover"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/placement"
@@ -59,6 +61,9 @@
 	direct  ident.Mono               // when a machine last reached this node, or it one
 	missing map[*workers.Worker]bool // alive as a sibling hears, but not reached from here since
 	probed  ident.Mono               // when one of them was last asked
+
+	handover *handover.Machine // nil unless links are watched
+	upByZone map[string]int    // machines that should be reached
 }
 
 const (
@@ -93,7 +98,7 @@
 
 func newLead(c *Controller, t ident.Term, level ident.Level, key statesvc.Cond) *lead {
 	l := &lead{c: c, term: t, level: level, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){},
-		ledger: vouch.NewLedger(c.grace), direct: c.env.Now(), missing: map[*workers.Worker]bool{}}
+		ledger: vouch.NewLedger(c.grace), direct: c.env.Now(), missing: map[*workers.Worker]bool{}, upByZone: map[string]int{}}
 	st := c.set.Cluster.State
 	limits := func(s settings.State) commit.Limits {
 		return commit.Limits{Ops: s.TxnOps, PerSecond: writeShare * s.WriteRPS, ValueBytes: int(s.ValueKB * 1024)}
@@ -129,19 +134,26 @@
 	})
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
 	l.planner.MaxWait, l.planner.GangWait = c.set.Tuning.MaxWait, c.set.Tuning.GangWait
+	var unheard, blind func(string) bool
+	if c.links != nil {
+		unheard, blind = l.unheard, l.blind
+		times := handover.DefaultConfig()
+		times.Hold, times.Persist = c.set.Tuning.Links.Hold, c.set.Tuning.Links.Persist
+		l.handover = handover.New(times, &c.links.history, c.env.Now())
+	}
 	l.fleet = fleet.New(port, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
-		Reached: l.reached, Stranded: l.stranded,
+		Reached: l.reached, Stranded: l.stranded, Unheard: unheard, Blind: blind,
 		Direct: func() bool { return l.c.env.Now().Sub(l.direct) < directAfter },
 		Aim:    l.planner.Aim,
 		Movable: func(t *jobs.Task, from *workers.Worker) bool {
-			return !l.commits.Down() && l.planner.Movable(t, from)
+			return c.may(authority.Place) && l.planner.Movable(t, from)
 		},
 		Drain:   l.drain,
 		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
 	})
-	l.gangs = gang.NewTable(l.jobs, l.workers, c.env.Now, func() bool { return !l.dead && c.elect.Valid() },
+	l.gangs = gang.NewTable(l.jobs, l.workers, c.env.Now, func() bool { return !l.dead && c.may(authority.Launch) },
 		gang.Config{Wait: settings.Seconds(w.GangWaitS), Peer: settings.Seconds(w.GangPeerS), Report: settings.Seconds(w.ReportS)})
 	l.jobs.OnMove = l.move
 	l.jobs.OnWaiting = func(*jobs.Task) { l.dirty = true }
@@ -176,11 +188,12 @@
 		return
 	}
 	next := tickEvery
-	if l.c.elect.Valid() {
-		if l.alone() {
-			l.c.elect.Resign(restAfter, "nobody is heard")
-			return
-		}
+	l.countUp()
+	if l.c.links == nil && l.c.elect.Valid() && l.alone() {
+		l.c.elect.Resign(restAfter, "nobody is heard")
+		return
+	}
+	if l.c.mayTend() {
 		began := l.c.env.Now()
 		l.jobs.Acquit()
 		l.fleet.Tick()
@@ -199,7 +212,7 @@
 		if l.dead {
 			return
 		}
-		if l.c.elect.Valid() {
+		if l.c.may(authority.Launch) {
 			l.planner.Round()
 			l.dirty = true
 			if l.planner.Stats.Rounds%12 == 0 {
@@ -239,7 +252,7 @@
 	}
 	// While nothing gets durable nothing can be launched, and what would be stopped
 	// for it would be stopped for nothing.
-	if l.ready && l.dirty && l.c.elect.Valid() && !l.commits.Down() {
+	if l.dirty && l.c.may(authority.Place) {
 		now := l.c.env.Now()
 		switch {
 		case now >= l.rested:
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"opaldale/internal/api"
+	"opaldale/internal/authority"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/workers"
@@ -145,7 +146,7 @@
 // judged once more right before the answer goes out, as the process may stand still
 // meanwhile.
 func (l *lead) fresh(r Reply) Reply {
-	if l.dead || !l.c.elect.Valid() {
+	if l.dead || !l.c.may(authority.Answer) {
 		return unavailable("no leader at present")
 	}
 	return r.within(l.c.elect.Until())
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -122,13 +122,19 @@
 	grant uint64
 	valid ident.Mono
 	rest  ident.Mono
-	stamp ident.Stamp // of the leader key, while it is ours
 	// waits says that no renewal since waiting has had an answer.
 	waits   bool
 	waiting ident.Mono
 
 	known     record
 	knownDown bool // the known leader's key is gone
+
+	key       statesvc.Cond // the leader key, while it is ours
+	preferred preference
+	hesitated bool // since somebody was last known to lead
+	// Hesitate returns for how long the node lets others claim first, 0 for not at all; it
+	// may be nil.
+	Hesitate func() time.Duration
 }
 
 // New makes the machine of a node.
@@ -256,6 +262,7 @@
 }
 
 func (m *Machine) observe(rec record) {
+	m.hesitated = false
 	if rec.Term >= m.known.Term {
 		m.known, m.knownDown = rec, false
 	}
@@ -300,6 +307,9 @@
 		m.lookLater()
 		return
 	}
+	if m.standsBack() {
+		return
+	}
 	m.to(Granting, "no leader")
 	sent := m.port.Now()
 	var grant uint64
@@ -360,13 +370,15 @@
 			return
 		}
 		m.to(Leading, "claim carried out")
-		m.term, m.grant, m.stamp = term, grant, ident.Stamp(r.Ledger)
+		m.term, m.grant = term, grant
+		m.key = statesvc.Cond{Path: LeaderKey, Stamp: ident.Stamp(r.Ledger)}
+		m.preferred, m.hesitated = preference{}, false
 		m.waits = false
 		m.extendValid(sent)
 		m.known, m.knownDown = record{}, false
 		slog.Info("leading", "term", uint64(term), "level", uint8(level))
 		m.renewLater()
-		m.events.Lead(term, level, statesvc.Cond{Path: LeaderKey, Stamp: ident.Stamp(r.Ledger)})
+		m.events.Lead(term, level, m.key)
 	})
 }
 
@@ -420,7 +432,7 @@
 func (m *Machine) confirm() {
 	m.call(statesvc.Request{Op: statesvc.Get, Path: LeaderKey, Timeout: callTime}, func(r statesvc.Reply) {
 		switch {
-		case r.Outcome == statesvc.OK && r.Stamp == m.stamp:
+		case r.Outcome == statesvc.OK && r.Stamp == m.key.Stamp:
 			m.extend()
 		case r.Outcome == statesvc.OK, r.Outcome == statesvc.NotFound:
 			m.stepDown("the leader key is not ours")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,6 +49,12 @@
 	Direct func() bool
 	// Stranded says whether all siblings in a zone are silent, and there are some.
 	Stranded func(site string) bool
+	// Unheard says whether no node reaches the machines of a zone, so that they may all be
+	// alive behind a broken link; nil if nobody can tell.
+	Unheard func(zone string) bool
+	// Blind says whether a sibling reaches the machines of a zone, and this node doesn't:
+	// their silence is its own fault; nil if nobody can tell.
+	Blind func(zone string) bool
 	// Aim is the shortest time within which jobs of a lane should be done, 0 if
 	// nothing is said.
 	Aim func(lane string) time.Duration
@@ -90,6 +96,8 @@
 	cut     map[string]bool       // zones from which nothing is heard, neither machines nor siblings
 	back    map[string]ident.Mono // when a zone was last found not to be cut off any more
 
+	unheard map[string]*unheardZone
+
 	services arrivals
 	arrays   arrivals
 
@@ -106,7 +114,7 @@
 	}
 	// Reports come up to a quarter late.
 	late := settings.Seconds(1.25*cfg.Workers.ReportS) + 500*time.Millisecond
-	return &Manager{silent: silent, missed: late, alarm: now.Add(-time.Hour), cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{}, back: map[string]ident.Mono{},
+	return &Manager{silent: silent, missed: late, alarm: now.Add(-time.Hour), cfg: cfg, port: port, machine: m, jobs: j, teams: t, rng: rng, markets: map[pool]*market{}, back: map[string]ident.Mono{}, unheard: map[string]*unheardZone{},
 		tokens: cfg.Cloud.RPS, filled: now, listed: now.Add(-time.Hour), began: now, started: now, ticked: now, stalled: now.Add(-time.Hour)}
 }
 
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -190,7 +190,7 @@
 	for again := true; again; {
 		again = false
 		for _, p := range pools {
-			if n := min(rent[p], maxRent); n > 0 && m.rent(p, n) {
+			if n := m.mayRent(p, min(rent[p], maxRent)); n > 0 && m.rent(p, n) {
 				rent[p] -= n
 				again = true
 			}
@@ -306,7 +306,7 @@
 	for i := range catalog {
 		k := &catalog[i]
 		for _, z := range k.Sites {
-			if m.cut[z] || a.zone != "" && a.zone != z || slices.Contains(a.full, z) {
+			if m.cut[z] || m.scouted(z) || a.zone != "" && a.zone != z || slices.Contains(a.full, z) {
 				continue
 			}
 			for _, standby := range []bool{true, false} {
--- /dev/null
+++ b/internal/fleet/unheard_test.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/cloud"
+	"opaldale/internal/ident"
+	"opaldale/internal/workers"
+)
+
+// silentZone plays a zone of 30 machines with replicas that all fall silent, for five
+// leases, and counts what was returned of them, and what was rented.
+func silentZone(unheard bool) (returned, rented int, r *rig) {
+	r = newReplicas(30, func(int) bool { return true })
+	r.m.cfg.Unheard = func(string) bool { return unheard }
+	names := 1000
+	r.reply = func(q cloud.Request) cloud.Reply {
+		a := cloud.Reply{Outcome: cloud.OK}
+		if q.Op == cloud.Rent {
+			for range q.Number {
+				names++
+				a.Rented = append(a.Rented, ident.HostID(time.Duration(names).String()))
+				rented++
+			}
+		}
+		return a
+	}
+	r.pass(5*30*time.Second, r.m)
+	for _, c := range r.calls {
+		if c.Op == cloud.Return {
+			for _, h := range c.Hosts {
+				if strings.HasPrefix(string(h), "host-") { // not a scout that never came up
+					returned++
+				}
+			}
+		}
+	}
+	return returned, rented, r
+}
+
+// TestUnheardZoneIsKept: machines of a zone that no node hears may be alive behind a broken
+// link. They are given up a few at a time, and only scouts are rented; with the same silence
+// and no such doubt all are returned and replaced, as before.
+func TestUnheardZoneIsKept(t *testing.T) {
+	returned, rented, _ := silentZone(false)
+	if returned < 30 || rented < 4 {
+		t.Errorf("without the doubt %d were returned and %d rented: the test shows nothing", returned, rented)
+	}
+	returned, rented, r := silentZone(true)
+	// One machine a lease; two scouts, and two more whenever those are given up after three
+	// and a half times ten seconds.
+	if returned > 6 || rented > scouts*5 {
+		t.Errorf("%d machines were returned and %d rented in a zone that may be alive", returned, rented)
+	}
+	// One of them is heard: the others are judged one by one again.
+	w := r.table.Sorted()[0]
+	for _, k := range r.table.Sorted() {
+		if k.State == workers.Up || k.State == workers.Silent {
+			w = k
+			break
+		}
+	}
+	r.serial++
+	r.table.Checkin(&api.Report{Host: w.Host, Addr: w.Addr, Model: "m8", Site: "east", Tenure: 2, Serial: r.serial, Epoch: ident.MakeEpoch(3, 1)})
+	r.pass(500*time.Millisecond, r.m)
+	if r.m.unheard["east"] != nil {
+		t.Error("the zone still counts as silent")
+	}
+}
+
+// TestBlindNodeFencesNothing: the silence of machines that a sibling reaches is this node's
+// own fault.
+func TestBlindNodeFencesNothing(t *testing.T) {
+	for _, blind := range []bool{false, true} {
+		r := newReplicas(10, func(i int) bool { return i%2 == 0 })
+		r.m.cfg.Blind = func(string) bool { return blind }
+		r.pass(25*time.Second, r.m)
+		if (r.m.Fenced == 0) != blind {
+			t.Errorf("blind %v: %d machines were fenced", blind, r.m.Fenced)
+		}
+	}
+}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -111,6 +111,15 @@
 	}
 }
 
+// sweep is what one look at all machines finds.
+type sweep struct {
+	up     int               // machines that should be heard
+	mutes  int               // machines with replicas that don't answer
+	urgent []*workers.Worker // to be asked first
+	early  []*workers.Worker // to be asked if there is time
+	silent []*workers.Worker // to be fenced
+}
+
 // watch finds machines that are silent, doomed, faulty or never came up.
 func (m *Manager) watch() {
 	now := m.port.Now()
@@ -119,100 +128,123 @@
 		m.stalled = now
 	}
 	m.ticked = now
-	t := m.cfg.Tuning
-	var silent []*workers.Worker
-	var urgent, early []*workers.Worker
-	up, mutes := 0, 0
 	m.zonesCut(now)
+	m.zonesUnheard(now)
+	s := &sweep{}
 	for _, w := range m.machine.Sorted() {
-		if m.cut[w.Site] && (w.State == workers.Up || w.State == workers.Silent) {
+		m.inspect(w, now, s)
+	}
+	if s.mutes >= mute && now.Sub(m.alarm) > alarmTime {
+		slog.Info("machines with replicas don't answer", "mutes", s.mutes)
+		m.alarm = now
+	}
+	n := m.probe(s.urgent, max(minUrgent, s.up/urgentPart))
+	m.probe(s.early, maxProbes-n)
+	m.fence(s, now)
+}
+
+// inspect looks at one machine.
+func (m *Manager) inspect(w *workers.Worker, now ident.Mono, s *sweep) {
+	switch w.State {
+	case workers.Booting:
+		startup := m.startup(w)
+		if now.Sub(w.Born) > time.Duration(m.cfg.Tuning.BootFactor*float64(startup)) && now.Sub(w.Since) > startup {
+			m.Return(w, "never came up")
+		}
+	case workers.Up, workers.Silent:
+		if m.cut[w.Site] {
 			m.strand(w, now)
-			continue
+			return
 		}
-		quiet := min(m.machine.Silence(w), now.Sub(max(m.stalled, m.back[w.Site])))
-		switch w.State {
-		case workers.Booting:
-			startup := m.startup(w)
-			if now.Sub(w.Born) > time.Duration(t.BootFactor*float64(startup)) && now.Sub(w.Since) > startup {
-				m.Return(w, "never came up")
-			}
-		case workers.Up, workers.Silent:
-			up++
-			limit := m.silent
-			if w.Replicas > 0 {
-				// Users miss replicas at once: don't wait for reports to fail.
-				limit = min(m.silent/2, surelySilent)
-				if w.Misses() > 0 {
-					mutes++
-					if quiet > m.missed {
-						mutes += mute // one that is late as well is enough
-					}
-				}
-				switch {
-				case quiet > m.missed:
-					urgent = append(urgent, w)
-				case now.Sub(m.alarm) < alarmTime && w.Heard() < m.alarm:
-					urgent = append(urgent, w)
-				case quiet > limit/2:
-					early = append(early, w)
-				}
-			}
-			if quiet > m.silent*2/3 {
-				m.machine.Quiet(w)
-				m.machine.Probe(w)
-			}
-			deaf := w.Deaf()
-			if deaf > m.silent/2 {
-				urgent = append(urgent, w)
-			}
-			switch {
-			case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
-				m.Return(w, "taken")
-			case quiet > limit && w.Misses() > 1 || quiet > m.silent && w.Misses() > 0,
-				deaf > m.silent && w.Misses() > 1:
-				silent = append(silent, w)
-			case w.Faulty():
-				m.Return(w, "faulty")
-			case w.Doomed > 0:
-				m.cfg.Drain(w)
-			}
-			if m.machine.Expired(w) {
-				m.machine.Expire(w)
-				m.Return(w, "lease over")
-			}
-		case workers.Returning:
-			// The cloud may be down; the lease ends all the same.
-			if len(w.Tasks) > 0 && m.machine.Expired(w) {
-				m.machine.Expire(w)
-			}
-		case workers.Gone:
-			if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && !w.Recorded {
-				m.machine.Forget(w)
-			}
+		m.inspectUp(w, now, s)
+	case workers.Returning:
+		// The cloud may be down; the lease ends all the same.
+		if len(w.Tasks) > 0 && m.machine.Expired(w) {
+			m.machine.Expire(w)
+		}
+	case workers.Gone:
+		if now.Sub(w.Since) > time.Minute+2*settings.Seconds(m.cfg.Cloud.ListLagS) && !w.Recorded {
+			m.machine.Forget(w)
 		}
 	}
-	if mutes >= mute && now.Sub(m.alarm) > alarmTime {
-		slog.Info("machines with replicas don't answer", "mutes", mutes)
-		m.alarm = now
+}
+
+// inspectUp looks at a machine that should be heard.
+func (m *Manager) inspectUp(w *workers.Worker, now ident.Mono, s *sweep) {
+	s.up++
+	quiet := min(m.machine.Silence(w), now.Sub(max(m.stalled, m.back[w.Site])))
+	limit := m.silent
+	if w.Replicas > 0 {
+		// Users miss replicas at once: don't wait for reports to fail.
+		limit = min(m.silent/2, surelySilent)
+		m.inspectReplicas(w, quiet, limit, now, s)
+	}
+	if quiet > m.silent*2/3 {
+		m.machine.Quiet(w)
+		m.machine.Probe(w)
+	}
+	deaf := w.Deaf()
+	if deaf > m.silent/2 {
+		s.urgent = append(s.urgent, w)
 	}
-	n := m.probe(urgent, max(minUrgent, up/urgentPart))
-	m.probe(early, maxProbes-n)
-	// Most machines silent at once: rather we are cut off than they. But if a
-	// sibling is heard, they could reach us through it, and have not in twice the
-	// time: then they are gone. (Two leaders that each resigned over machines
-	// long taken kept a cluster without one for good.)
-	// Those fenced a moment ago count as well: machines that fall silent together
-	// are noticed one by one.
+	switch {
+	case w.Doomed > 0 && now > w.Doomed && quiet > m.silent/2:
+		m.Return(w, "taken")
+	case quiet > limit && w.Misses() > 1 || quiet > m.silent && w.Misses() > 0,
+		deaf > m.silent && w.Misses() > 1:
+		s.silent = append(s.silent, w)
+	case w.Faulty():
+		m.Return(w, "faulty")
+	case w.Doomed > 0:
+		m.cfg.Drain(w)
+	}
+	if m.machine.Expired(w) {
+		m.machine.Expire(w)
+		if m.mayGiveUp(w, now) {
+			m.Return(w, "lease over")
+		}
+	}
+}
+
+// inspectReplicas has a machine with replicas asked when it is late.
+func (m *Manager) inspectReplicas(w *workers.Worker, quiet, limit time.Duration, now ident.Mono, s *sweep) {
+	if w.Misses() > 0 {
+		s.mutes++
+		if quiet > m.missed {
+			s.mutes += mute // one that is late as well is enough
+		}
+	}
+	switch {
+	case quiet > m.missed:
+		s.urgent = append(s.urgent, w)
+	case now.Sub(m.alarm) < alarmTime && w.Heard() < m.alarm:
+		s.urgent = append(s.urgent, w)
+	case quiet > limit/2:
+		s.early = append(s.early, w)
+	}
+}
+
+// fence returns the machines that are silent, unless that is rather our own fault.
+//
+// Most machines silent at once: rather we are cut off than they. But if a sibling is heard,
+// they could reach us through it, and have not in twice the time: then they are gone. (Two
+// leaders that each resigned over machines long taken kept a cluster without one for good.)
+// Those fenced a moment ago count as well: machines that fall silent together are noticed
+// one by one.
+func (m *Manager) fence(s *sweep, now ident.Mono) {
 	m.fences = slices.DeleteFunc(m.fences, func(at ident.Mono) bool { return now.Sub(at) > 2*m.silent })
-	n = len(silent) + len(m.fences)
-	mass := n > 1 && 2*n > up+len(m.fences) || len(silent) > 0 && !m.cfg.Direct()
+	n := len(s.silent) + len(m.fences)
+	mass := n > 1 && 2*n > s.up+len(m.fences) || len(s.silent) > 0 && !m.cfg.Direct()
 	if mass && !m.cfg.Reached() {
 		return
 	}
-	for _, w := range silent {
+	for _, w := range s.silent {
 		if mass && min(m.machine.Silence(w), now.Sub(m.stalled)) < 2*m.silent {
 			continue
 		}
+		if m.blind(w.Site) || !m.mayGiveUp(w, now) {
+			continue
+		}
 		m.Fenced++
 		m.fences = append(m.fences, now)
 		m.Return(w, "silent")
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -38,3 +40,7 @@
 	b, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	return resp.StatusCode, b, err
 }
+
+// Rejected says whether a call failed because the connection was refused. Nothing was sent
+// then.
+func Rejected(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/links/damper.go
@@ -0,0 +1,49 @@
+package links
+
+import (
+	"math"
+	"time"
+
+	"opaldale/internal/ident"
+)
+
+// damper is route flap damping (RFC 2439) for one direction of a link: each break adds to a
+// penalty that decays by half in each half-life. Above suppressAt the link counts as down
+// until the penalty has fallen below reuseAt.
+type damper struct {
+	penalty    float64
+	at         ident.Mono // when the penalty was worked out
+	suppressed bool
+}
+
+const (
+	breakPenalty = 1000.0
+	suppressAt   = 2500.0
+	reuseAt      = 1000.0
+	maxPenalty   = 4000.0
+)
+
+// MaxSuppression returns for how long a link that stays up can at most remain suppressed.
+func MaxSuppression(halfLife time.Duration) time.Duration {
+	return time.Duration(math.Log2(maxPenalty/reuseAt) * float64(halfLife))
+}
+
+// decay brings the penalty up to date.
+func (d *damper) decay(now ident.Mono, halfLife time.Duration) {
+	if now > d.at && d.penalty > 0 {
+		d.penalty *= math.Exp2(-float64(now.Sub(d.at)) / float64(halfLife))
+	}
+	d.at = max(d.at, now)
+	if d.suppressed && d.penalty < reuseAt {
+		d.suppressed = false
+	}
+}
+
+// broke notes a break.
+func (d *damper) broke(now ident.Mono, halfLife time.Duration) {
+	d.decay(now, halfLife)
+	d.penalty = min(maxPenalty, d.penalty+breakPenalty)
+	if d.penalty >= suppressAt {
+		d.suppressed = true
+	}
+}
--- /dev/null
+++ b/internal/links/detector.go
@@ -0,0 +1,53 @@
+package links
+
+import (
+	"math"
+	"time"
+)
+
+// detector is an accrual failure detector (Hayashibara et al., 2004) for one series of
+// delays: the longer something is overdue, measured by the delays seen so far, the higher
+// its level. Mean and deviation are the moving averages of RFC 6298.
+type detector struct {
+	mean, deviation float64 // seconds
+	samples         int
+}
+
+const (
+	// meanGain and deviationGain are the weights of a new sample (RFC 6298).
+	meanGain      = 1.0 / 8
+	deviationGain = 1.0 / 4
+	// minDeviation and minRelativeDeviation keep the level of a very regular series from
+	// rising within one scheduling delay.
+	minDeviation         = 0.05 // seconds
+	minRelativeDeviation = 0.25 // of the mean
+	// maxLevel bounds the level where the probability underflows.
+	maxLevel = 40
+)
+
+// sample takes a delay that was seen.
+func (d *detector) sample(delay time.Duration) {
+	s := max(0, delay.Seconds())
+	d.samples++
+	if d.samples == 1 {
+		d.mean, d.deviation = s, s/2
+		return
+	}
+	d.deviation += deviationGain * (math.Abs(s-d.mean) - d.deviation)
+	d.mean += meanGain * (s - d.mean)
+}
+
+// level returns -log10 of the probability that something overdue for so long is still to
+// come, with the delays normally distributed. A pause is granted on top.
+func (d *detector) level(overdue, pause time.Duration) float64 {
+	if d.samples == 0 {
+		return 0
+	}
+	deviation := max(d.deviation, minDeviation, minRelativeDeviation*d.mean)
+	z := ((overdue - pause).Seconds() - d.mean) / deviation
+	later := math.Erfc(z/math.Sqrt2) / 2
+	if later <= 0 {
+		return maxLevel
+	}
+	return min(maxLevel, max(0, -math.Log10(later)))
+}
--- /dev/null
+++ b/internal/links/monitor_test.go
@@ -0,0 +1,212 @@
+package links
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"opaldale/internal/ident"
+)
+
+var testConfig = Config{Pause: time.Second, HalfLife: 15 * time.Second}
+
+// line plays heartbeats with echoes over one link, and evaluates as a node does.
+type line struct {
+	m       *Monitor
+	peer    Peer
+	now     ident.Mono
+	beat    ident.Mono // the next
+	delay   time.Duration
+	down    func(ident.Mono) bool // whether the peer's messages are lost
+	changes int                   // between down and any other state, inbound
+}
+
+const (
+	beatEvery = 700 * time.Millisecond
+	stepEvery = 50 * time.Millisecond
+)
+
+func newLine(delay time.Duration) *line {
+	return &line{m: NewMonitor(testConfig), peer: Peer{Sibling, "agent-1"}, now: ident.Mono(time.Hour), delay: delay,
+		down: func(ident.Mono) bool { return false }}
+}
+
+func (l *line) play(d time.Duration) {
+	for end := l.now.Add(d); l.now < end; l.now = l.now.Add(stepEvery) {
+		if l.now >= l.beat {
+			l.beat = l.now.Add(beatEvery)
+			l.m.Sent(l.peer, l.now)
+			if !l.down(l.now) {
+				l.m.Heard(l.peer, l.now)
+				l.m.Echoed(l.peer, l.now.Add(-l.delay), l.now)
+			}
+		}
+		for _, c := range l.m.Evaluate(l.now) {
+			if c.Direction == Inbound && (c.From.State == Down) != (c.To.State == Down) {
+				l.changes++
+			}
+		}
+	}
+}
+
+func (l *line) state(d Direction) State { return l.m.Verdict(l.peer, d).State }
+
+// TestBreakIsNoticed: a link that works is up whatever its delay, and down within a bound
+// after it breaks; one short break is over when the link is back.
+func TestBreakIsNoticed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		delay := time.Duration(rapid.IntRange(1, 900).Draw(t, "delay_ms")) * time.Millisecond
+		l := newLine(delay)
+		l.play(time.Duration(rapid.IntRange(10, 40).Draw(t, "steady_s")) * time.Second)
+		if l.state(Inbound) != Up || l.state(Outbound) != Up {
+			t.Fatalf("a working link is %v inbound, %v outbound", l.state(Inbound), l.state(Outbound))
+		}
+		broke := l.now
+		l.down = func(at ident.Mono) bool { return at >= broke }
+		l.play(2*time.Second + 2*beatEvery + 3*delay)
+		if l.state(Inbound) != Down || l.state(Outbound) != Down {
+			t.Fatalf("a broken link is %v inbound, %v outbound", l.state(Inbound), l.state(Outbound))
+		}
+		l.down = func(ident.Mono) bool { return false }
+		l.play((recoverProofs + 1) * beatEvery)
+		if l.state(Inbound) != Up || l.state(Outbound) != Up {
+			t.Fatalf("the link is back, and %v inbound, %v outbound", l.state(Inbound), l.state(Outbound))
+		}
+	})
+}
+
+// TestFlapsAreDamped: a link that breaks for a part of every few seconds, long enough to be
+// noticed, ends in one verdict. With shorter breaks, of which some are noticed, the verdict
+// changes no more often than the damping allows. Either way the link is up within a bounded
+// time once it is steady.
+func TestFlapsAreDamped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		period := time.Duration(rapid.IntRange(1000, 6000).Draw(t, "period_ms")) * time.Millisecond
+		share := rapid.Float64Range(0.2, 0.9).Draw(t, "share")
+		down := time.Duration(float64(period) * share)
+		l := newLine(5 * time.Millisecond)
+		l.play(20 * time.Second)
+		began := l.now
+		l.down = func(at ident.Mono) bool { return at.Sub(began)%period < down }
+		l.play(settled)
+		l.changes = 0
+		l.play(2 * time.Minute)
+		noticed := down >= noticedAfter
+		if l.changes > mostChanges || noticed && l.changes > 0 {
+			t.Fatalf("%d changes after %v of flapping with period %v, down for %v", l.changes, settled, period, down)
+		}
+		if noticed && (l.state(Inbound) != Down || !l.m.Verdict(l.peer, Inbound).Damped) {
+			t.Fatalf("down for %v of %v, and %v", down, period, l.state(Inbound))
+		}
+		l.down = func(ident.Mono) bool { return false }
+		l.play(MaxSuppression(testConfig.HalfLife) + 3*time.Second)
+		if l.state(Inbound) != Up || l.state(Outbound) != Up {
+			t.Fatalf("steady for %v, and %v inbound", MaxSuppression(testConfig.HalfLife), l.state(Inbound))
+		}
+	})
+}
+
+const (
+	// settled is how long a flapping link may take to come to one verdict.
+	settled = 40 * time.Second
+	// noticedAfter is a break that every heartbeat link notices.
+	noticedAfter = 3500 * time.Millisecond
+	// mostChanges is what damping leaves of changes in two minutes: breaks 11 s apart add
+	// up to less than the penalty from which a link is suppressed.
+	mostChanges = 22
+)
+
+// TestSlowBesideDead: delays to which a link has been used are no reason to suspect it, and
+// the same silence on a fast one is.
+func TestSlowBesideDead(t *testing.T) {
+	m := NewMonitor(testConfig)
+	slow, fast := Peer{Sibling, "slow"}, Peer{Sibling, "fast"}
+	now := ident.Mono(time.Hour)
+	for range 30 {
+		m.Sent(slow, now)
+		m.Sent(fast, now)
+		m.Answered(fast, now, now.Add(10*time.Millisecond))
+		m.Answered(slow, now, now.Add(2*time.Second))
+		now = now.Add(2 * time.Second)
+		m.Evaluate(now)
+	}
+	m.Sent(slow, now)
+	m.Sent(fast, now)
+	now = now.Add(2 * time.Second)
+	m.Evaluate(now)
+	if s := m.Verdict(slow, Outbound).State; s != Up {
+		t.Errorf("an answer that is due by now: the slow link is %v", s)
+	}
+	if s := m.Verdict(fast, Outbound).State; s != Down {
+		t.Errorf("no answer for 200 times the usual delay: the fast link is %v", s)
+	}
+}
+
+// TestDirectionsApart: to hear a sibling doesn't show that it hears us.
+func TestDirectionsApart(t *testing.T) {
+	l := newLine(5 * time.Millisecond)
+	l.play(10 * time.Second)
+	for range 20 {
+		l.now = l.now.Add(beatEvery)
+		l.m.Sent(l.peer, l.now)
+		l.m.Heard(l.peer, l.now) // without an echo
+		l.m.Evaluate(l.now)
+	}
+	if in, out := l.state(Inbound), l.state(Outbound); in != Up || out != Down {
+		t.Errorf("inbound %v, outbound %v", in, out)
+	}
+}
+
+// TestEvidence: a refusal, a refused connection and silence are told apart.
+func TestEvidence(t *testing.T) {
+	state, now := Peer{Kind: StateService}, ident.Mono(time.Hour)
+	fresh := func() *Monitor {
+		m := NewMonitor(testConfig)
+		for range 10 {
+			m.Sent(state, now)
+			m.Answered(state, now, now.Add(5*time.Millisecond))
+			now = now.Add(500 * time.Millisecond)
+			m.Evaluate(now)
+		}
+		return m
+	}
+	for _, c := range []struct {
+		name     string
+		happens  func(*Monitor)
+		evidence Evidence
+		state    State
+		usable   bool
+	}{
+		{"answers", func(m *Monitor) { m.Sent(state, now); m.Answered(state, now, now) }, Answer, Up, true},
+		{"refusals", func(m *Monitor) { m.Sent(state, now); m.Refused(state, now, now) }, ErrorAnswer, Up, false},
+		{"one refused connection", func(m *Monitor) { m.Rejected(state, now) }, Rejected, Up, true},
+		{"three refused connections", func(m *Monitor) { m.Rejected(state, now); m.Rejected(state, now); m.Rejected(state, now) }, Rejected, Down, false},
+		{"silence", func(m *Monitor) { m.Sent(state, now); now = now.Add(3 * time.Second) }, Silence, Down, false},
+		{"a request that was not sent", func(m *Monitor) { m.Sent(state, now); m.Withdrawn(state, now); now = now.Add(time.Minute) }, Answer, Up, true},
+	} {
+		m := fresh()
+		c.happens(m)
+		m.Evaluate(now)
+		v := m.Verdict(state, Outbound)
+		if v.Evidence != c.evidence || v.State != c.state || m.Usable(state) != c.usable {
+			t.Errorf("%s: %v by %v, usable %v", c.name, v.State, v.Evidence, m.Usable(state))
+		}
+	}
+}
+
+// TestMachinesMayBeSilent: machines report to one node at a time, so that a node which hears
+// none of a zone knows nothing of the link.
+func TestMachinesMayBeSilent(t *testing.T) {
+	m, zone, now := NewMonitor(testConfig), Peer{Machines, "east"}, ident.Mono(time.Hour)
+	for range 10 {
+		m.Heard(zone, now)
+		now = now.Add(time.Second)
+		m.Evaluate(now)
+	}
+	now = now.Add(time.Minute)
+	m.Evaluate(now)
+	if s := m.Verdict(zone, Inbound).State; s != Unknown {
+		t.Errorf("inbound %v", s)
+	}
+}
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"opaldale/internal/ident"
+	"opaldale/internal/links"
 )
 
 // Version is the format's version; frames of others are refused.
@@ -31,8 +32,14 @@
 	Beat                  // who leads, as far as the sender knows
 	Ask                   // a request passed on to the leader
 	Tell                  // the answer to it
+	Links                 // what nodes know of their links; only to nodes that can read it
+	Yield                 // the leader hands the lead over; only to nodes that can read it
 )
 
+// LinksCapability is what a node announces that can read Links and Yield. They came without
+// a change of Version, since older nodes close a connection on which they come.
+const LinksCapability = 1
+
 // Verb says what is asked.
 type Verb uint8
 
@@ -47,10 +54,11 @@
 // Frame is one message; only the fields of its kind are carried.
 type Frame struct {
 	Kind   Kind
-	Node   ident.NodeID // Hello: sender; Beat: leader, may be empty
-	Term   ident.Term   // Beat
+	Node   ident.NodeID // Hello: sender; Beat: leader, may be empty; Yield: who should follow, may be empty
+	Term   ident.Term   // Beat, Yield
 	Life   Life         // Beat
-	ID     uint64       // Ask, Tell; Beat: never the same again
+	ID     uint64       // Ask, Tell; Beat: never the same again; Links: the receiver's newest Beat
+	Rows   []links.Row  // Links
 	Verb   Verb         // Ask
 	Job    string       // Ask: the id in the path
 	Status uint16       // Tell
@@ -115,6 +123,12 @@
 		b = binary.BigEndian.AppendUint16(b, f.Status)
 		b = binary.BigEndian.AppendUint16(b, f.Retry)
 		body()
+	case Links:
+		b = binary.BigEndian.AppendUint64(b, f.ID)
+		b = links.AppendRows(b, f.Rows)
+	case Yield:
+		str(string(f.Node))
+		b = binary.BigEndian.AppendUint64(b, uint64(f.Term))
 	}
 	binary.BigEndian.PutUint32(b[at:], uint32(len(b)-at-4))
 	return b
@@ -151,6 +165,16 @@
 		f.Status = r.u16()
 		f.Retry = r.u16()
 		f.Body = r.body()
+	case Links:
+		f.ID = r.u64()
+		rows, err := links.DecodeRows(r.rest())
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrFrame, err)
+		}
+		f.Rows = rows
+	case Yield:
+		f.Node = ident.NodeID(r.str())
+		f.Term = ident.Term(r.u64())
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, f.Kind)
 	}
@@ -204,6 +228,9 @@
 	return 0
 }
 
+// rest takes all that is left.
+func (r *reader) rest() []byte { return r.take(len(r.b)) }
+
 func (r *reader) str() string { return string(r.take(int(r.u16()))) }
 
 func (r *reader) body() []byte {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"opaldale/internal/ident"
+	"opaldale/internal/links"
 )
 
 var samples = []*Frame{
@@ -23,6 +24,10 @@
 	{Kind: Ask, ID: 7, Verb: Poll, Job: "j-000412", Body: []byte{}},
 	{Kind: Ask, ID: 1<<64 - 1, Verb: Submit, Body: []byte(`{"id":"j-1"}`)},
 	{Kind: Tell, ID: 9, Status: 503, Retry: 2, Body: []byte("{}")},
+	{Kind: Yield, Node: "agent-2", Term: 12},
+	{Kind: Links, ID: 5, Rows: []links.Row{{Origin: "agent-0", Incarnation: 3, Sequence: 4, Age: time.Second,
+		Links:     []links.LinkState{{Peer: links.Peer{Kind: links.Sibling, Name: "agent-1"}, In: links.Up, Out: links.Down, Damped: true}},
+		Witnesses: []links.Witness{{Zone: "east", Address: "10.1.0.1:9000"}}}}},
 }
 
 func TestRoundTrip(t *testing.T) {
@@ -45,6 +50,7 @@
 	other := append([]byte{Version + 1}, good[1:]...)
 	for name, b := range map[string][]byte{"empty": nil, "other version": other, "unknown kind": {Version, 99},
 		"cut short": good[:len(good)-1], "too long": append(good[:len(good):len(good)], 0),
+		"rows cut short": {Version, byte(Links), 0, 0, 0, 0, 0, 0, 0, 1, 1, 5}, "links without rows": {Version, byte(Links), 0, 0, 0, 0, 0, 0, 0, 1},
 		"unknown verb": {Version, byte(Ask), 0, 0, 0, 0, 0, 0, 0, 1, 77, 0, 0, 0, 0, 0, 0}} {
 		if _, err := Decode(b); !errors.Is(err, ErrFrame) {
 			t.Errorf("%s: %v", name, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -161,7 +161,7 @@
 	}
 	status, b, err := httpcall.Do(s.worker, commandTime, http.MethodPost, "http://"+c.Addr+"/commands", c.Body, maxReport)
 	if err != nil {
-		return workers.Answer{}
+		return workers.Answer{Rejected: httpcall.Rejected(err)}
 	}
 	r, err := api.ParseReport(b)
 	if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -78,6 +79,22 @@
 			t.Errorf("%q is taken", bad)
 		}
 	}
+	if err := tu.Read([]byte("(tuning (links on) (links-suspect 800ms) (links-half-life 20s) (links-hold 30s) (links-persist 5s))")); err != nil {
+		t.Fatal(err)
+	}
+	if want := (Links{Enabled: true, Suspect: 800 * time.Millisecond, HalfLife: 20 * time.Second, Hold: 30 * time.Second, Persist: 5 * time.Second}); tu.Links != want || tu.check() != nil {
+		t.Errorf("%+v, %v", tu.Links, tu.check())
+	}
+	for _, bad := range []struct{ text, name string }{
+		{"(links-suspect 1h)", "links-suspect"}, {"(links-half-life 0s)", "links-half-life"}, {"(links-hold 1s)", "links-hold"},
+		{"(links-persist 0s)", "links-persist"}, {"(links maybe)", "links"},
+	} {
+		tu := DefaultTuning()
+		err := errors.Join(tu.Read([]byte("(tuning "+bad.text+")")), tu.check())
+		if err == nil || !strings.Contains(err.Error(), bad.name) {
+			t.Errorf("%s: %v", bad.text, err)
+		}
+	}
 	tu.Plan = "guess"
 	if tu.check() == nil {
 		t.Error("an unknown plan is taken")
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -21,6 +21,16 @@
 	MaxWait     time.Duration // a job that waits longer for its first task goes before all others
 	GangWait    time.Duration // other work waits so long for room before a whole gang is stopped for it
 	Plan        string        // "asm1", or "none": only local work and stealing
+	Links       Links
+}
+
+// Links holds the operators' settings for the view of half-broken links.
+type Links struct {
+	Enabled  bool
+	Suspect  time.Duration // granted beyond a link's usual delays before it is suspected
+	HalfLife time.Duration // of the penalty for a link that breaks again and again
+	Hold     time.Duration // a lead is kept for so long before it is handed over
+	Persist  time.Duration // a sibling must be better placed for so long
 }
 
 // DefaultTuning is used where the operators say nothing.
@@ -35,6 +45,12 @@
 		MaxWait:     2 * time.Minute,
 		GangWait:    5 * time.Second,
 		Plan:        "asm1",
+		Links: Links{
+			Suspect:  time.Second,
+			HalfLife: 15 * time.Second,
+			Hold:     15 * time.Second,
+			Persist:  3 * time.Second,
+		},
 	}
 }
 
@@ -54,6 +70,10 @@
 		{"max-wait: must be at least 1s", t.MaxWait < time.Second},
 		{"gang-wait: negative", t.GangWait < 0},
 		{"plan: must be asm1 or none", t.Plan != "asm1" && t.Plan != "none"},
+		{"links-suspect: must be from 100ms to leader-lease", t.Links.Suspect < 100*time.Millisecond || t.Links.Suspect > t.LeaderLease},
+		{"links-half-life: must be from 1s to 10m", t.Links.HalfLife < time.Second || t.Links.HalfLife > 10*time.Minute},
+		{"links-hold: must be at least links-persist, and at most 10m", t.Links.Hold < t.Links.Persist || t.Links.Hold > 10*time.Minute},
+		{"links-persist: must be at least 500ms", t.Links.Persist < 500*time.Millisecond},
 	} {
 		if f.bad {
 			faults = append(faults, errors.New(f.name))
@@ -100,6 +120,16 @@
 			t.GangWait, err = time.ParseDuration(value)
 		case "plan":
 			t.Plan = value
+		case "links":
+			t.Links.Enabled, err = onOff(value)
+		case "links-suspect":
+			t.Links.Suspect, err = time.ParseDuration(value)
+		case "links-half-life":
+			t.Links.HalfLife, err = time.ParseDuration(value)
+		case "links-hold":
+			t.Links.Hold, err = time.ParseDuration(value)
+		case "links-persist":
+			t.Links.Persist, err = time.ParseDuration(value)
 		default:
 			err = errors.New("unknown setting")
 		}
@@ -109,3 +139,14 @@
 	}
 	return errors.Join(faults...)
 }
+
+// onOff reads a setting that is on or off.
+func onOff(value string) (bool, error) {
+	switch value {
+	case "on":
+		return true, nil
+	case "off":
+		return false, nil
+	}
+	return false, errors.New("must be on or off")
+}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -28,6 +28,11 @@
 	if w.cfg.Meet {
 		kinds = 35
 	}
+	if w.cfg.Links && w.rng.IntN(3) == 0 {
+		w.oneWayFault(n)
+		w.at(time.Duration(1000+w.rng.IntN(14_000))*time.Millisecond, w.fault)
+		return
+	}
 	switch kind := w.rng.IntN(kinds); kind {
 	case 0, 1:
 		n.kill(back)
@@ -135,3 +140,23 @@
 		}
 	}
 }
+
+// oneWayFault breaks one direction of a node's links, for a while or again and again.
+func (w *World) oneWayFault(n *node) {
+	o := w.nodes[w.rng.IntN(len(w.nodes))]
+	ends := []string{"state", "cloud", machines}
+	if o != n {
+		ends = append(ends, o.name)
+	}
+	from, to := n.name, ends[w.rng.IntN(len(ends))]
+	if w.rng.IntN(2) == 0 {
+		from, to = to, from
+	}
+	whole := time.Duration(5+w.rng.IntN(40)) * time.Second
+	if w.rng.IntN(2) == 0 {
+		w.severWay(from, to, w.rng.IntN(3) == 0, whole)
+		return
+	}
+	period := time.Duration(1000+w.rng.IntN(5000)) * time.Millisecond
+	w.flap(from, to, period*time.Duration(3+w.rng.IntN(5))/10, period, whole)
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -56,6 +56,7 @@
 	n.still = 0
 	n.cache = map[string]cached{}
 	set := &settings.Settings{Node: ident.NodeID(n.name), Zone: n.zone, Cluster: n.w.set, Tuning: settings.DefaultTuning()}
+	set.Tuning.Links.Enabled = n.w.cfg.Links
 	if n.w.cfg.Mutation == NoMaxWait {
 		set.Tuning.MaxWait = 24 * time.Hour
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -27,6 +27,7 @@
 	Crowd    bool          // small jobs of one team all the time, and large ones now and then
 	Quiet    bool          // no jobs come by themselves
 	Meet     bool          // the faults are those of the page on two at once as well
+	Links    bool          // the nodes watch their links
 	Nodes    int           // controllers; 0: three
 	Fleet    int           // machines that the cloud has in all, with limits of teams to match; 0: a small one
 	Calm     time.Duration // after the faults; 0: calm
--- a/internal/statesvc/statesvc.go
+++ b/internal/statesvc/statesvc.go
@@ -102,6 +102,8 @@
 	Truncated bool            `json:"truncated"`
 	News      []News          `json:"news"`
 	Error     string          `json:"error"`
+	// Rejected says that the connection was refused; the request was not sent.
+	Rejected bool `json:"-"`
 }
 
 // maxReply bounds what is read of an answer: a list has at most 512 KiB, the
@@ -125,7 +127,7 @@
 	method, path, sent := request(r)
 	status, body, err := httpcall.Do(c.http, r.Timeout, method, c.base+path, sent, maxReply)
 	if err != nil {
-		return Reply{Outcome: Lost, Error: err.Error()}
+		return Reply{Outcome: Lost, Error: err.Error(), Rejected: httpcall.Rejected(err)}
 	}
 	var out Reply
 	switch status {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -9,11 +9,13 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"opaldale/internal/commit"
 	"opaldale/internal/election"
 	"opaldale/internal/ident"
+	"opaldale/internal/mesh"
 	"opaldale/internal/statesvc"
 )
 
@@ -23,9 +25,16 @@
 
 // notice is the value of a node's key.
 type notice struct {
-	Level ident.Level `json:"level"` // the newest that the node can read
+	Level  ident.Level `json:"level"`            // the newest that the node can read
+	Frames int         `json:"frames,omitempty"` // of optional frames between nodes, what it can read
 }
 
+// newest is what this program can read.
+var newest = notice{Level: ident.NewestLevel, Frames: mesh.LinksCapability}
+
+// covers says whether a node can read all that another notice names.
+func (n notice) covers(o notice) bool { return n.Level >= o.Level && n.Frames >= o.Frames }
+
 const (
 	callTime = time.Second
 	again    = time.Second
@@ -50,7 +59,7 @@
 		switch r.Outcome {
 		case statesvc.OK:
 			var n notice
-			if json.Unmarshal(r.Value, &n) == nil && n.Level >= ident.NewestLevel {
+			if json.Unmarshal(r.Value, &n) == nil && n.covers(newest) {
 				return
 			}
 		case statesvc.NotFound:
@@ -59,7 +68,7 @@
 			later()
 			return
 		}
-		value, err := json.Marshal(notice{ident.NewestLevel})
+		value, err := json.Marshal(newest)
 		if err != nil {
 			panic(err)
 		}
@@ -72,6 +81,20 @@
 	})
 }
 
+// FramesOf returns, of the nodes that have announced themselves, what optional frames they
+// can read.
+func FramesOf(pairs []statesvc.Pair) map[ident.NodeID]int {
+	frames := map[ident.NodeID]int{}
+	for _, p := range pairs {
+		var n notice
+		name, ok := strings.CutPrefix(p.Path, Prefix)
+		if ok && json.Unmarshal(p.Value, &n) == nil {
+			frames[ident.NodeID(name)] = n.Frames
+		}
+	}
+	return frames
+}
+
 // State is where a leader's wish to raise the level stands.
 type State uint8
 
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -12,6 +12,7 @@
 // Command is a call of a worker's POST /commands.
 type Command struct {
 	Addr string
+	Zone string // of the machine
 	Body api.Commands
 	// NotAfter is the time, by this node's clock, from which the call must not be sent
 	// any more; 0: none.
@@ -27,6 +28,8 @@
 	Report *api.Report
 	// Unsent says that the command was surely not sent: its time was over.
 	Unsent bool
+	// Rejected says that the connection was refused; the command was not sent.
+	Rejected bool
 }
 
 func launch(t *jobs.Task) api.Order {
@@ -102,7 +105,7 @@
 	if orders == nil {
 		orders = []api.Order{}
 	}
-	tb.port.Worker(Command{Addr: w.Addr, Body: api.Commands{Epoch: epoch, Tenure: tenure, Orders: orders}}, func(a Answer) {
+	tb.port.Worker(Command{Addr: w.Addr, Zone: w.Site, Body: api.Commands{Epoch: epoch, Tenure: tenure, Orders: orders}}, func(a Answer) {
 		if tb.dead {
 			return
 		}
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -46,7 +46,7 @@
 	epoch := ident.MakeEpoch(tb.cfg.Term, 0)
 	if !tb.asked[r.Host] && len(tb.asked) < tb.strangerLimit() {
 		tb.asked[r.Host] = true
-		tb.port.Worker(Command{Addr: r.Addr, Body: api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}}, func(a Answer) {
+		tb.port.Worker(Command{Addr: r.Addr, Zone: r.Site, Body: api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}}, func(a Answer) {
 			if tb.dead {
 				return
 			}
