Operators see links, authority and handovers; cases of half-broken links as tests

Need: to see who reaches whom, and to know that each way in which links break ends well. Two mutations, rows without a date and handovers without a hold, are noticed.

--- a/internal/controller/yield.go
+++ b/internal/controller/yield.go
@@ -3,7 +3,6 @@
 import (
 	"log/slog"
 	"slices"
-	"time"
 
 	"opaldale/internal/handover"
 	"opaldale/internal/ident"
@@ -114,94 +113,3 @@
 	}
 	return false
 }
-
-// LinkReport is what operators are shown of a node's links.
-type LinkReport struct {
-	Node      ident.NodeID      `json:"node"`
-	Enabled   bool              `json:"enabled"`
-	Authority string            `json:"authority"`
-	Handover  string            `json:"handover,omitempty"`
-	Links     []LinkEntry       `json:"links"`
-	Rows      []RowEntry        `json:"rows"`
-	Handovers []HandoverEntry   `json:"handovers"`
-	Dropped   map[string]uint64 `json:"dropped"`
-}
-
-// LinkEntry is the verdict on one direction of a link.
-type LinkEntry struct {
-	Peer      string  `json:"peer"`
-	Direction string  `json:"direction"`
-	State     string  `json:"state"`
-	Evidence  string  `json:"evidence"`
-	Level     float64 `json:"level"`
-	ForS      float64 `json:"for_s"`
-	Damped    bool    `json:"damped,omitempty"`
-	Refusing  bool    `json:"refusing,omitempty"`
-	Breaks    uint64  `json:"breaks"`
-}
-
-// RowEntry is a sibling's view of its links, as it is known here.
-type RowEntry struct {
-	Origin ident.NodeID `json:"origin"`
-	AgeS   float64      `json:"age_s"`
-	Links  []RowLink    `json:"links"`
-}
-
-// RowLink is one link of a sibling.
-type RowLink struct {
-	Peer     string `json:"peer"`
-	Inbound  string `json:"inbound"`
-	Outbound string `json:"outbound"`
-	Refusing bool   `json:"refusing,omitempty"`
-	Damped   bool   `json:"damped,omitempty"`
-}
-
-// HandoverEntry is one lead that was given up.
-type HandoverEntry struct {
-	Term     uint64       `json:"term"`
-	AgoS     float64      `json:"ago_s"`
-	To       ident.NodeID `json:"to"`
-	Reason   string       `json:"reason"`
-	Own      int          `json:"standing"`
-	Standing int          `json:"successor_standing"`
-}
-
-// LinkReport tells what is known of the node's links.
-func (c *Controller) LinkReport() LinkReport {
-	report := LinkReport{Node: c.set.Node, Enabled: c.links != nil, Authority: c.authorityNow().String(),
-		Links: []LinkEntry{}, Rows: []RowEntry{}, Handovers: []HandoverEntry{}, Dropped: map[string]uint64{}}
-	if c.links == nil {
-		return report
-	}
-	now := c.env.Now()
-	seconds := func(d time.Duration) float64 { return d.Round(time.Millisecond).Seconds() }
-	if c.lead != nil {
-		report.Handover = c.lead.handover.State().String()
-	}
-	v := c.links
-	for _, p := range v.monitor.Peers() {
-		for _, d := range []links.Direction{links.Inbound, links.Outbound} {
-			verdict := v.monitor.Verdict(p, d)
-			report.Links = append(report.Links, LinkEntry{Peer: p.String(), Direction: d.String(), State: verdict.State.String(),
-				Evidence: verdict.Evidence.String(), Level: verdict.Level, ForS: seconds(now.Sub(verdict.Since)),
-				Damped: verdict.Damped, Refusing: v.monitor.Refusing(p), Breaks: verdict.Breaks})
-		}
-	}
-	for _, r := range v.view.Rows(now) {
-		entry := RowEntry{Origin: r.Origin, AgeS: seconds(r.Age)}
-		for _, l := range r.Links {
-			entry.Links = append(entry.Links, RowLink{Peer: l.Peer.String(), Inbound: l.In.String(), Outbound: l.Out.String(),
-				Refusing: l.Refusing, Damped: l.Damped})
-		}
-		report.Rows = append(report.Rows, entry)
-	}
-	for _, h := range v.records {
-		report.Handovers = append(report.Handovers, HandoverEntry{Term: uint64(h.Term), AgoS: seconds(now.Sub(h.At)), To: h.To,
-			Reason: h.Reason.String(), Own: int(h.Own), Standing: int(h.Standing)})
-	}
-	for reason, n := range v.refusals {
-		report.Dropped[reason.String()] = n
-	}
-	report.Dropped["undated"] = v.undated
-	return report
-}
--- a/internal/fleet/unheard.go
+++ b/internal/fleet/unheard.go
@@ -30,7 +30,8 @@
 	returnedPart = 50
 )
 
-// zonesUnheard finds the zones that are silent as a whole.
+// zonesUnheard finds the zones that are silent as a whole. One stays so until a machine of it
+// is heard, though all that it had may be given up by then.
 func (m *Manager) zonesUnheard(now ident.Mono) {
 	if m.cfg.Unheard == nil {
 		return
@@ -63,11 +64,6 @@
 			delete(m.unheard, name)
 		}
 	}
-	for name := range m.unheard {
-		if zones[name] == nil {
-			delete(m.unheard, name) // it has no machines any more
-		}
-	}
 }
 
 // blind says whether the silence of a zone's machines is this node's own fault.
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -31,6 +31,7 @@
 	mux.HandleFunc("POST /v2/runs/{id}/cancel", f.admit(mesh.Cancel, f.withJob(mesh.Cancel)))
 	mux.HandleFunc("POST /checkin", f.admit(mesh.Checkin, f.withBody(mesh.Checkin)))
 	mux.HandleFunc("GET /up", f.health)
+	mux.HandleFunc("GET /links", f.links)
 	mux.Handle("GET /metrics", f.metrics.handler())
 	return mux
 }
@@ -134,6 +135,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// links shows operators what the node knows of its links.
+func (f *frontend) links(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, f.server.linkReport())
+}
+
 // writeReply writes an answer of the controller.
 func writeReply(w http.ResponseWriter, a controller.Reply) {
 	h := w.Header()
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"opaldale/internal/controller"
 	"opaldale/internal/mesh"
 )
 
@@ -97,4 +98,37 @@
 	count("refused", "Requests refused for want of a leader or of the state service.", float64(n.Refused))
 	count("vouched", "Leases renewed for a leader that was out of reach.", float64(n.Vouched))
 	count("elected", "Terms begun.", float64(n.Elected))
+	collectLinks(ch, c.s.linkReport())
+}
+
+// Descriptions of the metrics about links.
+var (
+	linkState = prometheus.NewDesc("opaldale_link_state", "Verdict on a direction of a link: 0 unknown, 1 up, 2 suspect, 3 down.",
+		[]string{"peer", "direction"}, nil)
+	linkDamped = prometheus.NewDesc("opaldale_link_damped", "1 while a direction counts as down for having broken too often.",
+		[]string{"peer", "direction"}, nil)
+	linkBreaks = prometheus.NewDesc("opaldale_link_breaks_total", "Breaks noticed of a direction of a link.",
+		[]string{"peer", "direction"}, nil)
+	linkRows = prometheus.NewDesc("opaldale_link_rows_dropped_total", "Rows of siblings that were not taken, by reason.",
+		[]string{"reason"}, nil)
+	authorityState = prometheus.NewDesc("opaldale_authority", "1 for the state of the node's authority.", []string{"state"}, nil)
+	handovers      = prometheus.NewDesc("opaldale_handovers_total", "Leads that this node has given up by choice.", nil, nil)
+)
+
+// collectLinks shows what the node knows of its links.
+func collectLinks(ch chan<- prometheus.Metric, r controller.LinkReport) {
+	ch <- prometheus.MustNewConstMetric(authorityState, prometheus.GaugeValue, 1, r.Authority)
+	if !r.Enabled {
+		return
+	}
+	bit := map[bool]float64{true: 1}
+	for _, l := range r.Links {
+		ch <- prometheus.MustNewConstMetric(linkState, prometheus.GaugeValue, float64(l.Code), l.Peer, l.Direction)
+		ch <- prometheus.MustNewConstMetric(linkDamped, prometheus.GaugeValue, bit[l.Damped], l.Peer, l.Direction)
+		ch <- prometheus.MustNewConstMetric(linkBreaks, prometheus.CounterValue, float64(l.Breaks), l.Peer, l.Direction)
+	}
+	for reason, n := range r.Dropped {
+		ch <- prometheus.MustNewConstMetric(linkRows, prometheus.CounterValue, float64(n), reason)
+	}
+	ch <- prometheus.MustNewConstMetric(handovers, prometheus.CounterValue, float64(r.HandoverCount))
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -177,6 +177,13 @@
 	return <-ch
 }
 
+// linkReport asks the loop what is known of the links.
+func (s *Server) linkReport() controller.LinkReport {
+	ch := make(chan controller.LinkReport, 1)
+	s.loop.post(func() { ch <- s.ctl.LinkReport() })
+	return <-ch
+}
+
 // writeJSON answers with a message of the API.
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/internal/standin/links.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/links"
+	"opaldale/internal/mesh"
+)
+
+// linkEvents is what the stand-in does when nodes speak of their links.
+type linkEvents struct {
+	announced map[ident.Term]bool
+	onYield   func(from *node, to ident.NodeID) // at the first announcement of a term
+	oldRows   time.Duration                     // copies of rows come so much later as well
+	newest    map[string]uint64                 // the newest heartbeat from one node to another
+}
+
+// linkFrame takes note of a frame about links before it is sent; false drops it. A node of
+// the version in production would close the connection on one.
+func (w *World) linkFrame(from, to *node, f *mesh.Frame) bool {
+	way := to.name + " " + from.name
+	switch f.Kind {
+	case mesh.Beat:
+		w.newest[from.name+" "+to.name] = f.ID
+	case mesh.Links, mesh.Yield:
+		if to.alive && to.env.old || from.env.old {
+			w.broken("%s sent a frame about links to %s, of which one is old", from.name, to.name)
+			return false
+		}
+	}
+	switch f.Kind {
+	case mesh.Links:
+		w.took("rows sent")
+		w.copyRows(from, to, way, f)
+	case mesh.Yield:
+		if !w.announced[f.Term] {
+			w.announced[f.Term] = true
+			w.took("handover announced")
+			w.logf("%s hands term %d over to %q", from.name, f.Term, f.Node)
+			if w.onYield != nil {
+				w.onYield(from, f.Node)
+			}
+		}
+	}
+	return true
+}
+
+// copyRows has a copy of a message of rows come late. Of the mutation UndatedRows, it names
+// the receiver's newest heartbeat, as if it had been made just before.
+func (w *World) copyRows(from, to *node, way string, f *mesh.Frame) {
+	if w.oldRows == 0 {
+		return
+	}
+	late := *f
+	late.Rows = slices.Clone(f.Rows[:1]) // that of the sender
+	w.at(w.oldRows, func() {
+		if !to.alive {
+			return
+		}
+		w.took("old rows")
+		if w.cfg.Mutation == UndatedRows {
+			late.ID = w.newest[way]
+			late.Rows[0].Sequence += undatedBy
+		}
+		to.when(to.life, func() { to.ctl.Frame(ident.NodeID(from.name), &late) })
+	})
+}
+
+// undatedBy makes the sequence of an old row larger than that of any newer one.
+const undatedBy = 100_000
+
+// countTerms counts the changes of the lead from now on under a name.
+func (w *World) countTerms(what string) {
+	w.watchLeaders(func() { w.took(what) })
+}
+
+// wrongRows says of one node that all its links work, and of the others that none does.
+func wrongRows(w *World, best *node) []links.Row {
+	var rows []links.Row
+	for _, n := range w.nodes {
+		r := links.Row{Origin: ident.NodeID(n.name), Incarnation: 1 << 60, Sequence: w.seq}
+		state := links.Down
+		if n == best {
+			state = links.Up
+		}
+		peers := []links.Peer{{Kind: links.StateService}, {Kind: links.Cloud}, {Kind: links.Machines, Name: "east"}, {Kind: links.Machines, Name: "west"}}
+		for _, p := range peers {
+			r.Links = append(r.Links, links.LinkState{Peer: p, In: state, Out: state})
+		}
+		rows = append(rows, r)
+	}
+	return rows
+}
--- a/internal/standin/mutation.go
+++ b/internal/standin/mutation.go
@@ -110,4 +110,6 @@
 	ForgetPlacements          // a new leader doesn't know which machines tasks are on
 	LoseZone                  // the controllers don't know that a job is bound to one zone
 	IgnoreLimits              // what a node decided goes out however long after
+	UndatedRows               // late copies of what siblings say of their links look new
+	EndlessHandovers          // nothing bounds how often the lead is given up
 )
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -57,6 +57,9 @@
 	n.cache = map[string]cached{}
 	set := &settings.Settings{Node: ident.NodeID(n.name), Zone: n.zone, Cluster: n.w.set, Tuning: settings.DefaultTuning()}
 	set.Tuning.Links.Enabled = n.w.cfg.Links
+	if n.w.cfg.Mutation == EndlessHandovers {
+		set.Tuning.Links.Hold, set.Tuning.Links.Persist = 0, 0
+	}
 	if n.w.cfg.Mutation == NoMaxWait {
 		set.Tuning.MaxWait = 24 * time.Hour
 	}
@@ -235,6 +238,9 @@
 		if w.cfg.Mutation == VouchOn && g.Kind == mesh.Beat && g.Life.Grace > 0 {
 			g.Life.Grace = mesh.Millis(time.Hour)
 		}
+		if !w.linkFrame(e.n, o, g) {
+			return
+		}
 		life := o.life
 		e.afterHalt(func() {
 			w.deliver(e.n.name, o.name, func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -64,6 +64,7 @@
 	deaf    map[string]ident.Mono // machines that nothing reaches until then
 	nextJob int
 	troubles
+	linkEvents
 
 	// Broken lists the rules broken, in words; Undone what was not brought to its
 	// end in the calm; Log what happened.
@@ -104,7 +105,8 @@
 func New(cfg Config) *World {
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), workers: map[ident.HostID]*worker{},
 		jobs: map[ident.JobID]*userJob{}, gangs: map[gangKey]*gangRun{}, cuts: map[[2]string]*cut{}, oneWay: map[[2]string]*cut{}, zones: map[string]*cut{}, deaf: map[string]ident.Mono{},
-		troubles: troubles{mute: map[string]ident.Mono{}, seen: map[string]int{}}}
+		linkEvents: linkEvents{announced: map[ident.Term]bool{}, newest: map[string]uint64{}},
+		troubles:   troubles{mute: map[string]ident.Mono{}, seen: map[string]int{}}}
 	w.set = settings.Cluster{
 		Nodes: cfg.nodeCount(), Zones: []string{"east", "west"}, TimeBoundMS: 200,
 		Teams: []settings.Team{{Name: "red", CPUs: 12, CPUsMax: 28}, {Name: "blue", CPUs: 8, CPUsMax: 20},
