A cluster on loopback sockets, with a switch on every directed link

Need: the view of links was tested in simulated time only. Change: server.New, Serve and Close in place of Run alone, with the dialer given; the transport between nodes ends with its node. internal/loopback has a state service, a cloud and workers by their protocols, and connections whose directions break one at a time. TestDroppedLinks runs three and five controllers, breaks links under 60 submissions and cancellations, kills and restarts a node, and checks the workers' and users' own record: one final result for each job, nothing started after a cancellation, one node a term. Nothing is judged by how long it takes. The record and the switches have tests of what they notice.

--- /dev/null
+++ b/internal/loopback/cloud.go
@@ -0,0 +1,184 @@
+package loopback
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"opaldale/internal/cloud"
+	"opaldale/internal/ident"
+)
+
+const (
+	machineType = "m8"
+	machineCPUs = 8
+	// zoneCapacity is how many machines of a zone and kind there are.
+	zoneCapacity = 8
+	bootTime     = 100 * time.Millisecond
+)
+
+// provider is a cloud by its protocol, whose machines are workers in this process.
+type provider struct {
+	cluster *Cluster
+
+	mu       sync.Mutex
+	last     int
+	requests map[string][]ident.HostID
+	machines map[ident.HostID]*machine
+}
+
+type machine struct {
+	zone   string
+	spot   bool
+	born   time.Time
+	worker *worker // nil while it boots
+}
+
+func newProvider(c *Cluster) *provider {
+	return &provider{cluster: c, requests: map[string][]ident.HostID{}, machines: map[ident.HostID]*machine{}}
+}
+
+func (p *provider) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog", p.catalog)
+	mux.HandleFunc("POST /machines", p.rent)
+	mux.HandleFunc("POST /machines/return", p.giveBack)
+	mux.HandleFunc("GET /machines", p.list)
+	return mux
+}
+
+func (p *provider) catalog(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, map[string]any{"models": []cloud.Model{{SKU: machineType, VCPUs: machineCPUs, MemoryGB: 32, LocalGB: 20,
+		PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 1, Sites: zones}}})
+}
+
+func (p *provider) rent(w http.ResponseWriter, r *http.Request) {
+	var q cloud.Request
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts, known := p.requests[q.Hire]
+	if !known {
+		have := 0
+		for _, m := range p.machines {
+			if m.zone == q.Site && m.spot == q.Standby {
+				have++
+			}
+		}
+		for range min(q.Number, zoneCapacity-have) {
+			hosts = append(hosts, p.boot(q.Site, q.Standby))
+		}
+		if len(hosts) == 0 {
+			answer(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
+			return
+		}
+		p.requests[q.Hire] = hosts
+	}
+	answer(w, http.StatusOK, map[string]any{"hosts": hosts})
+}
+
+// boot starts a machine, whose worker is up a little later.
+func (p *provider) boot(zone string, spot bool) ident.HostID {
+	p.last++
+	host := ident.HostID(fmt.Sprintf("host-%06d", p.last))
+	m := &machine{zone: zone, spot: spot, born: time.Now()}
+	p.machines[host] = m
+	time.AfterFunc(bootTime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.machines[host] != m || p.cluster.ended() {
+			return
+		}
+		if k, err := newWorker(p.cluster, host, zone, spot); err == nil {
+			m.worker = k
+		}
+	})
+	return host
+}
+
+func (p *provider) giveBack(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		Hosts []ident.HostID `json:"hosts"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, h := range q.Hosts {
+		p.remove(h)
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+// remove ends a machine.
+func (p *provider) remove(h ident.HostID) {
+	p.mu.Lock()
+	m := p.machines[h]
+	delete(p.machines, h)
+	p.mu.Unlock()
+	if m != nil && m.worker != nil {
+		m.worker.end()
+	}
+}
+
+func (p *provider) list(w http.ResponseWriter, r *http.Request) {
+	since := ident.HostID(r.URL.Query().Get("since"))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts := []cloud.Listed{}
+	for h, m := range p.machines {
+		if h <= since {
+			continue
+		}
+		l := cloud.Listed{ID: h, Model: machineType, Site: m.zone, Standby: m.spot, Status: "booting", AgeS: time.Since(m.born).Seconds()}
+		if m.worker != nil {
+			l.Status, l.Addr = "running", m.worker.addr
+		}
+		hosts = append(hosts, l)
+	}
+	slices.SortFunc(hosts, func(a, b cloud.Listed) int { return cmp.Compare(a.ID, b.ID) })
+	answer(w, http.StatusOK, map[string]any{"hosts": hosts, "truncated": false})
+}
+
+// worker returns a machine's worker, nil if it has none.
+func (p *provider) worker(h ident.HostID) *worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.machines[h]; m != nil {
+		return m.worker
+	}
+	return nil
+}
+
+// zoneOf returns the zone whose machine is at an address, empty if none is.
+func (p *provider) zoneOf(addr string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.machines {
+		if m.worker != nil && strings.EqualFold(m.worker.addr, addr) {
+			return m.zone
+		}
+	}
+	return ""
+}
+
+// endAll ends all machines.
+func (p *provider) endAll() {
+	p.mu.Lock()
+	var hosts []ident.HostID
+	for h := range p.machines {
+		hosts = append(hosts, h)
+	}
+	p.mu.Unlock()
+	for _, h := range hosts {
+		p.remove(h)
+	}
+}
--- /dev/null
+++ b/internal/loopback/cluster.go
@@ -0,0 +1,295 @@
+package loopback
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+	"opaldale/internal/server"
+	"opaldale/internal/settings"
+)
+
+// zones are those of the cluster's machines; nodes are spread over them.
+var zones = []string{"east", "west"}
+
+// The ends of links beside nodes and zones.
+const (
+	State = "state"
+	Cloud = "cloud"
+)
+
+// Cluster is a cluster on the loopback interface.
+type Cluster struct {
+	Switches *Switches
+	Record   *Record
+
+	provider *provider
+	services []*http.Server
+	client   *http.Client
+
+	mu    sync.Mutex
+	nodes []*node
+	names map[string]string // who is at an address
+	jobs  map[ident.JobID]time.Duration
+	over  bool
+}
+
+// node is one controller; its process, a server, comes and goes.
+type node struct {
+	name     string
+	settings *settings.Settings
+	server   *server.Server
+}
+
+// Start brings a cluster of so many nodes up; tune changes the settings of each.
+func Start(nodes int, tune func(*settings.Settings)) (*Cluster, error) {
+	c := &Cluster{Switches: NewSwitches(), Record: newRecord(), names: map[string]string{}, jobs: map[ident.JobID]time.Duration{},
+		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	c.provider = newProvider(c)
+	stateAddr, err := c.serve(State, newStateService().handler())
+	if err != nil {
+		return nil, err
+	}
+	cloudAddr, err := c.serve(Cloud, c.provider.handler())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.plan(nodes, stateAddr, cloudAddr, tune); err != nil {
+		return nil, err
+	}
+	for i := range c.nodes {
+		if err := c.Restart(i); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// serve brings an outside service up.
+func (c *Cluster) serve(name string, h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	web := &http.Server{Handler: h}
+	c.services = append(c.services, web)
+	c.names[listener.Addr().String()] = name
+	go web.Serve(listener)
+	return listener.Addr().String(), nil
+}
+
+// freeAddr returns an address that nobody uses at present.
+func freeAddr() (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// plan makes the nodes' settings.
+func (c *Cluster) plan(nodes int, stateAddr, cloudAddr string, tune func(*settings.Settings)) error {
+	for i := range nodes {
+		bind, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		mesh, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		n := &node{name: fmt.Sprintf("agent-%d", i), settings: &settings.Settings{
+			Zone: zones[i%len(zones)], Bind: bind, MeshAddr: mesh, Ends: settings.Endpoints{Cloud: cloudAddr, State: stateAddr},
+			Tuning: settings.DefaultTuning(),
+			Cluster: settings.Cluster{
+				Nodes: nodes, Zones: zones, TimeBoundMS: 100,
+				Teams:   []settings.Team{{Name: "red", CPUs: 40, CPUsMax: 60}, {Name: "blue", CPUs: 20, CPUsMax: 60}},
+				Workers: settings.Workers{ReportS: 0.5, LeaseS: 8, CancelS: 20, GangWaitS: 5, GangPeerS: 1},
+				State:   settings.State{RPS: 500, WriteRPS: 300, ValueKB: 16, TxnOps: 24},
+				Cloud:   settings.Cloud{RPS: 20, ListLagS: 1}, Resources: settings.Resources{Cores: 1, MemoryMB: 512, Sockets: 1000},
+			},
+		}}
+		n.settings.Node = ident.NodeID(n.name)
+		tune(n.settings)
+		c.names[bind], c.names[mesh] = n.name, n.name
+		c.nodes = append(c.nodes, n)
+	}
+	for _, n := range c.nodes {
+		for _, o := range c.nodes {
+			if o != n {
+				n.settings.Siblings = append(n.settings.Siblings, settings.Sibling{Node: o.settings.Node, Zone: o.settings.Zone, Address: o.settings.MeshAddr})
+			}
+		}
+	}
+	return nil
+}
+
+// nameOf tells who is at an address: a node, a service, or the zone of a machine.
+func (c *Cluster) nameOf(addr string) string {
+	c.mu.Lock()
+	name, ok := c.names[addr]
+	c.mu.Unlock()
+	if ok {
+		return name
+	}
+	return c.provider.zoneOf(addr)
+}
+
+// Names returns the names of the nodes.
+func (c *Cluster) Names() []string {
+	var names []string
+	for _, n := range c.nodes {
+		names = append(names, n.name)
+	}
+	return names
+}
+
+// Restart brings a node's next process up.
+func (c *Cluster) Restart(i int) error {
+	n := c.nodes[i]
+	s, err := server.New(n.settings, c.Switches.Dialer(n.name, c.nameOf))
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	n.server = s
+	c.mu.Unlock()
+	go s.Serve()
+	return nil
+}
+
+// Kill ends a node's process.
+func (c *Cluster) Kill(i int) {
+	c.mu.Lock()
+	s := c.nodes[i].server
+	c.mu.Unlock()
+	s.Close()
+}
+
+// Stop ends everything.
+func (c *Cluster) Stop() {
+	c.Switches.HealAll()
+	c.mu.Lock()
+	c.over = true
+	c.mu.Unlock()
+	for i := range c.nodes {
+		c.Kill(i)
+	}
+	c.provider.endAll()
+	for _, s := range c.services {
+		s.Close()
+	}
+}
+
+func (c *Cluster) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.over
+}
+
+func (c *Cluster) nodeAddr(i int) string {
+	return c.nodes[i%len(c.nodes)].settings.Bind
+}
+
+func (c *Cluster) hash(h ident.HostID) uint32 {
+	f := fnv.New32()
+	io.WriteString(f, string(h))
+	return f.Sum32() % uint32(len(c.nodes))
+}
+
+func (c *Cluster) reportTime() time.Duration {
+	return settings.Seconds(c.nodes[0].settings.Cluster.Workers.ReportS)
+}
+
+func (c *Cluster) leaseTime() time.Duration {
+	return settings.Seconds(c.nodes[0].settings.Cluster.Workers.LeaseS)
+}
+
+// CancelTime is how long a cancelled job's tasks may still be there.
+func (c *Cluster) CancelTime() time.Duration {
+	return settings.Seconds(c.nodes[0].settings.Cluster.Workers.CancelS)
+}
+
+// holds says whether a machine may still run what it did.
+func (c *Cluster) holds(h ident.HostID) bool {
+	w := c.provider.worker(h)
+	return w != nil && w.holds()
+}
+
+// runTime tells how long a job's tasks run, 0 for replicas.
+func (c *Cluster) runTime(id ident.JobID) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.jobs[id]
+	return d, ok
+}
+
+// Answer is what a node told a user.
+type Answer struct {
+	Status int // 0: nothing
+	Job    api.View
+}
+
+// Submit asks a node to run a job whose tasks run for so long.
+func (c *Cluster) Submit(i int, s api.Spec, runs time.Duration) Answer {
+	c.mu.Lock()
+	c.jobs[s.ID] = runs
+	c.mu.Unlock()
+	body, err := json.Marshal(s)
+	if err != nil {
+		return Answer{}
+	}
+	return c.ask(i, http.MethodPost, "/v2/runs", body)
+}
+
+// Get asks a node about a job.
+func (c *Cluster) Get(i int, id ident.JobID) Answer {
+	return c.ask(i, http.MethodGet, "/v2/runs/"+string(id), nil)
+}
+
+// Cancel asks a node to cancel a job.
+func (c *Cluster) Cancel(i int, id ident.JobID) Answer {
+	return c.ask(i, http.MethodPost, "/v2/runs/"+string(id)+"/cancel", nil)
+}
+
+func (c *Cluster) ask(i int, method, path string, body []byte) Answer {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+c.nodeAddr(i)+path, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Answer{}
+	}
+	defer resp.Body.Close()
+	a := Answer{Status: resp.StatusCode}
+	if json.NewDecoder(resp.Body).Decode(&a.Job) != nil {
+		a.Job = api.View{}
+	}
+	return a
+}
+
+// Broken returns the rules that were broken, by the workers' own record.
+func (c *Cluster) Broken() []string {
+	c.Record.mu.Lock()
+	defer c.Record.mu.Unlock()
+	return slices.Clone(c.Record.broken)
+}
+
+// Started counts the starts of tasks.
+func (c *Cluster) Started() int {
+	c.Record.mu.Lock()
+	defer c.Record.mu.Unlock()
+	return c.Record.started
+}
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,197 @@
+package loopback
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+	"opaldale/internal/settings"
+)
+
+func init() { slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil))) }
+
+// user submits a job, follows it to its end, and remembers what it was told.
+type user struct {
+	id        ident.JobID
+	tasks     int
+	cancels   bool
+	accepted  bool
+	told      string    // the first final state
+	cancelled time.Time // when that was confirmed
+	faults    []string
+}
+
+// patience bounds how long a user asks on. It is no verdict on how fast the cluster is: all
+// links heal long before.
+const patience = 4 * time.Minute
+
+func (u *user) fault(format string, args ...any) {
+	u.faults = append(u.faults, fmt.Sprintf(format, args...))
+}
+
+// live plays the user. rng is its own.
+func (u *user) live(c *Cluster, rng *rand.Rand, nodes int) {
+	spec := api.Spec{ID: u.id, Lane: "render", Desk: []string{"red", "blue"}[rng.IntN(2)], Shape: api.Batch, Rank: api.Standard,
+		Pieces: u.tasks, VCPUs: 1, MemoryGB: 1, Bundle: fmt.Sprintf("img-%d", rng.IntN(3)), ImageGB: 0.1, Standby: rng.IntN(2) == 0, RuntimeS: 1}
+	runs := time.Duration(300+rng.IntN(1500)) * time.Millisecond
+	end := time.Now().Add(patience)
+	for !u.accepted && time.Now().Before(end) {
+		switch a := c.Submit(rng.IntN(nodes), spec, runs); a.Status {
+		case 200, 201:
+			u.accepted = true
+		case 400, 422:
+			u.fault("a submission that is in order got %d", a.Status)
+			return
+		default:
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	if u.cancels {
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	}
+	for u.told == "" && time.Now().Before(end) {
+		var a Answer
+		if u.cancels {
+			a = c.Cancel(rng.IntN(nodes), u.id)
+		} else {
+			a = c.Get(rng.IntN(nodes), u.id)
+		}
+		u.hear(a)
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+// hear takes an answer about the job.
+func (u *user) hear(a Answer) {
+	switch {
+	case a.Status == 404:
+		u.fault("forgotten: 404")
+	case a.Status != 200:
+	case a.Job.Status == "cancelled" && !u.cancels:
+		u.fault("cancelled by nobody")
+	case a.Job.Status == "done" || a.Job.Status == "cancelled":
+		if u.told != "" && u.told != a.Job.Status {
+			u.fault("went back: %s, then %s", u.told, a.Job.Status)
+		}
+		if u.told == "" {
+			u.told = a.Job.Status
+			if u.told == "cancelled" {
+				u.cancelled = time.Now()
+			}
+		}
+	case u.told != "":
+		u.fault("went back: %s, then %s", u.told, a.Job.Status)
+	}
+}
+
+// check compares what the user was told with what workers ran.
+func (u *user) check(c *Cluster) {
+	switch u.told {
+	case "":
+		u.fault("no final result")
+	case "done":
+		if !c.Record.complete(u.id, u.tasks) {
+			u.fault("done, though not all its tasks have completed")
+		}
+	case "cancelled":
+		if n := c.Record.startedAfter(u.id, u.cancelled.Add(c.CancelTime())); n > 0 {
+			u.fault("%d tasks started after the time of its cancellation", n)
+		}
+	}
+}
+
+// breakLinks breaks directed links one at a time, or the way there of one and the way back of
+// another, for a while each, until the time is over.
+func breakLinks(c *Cluster, rng *rand.Rand, over time.Time) int {
+	names := c.Names()
+	broken := 0
+	for time.Now().Before(over) {
+		n := names[rng.IntN(len(names))]
+		ends := append([]string{State, State, Cloud}, zones...)
+		ends = append(ends, names...)
+		other := ends[rng.IntN(len(ends))]
+		if other == n {
+			continue
+		}
+		from, to := n, other
+		if rng.IntN(2) == 0 {
+			from, to = to, from
+		}
+		broken++
+		c.Switches.Break(from, to)
+		time.Sleep(time.Duration(300+rng.IntN(2500)) * time.Millisecond)
+		c.Switches.Heal(from, to)
+		time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	}
+	c.Switches.HealAll()
+	return broken
+}
+
+// TestDroppedLinks: real controllers on real sockets, whose directed links break one at a
+// time under steady submissions and cancellations, one of them being killed as well: every
+// job has one final result, nothing starts after its cancellation, and no two nodes act for
+// one term, by the record of workers and users.
+func TestDroppedLinks(t *testing.T) {
+	for _, nodes := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d nodes", nodes), func(t *testing.T) {
+			t.Parallel()
+			dropLinks(t, nodes, uint64(nodes))
+		})
+	}
+}
+
+func dropLinks(t *testing.T, nodes int, seed uint64) {
+	c, err := Start(nodes, func(s *settings.Settings) { s.Tuning.Links.Enabled = true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	const jobs, breaking = 60, 14 * time.Second
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var all sync.WaitGroup
+	users := make([]*user, jobs)
+	for i := range users {
+		users[i] = &user{id: ident.JobID(fmt.Sprintf("j-%06d", i)), tasks: 1 + i%4, cancels: i%3 == 0}
+		own := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * breaking / jobs)
+			users[i].live(c, own, nodes)
+		})
+	}
+	all.Go(func() {
+		time.Sleep(breaking / 2)
+		c.Kill(0)
+		time.Sleep(500 * time.Millisecond)
+		if err := c.Restart(0); err != nil {
+			t.Errorf("restart: %v", err)
+		}
+	})
+	broken := breakLinks(c, rng, time.Now().Add(breaking))
+	all.Wait()
+	done := 0
+	for _, u := range users {
+		for i := range nodes { // and no node says otherwise
+			u.hear(c.Get(i, u.id))
+		}
+		u.check(c)
+		if len(u.faults) > 0 {
+			t.Errorf("%s: %v", u.id, u.faults)
+		}
+		if u.told == "done" {
+			done++
+		}
+	}
+	if rules := c.Broken(); len(rules) > 0 {
+		t.Errorf("rules broken: %v", rules)
+	}
+	if broken == 0 || c.Switches.Held() == 0 || done < jobs/2 || c.Started() < jobs/2 || c.Record.commands == 0 {
+		t.Errorf("%d links were broken, %d messages held up, %d jobs done, %d tasks started, %d commands: the test shows nothing",
+			broken, c.Switches.Held(), done, c.Started(), c.Record.commands)
+	}
+}
--- /dev/null
+++ b/internal/loopback/record_test.go
@@ -0,0 +1,113 @@
+package loopback
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+)
+
+// TestRecordNotices: the record can fail.
+func TestRecordNotices(t *testing.T) {
+	r := newRecord()
+	task := ident.Piece{Job: "j-1"}
+	alive := func(ident.HostID) bool { return true }
+	first := r.begin(task, "host-1", alive)
+	if r.begin(task, "host-2", func(ident.HostID) bool { return false }); len(r.broken) != 0 {
+		t.Errorf("a task whose machine's lease is over counts: %v", r.broken)
+	}
+	if r.begin(task, "host-3", alive); len(r.broken) == 0 {
+		t.Error("a task that runs twice is not noticed")
+	}
+	before := len(r.broken)
+	r.acted("agent-0", ident.MakeEpoch(4, 1))
+	r.acted("agent-0", ident.MakeEpoch(4, 2))
+	r.acted("agent-1", ident.MakeEpoch(5, 0))
+	if len(r.broken) != before {
+		t.Errorf("one node a term is a fault: %v", r.broken)
+	}
+	if r.acted("agent-1", ident.MakeEpoch(4, 3)); len(r.broken) == before {
+		t.Error("two nodes in one term are not noticed")
+	}
+	if r.complete("j-1", 1) {
+		t.Error("complete before it is done")
+	}
+	if r.finish(first, true); !r.complete("j-1", 1) || r.complete("j-1", 2) {
+		t.Error("completion is not told by tasks")
+	}
+	if r.startedAfter("j-1", time.Now().Add(-time.Hour)) != 3 || r.startedAfter("j-1", time.Now()) != 0 {
+		t.Error("starts are not told by time")
+	}
+	for _, told := range []Answer{{Status: 404}, {Status: 200, Job: api.View{Status: "cancelled"}}} {
+		u := &user{id: "j-1"}
+		if u.hear(told); len(u.faults) == 0 {
+			t.Errorf("%+v is no fault", told)
+		}
+	}
+	u := &user{id: "j-1", told: "done"}
+	if u.hear(Answer{Status: 200, Job: api.View{Status: "running"}}); len(u.faults) == 0 {
+		t.Error("an answer that went back is no fault")
+	}
+}
+
+// TestSwitchesHold: a broken direction holds up what is sent and lets the other pass; what
+// was held is delivered when it heals, and a deadline ends the wait.
+func TestSwitchesHold(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := make(chan byte, 10)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		b := make([]byte, 1)
+		for {
+			if _, err := conn.Read(b); err != nil {
+				return
+			}
+			got <- b[0]
+			conn.Write(b)
+		}
+	}()
+	s := NewSwitches()
+	conn, err := s.Dialer("a", func(string) string { return "b" })(context.Background(), "tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	s.Break("b", "a")
+	if _, err := conn.Write([]byte{1}); err != nil || <-got != 1 {
+		t.Fatalf("the working direction: %v", err)
+	}
+	conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Error("an answer came by the broken direction")
+	}
+	s.Break("a", "b")
+	go conn.Write([]byte{2})
+	select {
+	case b := <-got:
+		t.Errorf("%d passed the broken direction", b)
+	case <-time.After(20 * time.Millisecond):
+	}
+	s.HealAll()
+	if b := <-got; b != 2 {
+		t.Errorf("%d was delivered", b)
+	}
+	conn.SetReadDeadline(time.Time{})
+	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
+		t.Errorf("after it healed: %v", err)
+	}
+	if s.Held() < 2 || s.owner(conn.LocalAddr().String()) != "a" {
+		t.Errorf("%d were held up, the connection is of %q", s.Held(), s.owner(conn.LocalAddr().String()))
+	}
+}
--- /dev/null
+++ b/internal/loopback/state.go
@@ -0,0 +1,245 @@
+package loopback
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// stateService is a state service by its protocol, in memory.
+type stateService struct {
+	mu        sync.Mutex
+	revision  uint64
+	entries   map[string]stateEntry
+	leases    map[uint64]*stateLease
+	lastLease uint64
+	changes   []statesvc.News
+	changed   chan struct{} // closed at the next change
+}
+
+type stateEntry struct {
+	Path  string          `json:"path"`
+	Value json.RawMessage `json:"value"`
+	Stamp ident.Stamp     `json:"stamp"`
+	Grant uint64          `json:"grant,omitempty"`
+}
+
+type stateLease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// pageSize is how many entries a list returns at the most.
+const pageSize = 1000
+
+func newStateService() *stateService {
+	return &stateService{entries: map[string]stateEntry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{})}
+}
+
+func (s *stateService) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /keys", s.list)
+	mux.HandleFunc("GET /keys/{path...}", s.get)
+	mux.HandleFunc("POST /txn", s.transaction)
+	mux.HandleFunc("POST /leases", s.grant)
+	mux.HandleFunc("POST /leases/{id}/extend", s.extend)
+	mux.HandleFunc("DELETE /leases/{id}", s.revoke)
+	mux.HandleFunc("GET /follow", s.follow)
+	return mux
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// expire ends leases whose time is over. It is called before each request is served.
+func (s *stateService) expire() {
+	now := time.Now()
+	for id, lease := range s.leases {
+		if now.After(lease.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *stateService) endLease(id uint64) {
+	delete(s.leases, id)
+	var gone []statesvc.Change
+	for path, e := range s.entries {
+		if e.Grant == id {
+			gone = append(gone, statesvc.Change{Delete: path})
+		}
+	}
+	if len(gone) > 0 {
+		s.apply(gone)
+	}
+}
+
+func (s *stateService) apply(changes []statesvc.Change) {
+	s.revision++
+	for _, c := range changes {
+		if c.Put != "" {
+			s.entries[c.Put] = stateEntry{Path: c.Put, Value: c.Value, Stamp: ident.Stamp(s.revision), Grant: c.Grant}
+		} else {
+			delete(s.entries, c.Delete)
+		}
+		s.changes = append(s.changes, statesvc.News{Put: c.Put, Value: c.Value, Delete: c.Delete, Stamp: ident.Stamp(s.revision)})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stateService) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if e, ok := s.entries[r.PathValue("path")]; ok {
+		answer(w, http.StatusOK, e)
+		return
+	}
+	answer(w, http.StatusNotFound, statesvc.Reply{Ledger: s.revision})
+}
+
+func (s *stateService) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	prefix, since := r.URL.Query().Get("starts"), r.URL.Query().Get("since")
+	page := []stateEntry{}
+	for path, e := range s.entries {
+		if strings.HasPrefix(path, prefix) && path > since {
+			page = append(page, e)
+		}
+	}
+	slices.SortFunc(page, func(a, b stateEntry) int { return cmp.Compare(a.Path, b.Path) })
+	truncated := len(page) > pageSize
+	answer(w, http.StatusOK, map[string]any{"pairs": page[:min(len(page), pageSize)], "truncated": truncated, "ledger": s.revision})
+}
+
+func (s *stateService) transaction(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		If   []statesvc.Cond   `json:"if"`
+		Then []statesvc.Change `json:"then"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		answer(w, http.StatusBadRequest, statesvc.Reply{Error: err.Error()})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, c := range t.Then {
+		if c.Put != "" && c.Grant != 0 && s.leases[c.Grant] == nil {
+			answer(w, http.StatusBadRequest, statesvc.Reply{Error: "no such lease"})
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.entries[c.Path].Stamp != c.Stamp {
+			failed = append(failed, c.Path)
+		}
+	}
+	if failed != nil {
+		answer(w, http.StatusConflict, statesvc.Reply{Failed: failed, Ledger: s.revision})
+		return
+	}
+	s.apply(t.Then)
+	answer(w, http.StatusOK, statesvc.Reply{Ledger: s.revision})
+}
+
+func (s *stateService) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTL <= 0 {
+		answer(w, http.StatusBadRequest, statesvc.Reply{Error: "ttl_ms"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.leases[s.lastLease] = &stateLease{ttl: ttl, end: time.Now().Add(ttl)}
+	answer(w, http.StatusOK, statesvc.Reply{Grant: s.lastLease})
+}
+
+func (s *stateService) lease(r *http.Request) (uint64, *stateLease) {
+	s.expire()
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return 0, nil
+	}
+	return id, s.leases[id]
+}
+
+func (s *stateService) extend(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, lease := s.lease(r); lease != nil {
+		lease.end = time.Now().Add(lease.ttl)
+		answer(w, http.StatusOK, statesvc.Reply{})
+		return
+	}
+	answer(w, http.StatusNotFound, statesvc.Reply{})
+}
+
+func (s *stateService) revoke(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, lease := s.lease(r); lease != nil {
+		s.endLease(id)
+	}
+	answer(w, http.StatusOK, statesvc.Reply{})
+}
+
+// followEvery is how often a watch looks for leases that have ended.
+const followEvery = 20 * time.Millisecond
+
+func (s *stateService) follow(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseUint(query.Get("since"), 10, 64)
+	block, _ := strconv.ParseInt(query.Get("block_ms"), 10, 64)
+	over := time.After(time.Duration(block) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		s.expire()
+		news := s.since(query.Get("starts"), since)
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(news) > 0 {
+			answer(w, http.StatusOK, statesvc.Reply{Ledger: revision, News: news})
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(followEvery):
+		case <-r.Context().Done():
+			return
+		case <-over:
+			answer(w, http.StatusOK, statesvc.Reply{Ledger: revision})
+			return
+		}
+	}
+}
+
+// since returns the changes of keys with a prefix after a revision.
+func (s *stateService) since(prefix string, revision uint64) []statesvc.News {
+	var news []statesvc.News
+	for _, n := range s.changes {
+		if uint64(n.Stamp) > revision && strings.HasPrefix(n.Put+n.Delete, prefix) {
+			news = append(news, n)
+		}
+	}
+	return news
+}
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"opaldale/internal/ident"
@@ -37,13 +38,56 @@
 	known map[ident.NodeID]bool
 	take  func(from ident.NodeID, f *Frame)
 	slots chan struct{}
+	done  chan struct{} // closed with the transport
+
+	// Dial opens connections to siblings; net.DialTimeout unless it is set before the first.
+	Dial func(network, addr string, timeout time.Duration) (net.Conn, error)
+
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
 }
 
 // NewTransport makes the transport of a node; take is called for every frame
 // received, from several goroutines.
 func NewTransport(self ident.NodeID, take func(ident.NodeID, *Frame)) *Transport {
 	return &Transport{self: self, out: map[ident.NodeID]*outbox{}, known: map[ident.NodeID]bool{}, take: take,
-		slots: make(chan struct{}, maxInbound)}
+		slots: make(chan struct{}, maxInbound), done: make(chan struct{}), Dial: net.DialTimeout, open: map[net.Conn]bool{}}
+}
+
+// Close ends all connections; nothing is sent or received any more.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	t.closed = true
+	close(t.done)
+	for conn := range t.open {
+		conn.Close()
+	}
+}
+
+// hold counts a connection among those that end with the transport, and says whether that
+// is still open.
+func (t *Transport) hold(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		conn.Close()
+		return false
+	}
+	t.open[conn] = true
+	return true
+}
+
+// release closes a connection.
+func (t *Transport) release(conn net.Conn) {
+	t.mu.Lock()
+	delete(t.open, conn)
+	t.mu.Unlock()
+	conn.Close()
 }
 
 // Connect keeps a connection to a sibling from now on.
@@ -63,11 +107,15 @@
 
 func (t *Transport) keep(addr string, o *outbox) {
 	for {
-		if conn, err := net.DialTimeout("tcp", addr, dialTime); err == nil {
+		if conn, err := t.Dial("tcp", addr, dialTime); err == nil && t.hold(conn) {
 			t.write(conn, o)
-			conn.Close()
+			t.release(conn)
+		}
+		select {
+		case <-t.done:
+			return
+		case <-time.After(redial + rand.N(redial)):
 		}
-		time.Sleep(redial + rand.N(redial))
 		// What waited for the connection is too old by now.
 		o.drain()
 	}
@@ -99,6 +147,8 @@
 			}
 		case <-broken:
 			return
+		case <-t.done:
+			return
 		}
 	}
 }
@@ -119,7 +169,10 @@
 		case t.slots <- struct{}{}:
 			go func() {
 				defer func() { <-t.slots }()
-				defer conn.Close()
+				if !t.hold(conn) {
+					return
+				}
+				defer t.release(conn)
 				t.receive(conn)
 			}()
 		default:
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -126,9 +126,8 @@
 
 // health answers the load balancer's probes.
 func (f *frontend) health(w http.ResponseWriter, _ *http.Request) {
-	healthy := make(chan bool, 1)
-	f.server.loop.postUrgent(func() { healthy <- f.server.ctl.Healthy() })
-	if !<-healthy {
+	loop := f.server.loop
+	if !ask(loop, loop.postUrgent, f.server.ctl.Healthy) {
 		writeJSON(w, http.StatusServiceUnavailable, api.Problem{Error: "cut off"})
 		return
 	}
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -25,6 +25,7 @@
 	seq    uint64
 	settle func()
 	lag    atomic.Int64 // nanoseconds that the newest event of users waited
+	done   chan struct{}
 }
 
 // maxEvents bounds what waits for the loop of either kind; beyond it, posting blocks. It
@@ -33,7 +34,7 @@
 const maxEvents = 16_384
 
 func newLoop() *loop {
-	return &loop{start: time.Now(), urgent: make(chan event, maxEvents), events: make(chan event, maxEvents)}
+	return &loop{start: time.Now(), urgent: make(chan event, maxEvents), events: make(chan event, maxEvents), done: make(chan struct{})}
 }
 
 // now returns the steady clock's reading.
@@ -43,10 +44,32 @@
 func (l *loop) past(limit ident.Mono) bool { return limit > 0 && l.now() >= limit }
 
 // post has f run by the loop; for other goroutines.
-func (l *loop) post(f func()) { l.events <- event{f, time.Now()} }
+func (l *loop) post(f func()) { l.put(l.events, f) }
 
 // postUrgent has f run by the loop before anything that was only posted.
-func (l *loop) postUrgent(f func()) { l.urgent <- event{f, time.Now()} }
+func (l *loop) postUrgent(f func()) { l.put(l.urgent, f) }
+
+// put queues an event, unless the loop has ended.
+func (l *loop) put(queue chan event, f func()) {
+	select {
+	case queue <- event{f, time.Now()}:
+	case <-l.done:
+	}
+}
+
+// ask has the loop work something out and waits for it; without the loop it returns the zero
+// value.
+func ask[T any](l *loop, post func(func()), f func() T) T {
+	answer := make(chan T, 1)
+	post(func() { answer <- f() })
+	select {
+	case v := <-answer:
+		return v
+	case <-l.done:
+		var none T
+		return none
+	}
+}
 
 // after has f run by the loop later; only for the loop itself.
 func (l *loop) after(d time.Duration, f func()) {
@@ -78,8 +101,15 @@
 				l.do(e)
 				n++
 			case <-t.C:
+			case <-l.done:
+				return
 			}
 		}
+		select {
+		case <-l.done:
+			return
+		default:
+		}
 		for now := l.now(); len(l.timers) > 0 && l.timers[0].at <= now && n < batch; n++ {
 			heap.Pop(&l.timers).(timer).run()
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -1,12 +1,14 @@
 package server
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"opaldale/internal/api"
@@ -29,6 +31,7 @@
 
 // Server is one node with its sockets.
 type Server struct {
+	set    *settings.Settings
 	loop   *loop
 	ctl    *controller.Controller
 	state  *statesvc.Client
@@ -41,27 +44,45 @@
 	// admission bounds the requests that are taken, from users and workers or passed on
 	// by siblings.
 	admission admission
+
+	listener, meshListener net.Listener
+	web                    *http.Server
+	transports             []*http.Transport
+	closing                sync.Once
 }
 
+// Dialer opens a connection, as net.Dialer.DialContext does.
+type Dialer func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Run serves until the process is killed, or a socket can't be had.
 func Run(set *settings.Settings) error {
 	// A node has a small share of one core; more threads only cost.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(memoryShare * set.Cluster.Resources.MemoryMB * (1 << 20)))
 	debug.SetGCPercent(300)
+	s, err := New(set, (&net.Dialer{Timeout: dialTime}).DialContext)
+	if err != nil {
+		return err
+	}
+	return s.Serve()
+}
 
-	s := &Server{loop: newLoop(), sockets: newSockets(set.Cluster.Resources.Sockets)}
+// New makes a node and takes its addresses. Every connection that it opens is by dial.
+func New(set *settings.Settings, dial Dialer) (*Server, error) {
+	s := &Server{set: set, loop: newLoop(), sockets: newSockets(set.Cluster.Resources.Sockets)}
 	s.admission.lag = s.loop.Lag
 	// A report under way has a connection, so more can't come.
 	s.admission.reportLimit = int64(s.sockets.limit)
 	transport := func(perHost, idle int) *http.Transport {
-		return &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTime}).DialContext,
+		t := &http.Transport{
+			DialContext:         dial,
 			MaxIdleConnsPerHost: perHost,
 			IdleConnTimeout:     90 * time.Second,
 			MaxIdleConns:        idle,
 			DisableCompression:  true,
 		}
+		s.transports = append(s.transports, t)
+		return t
 	}
 	s.state = statesvc.NewClient(set.Ends.State, transport(8, 0))
 	s.cloud = cloud.NewClient(set.Ends.Cloud, transport(4, 0))
@@ -73,23 +94,30 @@
 	s.mesh = mesh.NewTransport(set.Node, func(from ident.NodeID, f *mesh.Frame) {
 		s.frame(from, f)
 	})
-
-	meshListener, err := net.Listen("tcp4", set.MeshAddr)
-	if err != nil {
-		return err
+	s.mesh.Dial = func(network, addr string, timeout time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		return dial(ctx, network, addr)
 	}
-	listener, err := net.Listen("tcp4", set.Bind)
-	if err != nil {
-		return err
+	if err := s.listen(); err != nil {
+		return nil, err
 	}
 	s.ctl = controller.New(env{s}, set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	s.loop.settle = s.ctl.Settle
-	for _, p := range set.Siblings {
-		s.mesh.Connect(p.Node, p.Address)
+	return s, nil
+}
+
+// listen takes the node's addresses.
+func (s *Server) listen() error {
+	var err error
+	if s.meshListener, err = net.Listen("tcp4", s.set.MeshAddr); err != nil {
+		return err
 	}
-	errs := make(chan error, 2)
-	go func() { errs <- s.mesh.Serve(meshListener) }()
-	web := &http.Server{
+	if s.listener, err = net.Listen("tcp4", s.set.Bind); err != nil {
+		s.meshListener.Close()
+		return err
+	}
+	s.web = &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
@@ -98,12 +126,35 @@
 		MaxHeaderBytes:    8 << 10,
 		ConnState:         s.sockets.state,
 	}
-	go func() { errs <- web.Serve(s.sockets.listen(listener)) }()
+	return nil
+}
+
+// Serve runs the node until it is closed, or a socket fails.
+func (s *Server) Serve() error {
+	for _, p := range s.set.Siblings {
+		s.mesh.Connect(p.Node, p.Address)
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- s.mesh.Serve(s.meshListener) }()
+	go func() { errs <- s.web.Serve(s.sockets.listen(s.listener)) }()
 	s.loop.post(s.ctl.Start)
 	go s.loop.run()
 	return <-errs
 }
 
+// Close ends the node at once, as if its process were killed: nothing is handed over.
+func (s *Server) Close() {
+	s.closing.Do(func() {
+		close(s.loop.done)
+		s.meshListener.Close()
+		s.web.Close()
+		s.mesh.Close()
+		for _, t := range s.transports {
+			t.CloseIdleConnections()
+		}
+	})
+}
+
 // frame takes a sibling's message. What it passes on for users waits like users' own
 // requests here, and is refused like them.
 func (s *Server) frame(from ident.NodeID, f *mesh.Frame) {
@@ -172,16 +223,12 @@
 
 // snapshot asks the loop for the counters.
 func (s *Server) snapshot() controller.Snapshot {
-	ch := make(chan controller.Snapshot, 1)
-	s.loop.post(func() { ch <- s.ctl.Snapshot() })
-	return <-ch
+	return ask(s.loop, s.loop.post, s.ctl.Snapshot)
 }
 
 // linkReport asks the loop what is known of the links.
 func (s *Server) linkReport() controller.LinkReport {
-	ch := make(chan controller.LinkReport, 1)
-	s.loop.post(func() { ch <- s.ctl.LinkReport() })
-	return <-ch
+	return ask(s.loop, s.loop.post, s.ctl.LinkReport)
 }
 
 // writeJSON answers with a message of the API.
