Requests pass by a third node, flapping links hand the lead over, and a study of both

Need: found by the study. A sibling cut from the leader in one direction refused a third of all submissions. A heartbeat echoed again and again passed for ever longer delays, so that a link which was broken outbound was never found down.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -66,7 +66,7 @@
 	authority authority.Machine
 
 	// Counters for the metrics.
-	Forwarded, Refused, Elections, Vouched uint64
+	Forwarded, Relayed, Refused, Elections, Vouched uint64
 }
 
 const (
@@ -259,8 +259,8 @@
 	if c.elect.Valid() {
 		return true
 	}
-	if to, known := c.elect.Leader(); known && to != c.set.Node {
-		return c.reachable(to)
+	if way, known := c.leaderRoute(); known && way.to != c.set.Node {
+		return way.up
 	}
 	return c.hears(peerSilent) || len(c.peers) == 0
 }
@@ -310,10 +310,9 @@
 		}
 		c.hear(from, p, f)
 	case mesh.Ask:
-		id := f.ID
-		c.serve(f.Verb, f.Job, f.Body, false, func(r Reply) {
-			c.env.Mesh(from, &mesh.Frame{Kind: mesh.Tell, ID: id, Status: uint16(r.Status), Retry: uint16(r.Retry), Body: r.Body})
-		})
+		c.serve(f.Verb, f.Job, f.Body, false, c.tell(from, f.ID))
+	case mesh.Relay:
+		c.relayed(f, c.tell(from, f.ID))
 	case mesh.Tell:
 		if g := c.asks[f.ID]; g != nil {
 			delete(c.asks, f.ID)
@@ -322,6 +321,13 @@
 	}
 }
 
+// tell returns what answers a sibling's request.
+func (c *Controller) tell(to ident.NodeID, id uint64) func(Reply) {
+	return func(r Reply) {
+		c.env.Mesh(to, &mesh.Frame{Kind: mesh.Tell, ID: id, Status: uint16(r.Status), Retry: uint16(r.Retry), Body: r.Body})
+	}
+}
+
 // serve answers as the leader, or refuses; direct requests came to this node.
 func (c *Controller) serve(v mesh.Verb, job string, body []byte, direct bool, reply func(Reply)) {
 	l := c.lead
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -12,15 +12,45 @@
 	"opaldale/internal/statesvc"
 )
 
-// forward asks a sibling; without an answer in time, lost is called.
-func (c *Controller) forward(to ident.NodeID, v mesh.Verb, job string, body []byte, limit time.Duration, reply func(Reply), lost func()) {
+// route is how requests come to the leader.
+type route struct {
+	to  ident.NodeID
+	via ident.NodeID // a sibling that passes them on; empty: directly
+	up  bool         // they probably arrive
+}
+
+// leaderRoute finds the way to the leader: directly, or by a sibling that reaches it.
+func (c *Controller) leaderRoute() (r route, known bool) {
+	r.to, known = c.elect.Leader()
+	if !known {
+		return r, false
+	}
+	r.up = c.reachable(r.to)
+	if c.links == nil || r.up && !c.links.doubtful(r.to) {
+		return r, true
+	}
+	if via, ok := c.links.relay(r.to); ok {
+		r.via, r.up = via, true
+	}
+	return r, true
+}
+
+// forward asks the leader; without an answer in time, lost is called.
+func (c *Controller) forward(r route, v mesh.Verb, job string, body []byte, limit time.Duration, reply func(Reply), lost func()) {
 	c.Forwarded++
 	c.askID++
 	id := c.askID
 	until := c.env.Now().Add(limit)
 	// Should this process stand still, the answer may be read before the timer runs.
-	c.asks[id] = func(r Reply) { reply(r.within(until)) }
-	c.env.Mesh(to, &mesh.Frame{Kind: mesh.Ask, ID: id, Verb: v, Job: job, Body: body})
+	c.asks[id] = func(a Reply) { reply(a.within(until)) }
+	frame := &mesh.Frame{Kind: mesh.Ask, ID: id, Verb: v, Job: job, Body: body}
+	if r.via != "" {
+		frame.Kind = mesh.Relay
+		c.Relayed++
+		c.env.Mesh(r.via, frame)
+	} else {
+		c.env.Mesh(r.to, frame)
+	}
 	c.env.After(limit, func() {
 		if c.asks[id] != nil {
 			delete(c.asks, id)
@@ -38,8 +68,8 @@
 	if c.links != nil && v == mesh.Checkin {
 		c.links.sample(body)
 	}
-	to, known := c.elect.Leader()
-	up := known && c.reachable(to)
+	way, known := c.leaderRoute()
+	up := way.up
 	switch v {
 	case mesh.Submit:
 		s, err := api.ParseSpec(body)
@@ -49,7 +79,7 @@
 		}
 		if s.Shape == api.Gang && c.level < ident.Packed {
 			// A leader of an earlier version would call it malformed.
-			c.learn(func() { c.pass(to, up, v, job, body, reply) }, reply)
+			c.learn(func() { c.pass(way, v, job, body, reply) }, reply)
 			return
 		}
 	case mesh.Poll:
@@ -57,7 +87,7 @@
 			c.read(job, reply)
 			return
 		}
-		c.forward(to, v, job, nil, pollTime, func(r Reply) {
+		c.forward(way, v, job, nil, pollTime, func(r Reply) {
 			if r.Status >= 500 {
 				c.read(job, reply)
 				return
@@ -82,11 +112,11 @@
 		if known && !up {
 			reply(answer(http.StatusMisdirectedRequest, struct {
 				Home ident.NodeID `json:"home"`
-			}{to}))
+			}{way.to}))
 			return
 		}
 	}
-	c.pass(to, up, v, job, body, reply)
+	c.pass(way, v, job, body, reply)
 }
 
 // learn reads the format level; then is called if gangs may be passed on. It goes with
@@ -108,13 +138,13 @@
 }
 
 // pass hands a request to the leader.
-func (c *Controller) pass(to ident.NodeID, up bool, v mesh.Verb, job string, body []byte, reply func(Reply)) {
-	if !up {
+func (c *Controller) pass(way route, v mesh.Verb, job string, body []byte, reply func(Reply)) {
+	if !way.up {
 		c.Refused++
 		reply(unavailable("no leader at present"))
 		return
 	}
-	c.forward(to, v, job, body, forwardTime, func(r Reply) {
+	c.forward(way, v, job, body, forwardTime, func(r Reply) {
 		var a api.Ack
 		if v == mesh.Cancel && r.Status == http.StatusOK && json.Unmarshal(r.Body, &a) == nil {
 			c.learned(a.ID, a.Status)
@@ -125,3 +155,21 @@
 		reply(unavailable("the leader did not answer"))
 	})
 }
+
+// relayed passes a sibling's request on to the leader, or answers it as the leader. It goes
+// directly from here, so that no request takes more than two steps.
+func (c *Controller) relayed(f *mesh.Frame, reply func(Reply)) {
+	to, known := c.elect.Leader()
+	switch {
+	case c.lead != nil:
+		c.serve(f.Verb, f.Job, f.Body, false, reply)
+	case !known || !c.reachable(to):
+		c.Refused++
+		reply(unavailable("no leader at present"))
+	default:
+		c.forward(route{to: to, up: true}, f.Verb, f.Job, f.Body, forwardTime, reply, func() {
+			c.Refused++
+			reply(unavailable("the leader did not answer"))
+		})
+	}
+}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -363,3 +363,26 @@
 	}
 	return 0
 }
+
+// relay returns a sibling that reaches a node which this one doesn't, by its own word.
+func (v *linkView) relay(to ident.NodeID) (ident.NodeID, bool) {
+	now := v.c.env.Now()
+	for _, r := range v.view.Rows(now) {
+		if r.Origin == to || !v.speaks(r.Origin) || !v.c.reachable(r.Origin) || v.doubtful(r.Origin) {
+			continue
+		}
+		for _, l := range r.Links {
+			if l.Peer == siblingLink(to) && l.In == links.Up && l.Out == links.Up {
+				return r.Origin, true
+			}
+		}
+	}
+	return "", false
+}
+
+// doubtful says whether the link to a sibling counts as down in either direction, though it
+// may pass messages at this moment: it may be damped for breaking again and again.
+func (v *linkView) doubtful(n ident.NodeID) bool {
+	link := siblingLink(n)
+	return v.monitor.Verdict(link, links.Inbound).State == links.Down || v.monitor.Verdict(link, links.Outbound).State == links.Down
+}
--- a/internal/controller/yield.go
+++ b/internal/controller/yield.go
@@ -43,7 +43,9 @@
 		To:       assessment.Best,
 		Isolated: assessment.Isolated,
 		Idle:     l.commits.Settled(),
-		CanWrite: v.monitor.Usable(stateLink) && !l.commits.Down(),
+		// At this moment: a link that flaps is down most of the time by its verdict, and a
+		// transaction passes all the same.
+		CanWrite: v.monitor.Passing(stateLink) && !v.monitor.Refusing(stateLink) && !l.commits.Down(),
 	})
 	switch step {
 	case handover.Announce:
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -132,8 +132,8 @@
 func (m *Monitor) arrived(l *link, sent, now ident.Mono, e Evidence) {
 	l.rejected = 0
 	l.stamp = max(l.stamp, now)
-	if l.out.ever && sent < l.out.newest {
-		return // older than what is known
+	if l.out.ever && sent <= l.out.newest {
+		return // known before: a sibling repeats the newest heartbeat that it has heard
 	}
 	l.out.detector.sample(now.Sub(sent))
 	l.out.good(sent, e)
--- a/internal/links/monitor_test.go
+++ b/internal/links/monitor_test.go
@@ -143,14 +143,18 @@
 	}
 }
 
-// TestDirectionsApart: to hear a sibling doesn't show that it hears us.
+// TestDirectionsApart: to hear a sibling doesn't show that it hears us, though it goes on to
+// echo the last heartbeat that it has heard. (Each echo was taken for a longer delay, to
+// which the link was used then.)
 func TestDirectionsApart(t *testing.T) {
 	l := newLine(5 * time.Millisecond)
 	l.play(10 * time.Second)
+	last := l.m.link(l.peer).out.newest
 	for range 20 {
 		l.now = l.now.Add(beatEvery)
 		l.m.Sent(l.peer, l.now)
-		l.m.Heard(l.peer, l.now) // without an echo
+		l.m.Heard(l.peer, l.now)
+		l.m.Echoed(l.peer, last, l.now) // of a heartbeat long ago, again and again
 		l.m.Evaluate(l.now)
 	}
 	if in, out := l.state(Inbound), l.state(Outbound); in != Up || out != Down {
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -34,9 +34,10 @@
 	Tell                  // the answer to it
 	Links                 // what nodes know of their links; only to nodes that can read it
 	Yield                 // the leader hands the lead over; only to nodes that can read it
+	Relay                 // an Ask for a third node to pass on to the leader; only to nodes that can read it
 )
 
-// LinksCapability is what a node announces that can read Links and Yield. They came without
+// LinksCapability is what a node announces that can read Links, Yield and Relay. They came without
 // a change of Version, since older nodes close a connection on which they come.
 const LinksCapability = 1
 
@@ -57,13 +58,13 @@
 	Node   ident.NodeID // Hello: sender; Beat: leader, may be empty; Yield: who should follow, may be empty
 	Term   ident.Term   // Beat, Yield
 	Life   Life         // Beat
-	ID     uint64       // Ask, Tell; Beat: never the same again; Links: the receiver's newest Beat
+	ID     uint64       // Ask, Relay, Tell; Beat: never the same again; Links: the receiver's newest Beat
 	Rows   []links.Row  // Links
-	Verb   Verb         // Ask
-	Job    string       // Ask: the id in the path
+	Verb   Verb         // Ask, Relay
+	Job    string       // Ask, Relay: the id in the path
 	Status uint16       // Tell
 	Retry  uint16       // Tell: Retry-After in seconds, 0 for none
-	Body   []byte       // Ask, Tell
+	Body   []byte       // Ask, Relay, Tell
 }
 
 // Life is what a node says with a beat of itself, and of what it heard. Times are in
@@ -113,7 +114,7 @@
 		for _, v := range []uint32{f.Life.Age, f.Life.Grace, f.Life.Trust, f.Life.Ago} {
 			b = binary.BigEndian.AppendUint32(b, v)
 		}
-	case Ask:
+	case Ask, Relay:
 		b = binary.BigEndian.AppendUint64(b, f.ID)
 		b = append(b, byte(f.Verb))
 		str(f.Job)
@@ -152,7 +153,7 @@
 		f.Term = ident.Term(r.u64())
 		f.ID = r.u64()
 		f.Life = Life{Echo: r.u64(), Age: r.u32(), Grace: r.u32(), Trust: r.u32(), Ago: r.u32()}
-	case Ask:
+	case Ask, Relay:
 		f.ID = r.u64()
 		f.Verb = Verb(r.u8())
 		f.Job = r.str()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -24,6 +24,7 @@
 	{Kind: Ask, ID: 7, Verb: Poll, Job: "j-000412", Body: []byte{}},
 	{Kind: Ask, ID: 1<<64 - 1, Verb: Submit, Body: []byte(`{"id":"j-1"}`)},
 	{Kind: Tell, ID: 9, Status: 503, Retry: 2, Body: []byte("{}")},
+	{Kind: Relay, ID: 8, Verb: Cancel, Job: "j-000412", Body: []byte{}},
 	{Kind: Yield, Node: "agent-2", Term: 12},
 	{Kind: Links, ID: 5, Rows: []links.Row{{Origin: "agent-0", Incarnation: 3, Sequence: 4, Age: time.Second,
 		Links:     []links.LinkState{{Peer: links.Peer{Kind: links.Sibling, Name: "agent-1"}, In: links.Up, Out: links.Down, Damped: true}},
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -159,7 +159,7 @@
 // requests here, and is refused like them.
 func (s *Server) frame(from ident.NodeID, f *mesh.Frame) {
 	take := func() { s.ctl.Frame(from, f) }
-	if f.Kind != mesh.Ask || f.Verb == mesh.Checkin || f.Verb == mesh.Cancel {
+	if f.Kind != mesh.Ask && f.Kind != mesh.Relay || f.Verb == mesh.Checkin || f.Verb == mesh.Cancel {
 		s.loop.postUrgent(take)
 		return
 	}
--- a/internal/standin/links.go
+++ b/internal/standin/links.go
@@ -24,7 +24,7 @@
 	switch f.Kind {
 	case mesh.Beat:
 		w.newest[from.name+" "+to.name] = f.ID
-	case mesh.Links, mesh.Yield:
+	case mesh.Links, mesh.Yield, mesh.Relay:
 		if to.alive && to.env.old || from.env.old {
 			w.broken("%s sent a frame about links to %s, of which one is old", from.name, to.name)
 			return false
--- a/internal/standin/links_test.go
+++ b/internal/standin/links_test.go
@@ -232,6 +232,30 @@
 		},
 		took: map[string]int{"handover announced": 1, "another leads": 1},
 	},
+	{
+		name: "a follower reaches the leader by the third node only",
+		play: func(w *World) {
+			w.leaderAt(breakAt, func(l *node) {
+				f := w.otherThan(l)
+				w.severWay(f.name, l.name, false, breakFor)
+				for s := 10; s < 50; s++ {
+					w.at(time.Duration(s)*time.Second, func() {
+						j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Second)
+						w.submitAt(j, f)
+						if f.ctl.Healthy() {
+							w.took("healthy")
+						}
+					})
+				}
+				w.at(55*time.Second, func() {
+					for range f.ctl.Snapshot().Relayed {
+						w.took("relayed")
+					}
+				})
+			})
+		},
+		took: map[string]int{"relayed": 40, "healthy": 40},
+	},
 	{
 		name: "late copies of rows", // of when the sibling was well placed
 		play: func(w *World) {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -135,6 +135,7 @@
 		g := f
 		f = func(a statesvc.Reply) { g(forgetPlacements(a)) }
 	}
+	w.wrote(e.n.name, r)
 	send := func() {
 		w.call(e.n.name, "state", r.Timeout, func(reply func(any)) { w.store.serve(e.n.name, r, reply) }, func(a any) {
 			e.in(func() {
@@ -184,6 +185,7 @@
 func (e *nodeEnv) command(c workers.Command, f func(workers.Answer)) {
 	w := e.w()
 	answer := func(a workers.Answer) { e.in(func() { f(a) })() }
+	w.commanded(e.n.name, c)
 	if c.Launches() && !e.past(c.NotAfter) && !e.leads() {
 		w.took("launch without leadership")
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -28,6 +28,7 @@
 	cancelSent ident.Mono
 	cancelTold ident.Mono
 	sentAt     ident.Mono
+	acceptedAt ident.Mono
 	begunAt    ident.Mono // when its first task started, 0: not yet
 	answered   ident.Mono // when a question about it was last answered
 }
@@ -161,7 +162,7 @@
 	w.request("users", n, mesh.Submit, "", api.JSON(j.spec), 5*time.Second, func(r *controller.Reply) {
 		if r != nil && (r.Status == 200 || r.Status == 201) {
 			if !j.accepted {
-				j.accepted = true
+				j.accepted, j.acceptedAt = true, w.now
 				w.poll(j)
 				w.look(j)
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -80,6 +80,7 @@
 func (k *worker) lease() {
 	if k.w.now.Sub(k.leaseAt) > time.Duration(k.w.set.Workers.LeaseS*float64(time.Second)) {
 		k.w.logf("%s: lease over, with %d tasks", k.host, len(k.pieces))
+		k.w.LeasesLost += len(k.pieces)
 		k.session()
 	}
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -76,6 +76,9 @@
 	GangRuns, GangStops int
 	// lostOneWay counts the messages that a link broken in one direction has held up.
 	lostOneWay int
+	// LeasesLost counts the tasks that ended with their machines' leases.
+	LeasesLost int
+	study      study
 	// TooLarge counts the transactions that the state service refused for its limits.
 	TooLarge int
 }
