--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,8 +16,8 @@
 // MaxBody is the largest request body that is read.
 const MaxBody = 64 << 10
 
-// MaxPieces is the largest number of tasks in a job.
-const MaxPieces = 100_000
+// MaxTasks is the largest number of tasks in a job.
+const MaxTasks = 100_000
 
 // Shape tells arrays from services.
 type Shape string
@@ -29,19 +29,19 @@
 	Gang    Shape = "gang" // all tasks run at the same time, or none does
 )
 
-// Rank is a job's priority.
-type Rank string
+// Priority is a job's priority.
+type Priority string
 
 // The ranks, highest first.
 const (
-	Critical   Rank = "critical"
-	High       Rank = "high"
-	Standard   Rank = "standard"
-	BestEffort Rank = "best_effort"
+	Critical   Priority = "critical"
+	High       Priority = "high"
+	Standard   Priority = "standard"
+	BestEffort Priority = "best_effort"
 )
 
 // Level orders ranks: a lower level goes first.
-func (r Rank) Level() int {
+func (r Priority) Level() int {
 	switch r {
 	case Critical:
 		return 0
@@ -56,21 +56,21 @@
 // Spec is a job as its user submitted it.
 type Spec struct {
 	ID             ident.JobID `json:"id"`
-	Lane           string      `json:"lane"`
-	Desk           string      `json:"desk"`
+	Class          string      `json:"lane"`
+	Team           string      `json:"desk"`
 	Shape          Shape       `json:"shape"`
-	Rank           Rank        `json:"rank"`
-	Pieces         int         `json:"pieces"`
+	Priority       Priority    `json:"rank"`
+	Tasks          int         `json:"pieces"`
 	VCPUs          float64     `json:"vcpus"`
 	Cards          float64     `json:"cards"`
 	MemoryGB       float64     `json:"memory_gb"`
-	Bundle         string      `json:"bundle"`
+	Image          string      `json:"bundle"`
 	ImageGB        float64     `json:"image_gb"`
 	Models         []string    `json:"models"`
-	Site           *string     `json:"site"`
+	Zone           *string     `json:"site"`
 	OneZone        bool        `json:"one_zone"`
-	Apart          bool        `json:"apart"`
-	Standby        bool        `json:"standby"`
+	Spread         bool        `json:"apart"`
+	Spot           bool        `json:"standby"`
 	RuntimeS       float64     `json:"runtime_s"`
 	SnapshotEveryS float64     `json:"snapshot_every_s"`
 	SnapshotS      float64     `json:"snapshot_s"`
@@ -117,17 +117,17 @@
 	if s.Shape != Batch && s.Shape != Service && s.Shape != Gang {
 		return &FieldError{"shape", "unknown"}
 	}
-	switch s.Rank {
+	switch s.Priority {
 	case Critical, High, Standard, BestEffort:
 	default:
 		return &FieldError{"rank", "unknown"}
 	}
-	if s.Pieces < 1 || s.Pieces > MaxPieces {
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return &FieldError{"pieces", "must be from 1 to 100000"}
 	}
 	for _, t := range []struct {
 		name, v string
-	}{{"lane", s.Lane}, {"desk", s.Desk}, {"bundle", s.Bundle}} {
+	}{{"lane", s.Class}, {"desk", s.Team}, {"bundle", s.Image}} {
 		if t.v == "" || len(t.v) > 200 {
 			return &FieldError{t.name, "must have 1 to 200 bytes"}
 		}
@@ -173,16 +173,16 @@
 	Error string `json:"error"`
 }
 
-// PieceStatus is a task's state on its machine.
-type PieceStatus string
+// TaskStatus is a task's state on its machine.
+type TaskStatus string
 
 // The states that workers report.
 const (
-	Pulling   PieceStatus = "pulling"
-	Gathering PieceStatus = "gathering" // of a gang: has its image, waits for the others
-	Running   PieceStatus = "running"
-	Flushing  PieceStatus = "flushing"
-	Ended     PieceStatus = "ended"
+	Pulling   TaskStatus = "pulling"
+	Gathering TaskStatus = "gathering" // of a gang: has its image, waits for the others
+	Running   TaskStatus = "running"
+	Flushing  TaskStatus = "flushing"
+	Ended     TaskStatus = "ended"
 )
 
 // Cause says why a task ended.
@@ -200,27 +200,27 @@
 	CauseIncomplete Cause = "incomplete" // of a gang: the others did not come in time
 )
 
-// PieceReport is one task in a worker's report.
-type PieceReport struct {
-	Piece  ident.Piece `json:"piece"`
-	Try    ident.Try   `json:"try"`
-	Status PieceStatus `json:"status"`
-	Cause  Cause       `json:"cause,omitempty"`
-	Stored bool        `json:"stored,omitempty"`
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	TaskID  ident.TaskID  `json:"piece"`
+	Attempt ident.Attempt `json:"try"`
+	Status  TaskStatus    `json:"status"`
+	Cause   Cause         `json:"cause,omitempty"`
+	Stored  bool          `json:"stored,omitempty"`
 }
 
 // Report is what a worker says of itself.
 type Report struct {
-	Host     ident.HostID  `json:"host"`
-	Addr     string        `json:"addr"`
-	Model    string        `json:"model"`
-	Site     string        `json:"site"`
-	Standby  bool          `json:"standby"`
-	Tenure   ident.Tenure  `json:"tenure"`
-	Serial   ident.Serial  `json:"serial"`
-	Epoch    ident.Epoch   `json:"epoch"`
-	WarningS *float64      `json:"warning_s"`
-	Pieces   []PieceReport `json:"pieces"`
+	Host    ident.HostID  `json:"host"`
+	Addr    string        `json:"addr"`
+	Model   string        `json:"model"`
+	Zone    string        `json:"site"`
+	Spot    bool          `json:"standby"`
+	Session ident.Session `json:"tenure"`
+	Serial  ident.Serial  `json:"serial"`
+	Epoch   ident.Epoch   `json:"epoch"`
+	NoticeS *float64      `json:"warning_s"`
+	Tasks   []TaskReport  `json:"pieces"`
 }
 
 // ParseReport reads and checks a worker's report.
@@ -234,12 +234,12 @@
 		return nil, &FieldError{"host", "missing"}
 	case r.Addr == "":
 		return nil, &FieldError{"addr", "missing"}
-	case r.Tenure == 0:
+	case r.Session == 0:
 		return nil, &FieldError{"tenure", "missing"}
-	case r.Model == "" || r.Site == "":
+	case r.Model == "" || r.Zone == "":
 		return nil, &FieldError{"model", "model or site missing"}
 	}
-	for _, p := range r.Pieces {
+	for _, p := range r.Tasks {
 		// A state that is unknown here is taken for one in which the task holds its room.
 		if p.Status == "" {
 			return nil, &FieldError{"pieces", "status missing"}
@@ -260,10 +260,10 @@
 
 // Order is one command to a worker.
 type Order struct {
-	Verb      Verb        `json:"verb"`
-	Piece     ident.Piece `json:"piece"`
-	Try       ident.Try   `json:"try"`
-	WindDownS *float64    `json:"wind_down_s,omitempty"`
+	Verb      Verb          `json:"verb"`
+	TaskID    ident.TaskID  `json:"piece"`
+	Attempt   ident.Attempt `json:"try"`
+	WindDownS *float64      `json:"wind_down_s,omitempty"`
 }
 
 // Orders answers a report.
@@ -279,9 +279,9 @@
 
 // Commands is the body of POST /commands.
 type Commands struct {
-	Epoch  ident.Epoch  `json:"epoch"`
-	Tenure ident.Tenure `json:"tenure"`
-	Orders []Order      `json:"orders"`
+	Epoch   ident.Epoch   `json:"epoch"`
+	Session ident.Session `json:"tenure"`
+	Orders  []Order       `json:"orders"`
 }
 
 // JSON encodes a message of this package, none of which can fail to encode.
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -13,7 +13,7 @@
 
 func TestParseSpec(t *testing.T) {
 	s, err := ParseSpec([]byte(good))
-	if err != nil || s.Pieces != 16 || s.Site != nil || *s.DueS != 900 || !s.Saves() {
+	if err != nil || s.Tasks != 16 || s.Zone != nil || *s.DueS != 900 || !s.Saves() {
 		t.Fatalf("%+v, %v", s, err)
 	}
 	// Each fault is answered by the name of its field.
@@ -49,7 +49,7 @@
 	const report = `{"host":"host-1","addr":"10.1.0.1:9","model":"g8","site":"a","standby":true,"tenure":1,"serial":88,
 	 "epoch":41,"warning_s":null,"pieces":[{"piece":"j-000412/3","try":2,"status":"running"}]}`
 	r, err := ParseReport([]byte(report))
-	if err != nil || r.Pieces[0].Piece.Index != 3 || r.Pieces[0].Piece.Job != "j-000412" {
+	if err != nil || r.Tasks[0].TaskID.Index != 3 || r.Tasks[0].TaskID.Job != "j-000412" {
 		t.Fatalf("%+v, %v", r, err)
 	}
 	for _, change := range [][2]string{{`"host-1"`, `""`}, {`"tenure":1`, `"tenure":0`}, {`"running"`, `""`},
@@ -64,7 +64,7 @@
 // the machine would then lose its lease with everything on it.
 func TestUnknownState(t *testing.T) {
 	r, err := ParseReport([]byte(`{"host":"host-1","addr":"a:1","model":"g8","site":"a","tenure":1,"pieces":[{"piece":"j-1/0","try":2,"status":"dancing"}]}`))
-	if err != nil || r.Pieces[0].Status == Ended {
+	if err != nil || r.Tasks[0].Status == Ended {
 		t.Errorf("%+v, %v", r, err)
 	}
 }
@@ -72,9 +72,9 @@
 // TestOrders pins the form of what workers get.
 func TestOrders(t *testing.T) {
 	five := 5.0
-	o := Orders{Epoch: 41, Orders: []Order{{Verb: Launch, Try: 2}, {Verb: Kill, Try: 1, WindDownS: &five}}}
-	o.Orders[0].Piece.Job, o.Orders[0].Piece.Index = "j-000412", 4
-	o.Orders[1].Piece.Job = "j-000377"
+	o := Orders{Epoch: 41, Orders: []Order{{Verb: Launch, Attempt: 2}, {Verb: Kill, Attempt: 1, WindDownS: &five}}}
+	o.Orders[0].TaskID.Job, o.Orders[0].TaskID.Index = "j-000412", 4
+	o.Orders[1].TaskID.Job = "j-000377"
 	want := `{"epoch":41,"orders":[{"verb":"launch","piece":"j-000412/4","try":2},{"verb":"kill","piece":"j-000377/0","try":1,"wind_down_s":5}]}`
 	if got, _ := json.Marshal(o); string(got) != want {
 		t.Errorf("%s", got)
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -33,30 +33,30 @@
 	Hourly      float64  `json:"hourly"`
 	MarketPrice float64  `json:"market_price"`
 	StartupS    float64  `json:"startup_s"`
-	Sites       []string `json:"sites"`
+	Zones       []string `json:"sites"`
 }
 
 // Listed is a machine in the cloud's list.
 type Listed struct {
-	ID      ident.HostID `json:"id"`
-	Addr    string       `json:"addr"`
-	Model   string       `json:"model"`
-	Site    string       `json:"site"`
-	Standby bool         `json:"standby"`
-	Status  string       `json:"status"`
-	AgeS    float64      `json:"age_s"`
+	ID     ident.HostID `json:"id"`
+	Addr   string       `json:"addr"`
+	Model  string       `json:"model"`
+	Zone   string       `json:"site"`
+	Spot   bool         `json:"standby"`
+	Status string       `json:"status"`
+	AgeS   float64      `json:"age_s"`
 }
 
 // Request is one call; only the fields of its Op are used.
 type Request struct {
-	Op      Op             `json:"-"`
-	Hire    string         `json:"hire"`
-	Model   string         `json:"model"`
-	Site    string         `json:"site"`
-	Standby bool           `json:"standby"`
-	Number  int            `json:"number"`
-	Hosts   []ident.HostID `json:"-"`
-	Since   ident.HostID   `json:"-"`
+	Op     Op             `json:"-"`
+	Hire   string         `json:"hire"`
+	Model  string         `json:"model"`
+	Zone   string         `json:"site"`
+	Spot   bool           `json:"standby"`
+	Number int            `json:"number"`
+	Hosts  []ident.HostID `json:"-"`
+	Since  ident.HostID   `json:"-"`
 	// NotAfter is the time, by this node's clock, from which the request must not be
 	// sent any more; 0: none.
 	NotAfter ident.Mono `json:"-"`
--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -21,11 +21,11 @@
 	if w == nil {
 		return
 	}
-	if j.Spec.OneZone || j.Spec.Apart {
+	if j.Spec.OneZone || j.Spec.Spread {
 		if j.Zones == nil {
 			j.Zones = map[string]int{}
 		}
-		j.Zones[w.Site] += sign
+		j.Zones[w.Zone] += sign
 	}
 	if sign > 0 {
 		l.workers.Hold(w, t)
@@ -47,9 +47,9 @@
 
 // Place carries out a decision: it is launched once it is durable.
 func (l *lead) Place(t *jobs.Task, w *workers.Worker) {
-	slog.Debug("place", "piece", t.Piece().String(), "host", string(w.Host), "held", w.Holds(t.Job.Spec.Bundle), "within", l.planner.Within(t.Job),
+	slog.Debug("place", "task", t.TaskID().String(), "host", string(w.Host), "held", w.Holds(t.Job.Spec.Image), "within", l.planner.Within(t.Job),
 		"age_s", l.c.env.Now().Sub(t.Job.Arrived).Seconds())
-	l.jobs.Place(t, w.Host, w.Tenure, func() {
+	l.jobs.Place(t, w.Host, w.Session, func() {
 		if l.dead || !l.c.may(authority.Launch) {
 			return // the answer to its worker's next report launches it
 		}
@@ -78,7 +78,7 @@
 
 // Preempt stops a task so that another finds room.
 func (l *lead) Preempt(t *jobs.Task, w *workers.Worker, windDown time.Duration) {
-	slog.Info("preempting", "piece", t.Piece().String(), "host", string(w.Host))
+	slog.Info("preempting", "task", t.TaskID().String(), "host", string(w.Host))
 	l.workers.StopTask(w, t, windDown)
 }
 
@@ -133,7 +133,7 @@
 	j := t.Job
 	switch c {
 	case api.CauseError:
-		slog.Info("task failed", "piece", t.Piece().String(), "host", string(w.Host))
+		slog.Info("task failed", "task", t.TaskID().String(), "host", string(w.Host))
 		t.Fails++
 		l.jobs.Doubt(j)
 		if j.Shunned == nil {
@@ -150,10 +150,10 @@
 			j.RetryAt = now.Add(j.Backoff)
 		}
 	case api.CauseFull:
-		slog.Info("refused: full", "piece", t.Piece().String(), "host", string(w.Host))
+		slog.Info("refused: full", "task", t.TaskID().String(), "host", string(w.Host))
 		w.Shun = now.Add(time.Second)
 	case api.CauseBusy, api.CauseUnknown:
-		slog.Info("refused", "piece", t.Piece().String(), "host", string(w.Host), "cause", string(c))
+		slog.Info("refused", "task", t.TaskID().String(), "host", string(w.Host), "cause", string(c))
 		t.Fails++
 		t.RetryAt = now.Add(min(time.Duration(t.Fails)*time.Second, 10*time.Second))
 	}
--- a/internal/controller/answers_test.go
+++ b/internal/controller/answers_test.go
@@ -54,28 +54,28 @@
 	})
 }
 
-// TestVouchersStop: a node that keeps leases without a leader stops what it knows to be
+// TestKeepersStop: a node that keeps leases without a leader stops what it knows to be
 // cancelled.
-func TestVouchersStop(t *testing.T) {
+func TestKeepersStop(t *testing.T) {
 	c, w := alone(ident.Packed)
 	c.Follow("test")
 	c.lead = nil
 	w.now = w.now.Add(time.Minute)
-	c.vouch.Trust(5, w.now.Add(-5*time.Second), 20*time.Second)
+	c.renewer.Permit(5, w.now.Add(-5*time.Second), 20*time.Second)
 	c.cancelled.Put("j-7", struct{}{})
-	piece := func(id string) api.PieceReport {
-		return api.PieceReport{Piece: ident.Piece{Job: ident.JobID(id)}, Try: 1, Status: api.Running}
+	piece := func(id string) api.TaskReport {
+		return api.TaskReport{TaskID: ident.TaskID{Job: ident.JobID(id)}, Attempt: 1, Status: api.Running}
 	}
-	rep := &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "a", Tenure: 1, Serial: 2, Epoch: ident.MakeEpoch(5, 0),
-		Pieces: []api.PieceReport{piece("j-7"), piece("j-8")}}
-	r, ok := c.vouched(rep)
-	want := string(api.JSON(api.Orders{Epoch: rep.Epoch, Orders: []api.Order{{Verb: api.Kill, Piece: piece("j-7").Piece, Try: 1, WindDownS: new(float64)}}}))
+	rep := &api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "a", Session: 1, Serial: 2, Epoch: ident.MakeEpoch(5, 0),
+		Tasks: []api.TaskReport{piece("j-7"), piece("j-8")}}
+	r, ok := c.keepLease(rep)
+	want := string(api.JSON(api.Orders{Epoch: rep.Epoch, Orders: []api.Order{{Verb: api.Kill, TaskID: piece("j-7").TaskID, Attempt: 1, WindDownS: new(float64)}}}))
 	if !ok || string(r.Body) != want {
 		t.Errorf("%v %s, want %s", ok, r.Body, want)
 	}
 }
 
-// TestAllowanceShrinks: siblings may vouch for a leader for the grace, less the age of the
+// TestAllowanceShrinks: siblings may keep leases for a leader for the grace, less the age of the
 // oldest cancelled job with a task that may be on a machine; once that is proven gone, for
 // the whole of it again. A successor doesn't know when a job was cancelled: for none.
 func TestAllowanceShrinks(t *testing.T) {
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// allowance is how long siblings may vouch for this leader from now on. A lease given
+// allowance is how long siblings may keep leases for this leader from now on. A lease given
 // by them at the very end must be over before cancel_s is, for every job that was
 // cancelled and is not surely gone.
 func (l *lead) allowance(now ident.Mono) time.Duration {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,10 +16,10 @@
 	"opaldale/internal/jobs"
 	"opaldale/internal/links"
 	"opaldale/internal/mesh"
+	"opaldale/internal/renewal"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
 	"opaldale/internal/upgrade"
-	"opaldale/internal/vouch"
 	"opaldale/internal/workers"
 )
 
@@ -57,8 +57,8 @@
 	askID uint64
 	reads bucket
 
-	echoes vouch.Echoes
-	vouch  vouch.Voucher
+	heartbeats renewal.Heartbeats
+	renewer    renewal.Renewer
 	// cancelled holds jobs that were durably cancelled, as this node has passed on.
 	cancelled *jobs.Recent[struct{}]
 	seen      ident.Mono // when the state service last served this node
@@ -66,7 +66,7 @@
 	authority authority.Machine
 
 	// Counters for the metrics.
-	Forwarded, Relayed, Refused, Elections, Vouched uint64
+	Forwarded, Relayed, Refused, Elections, LeasesKept uint64
 }
 
 const (
@@ -136,23 +136,23 @@
 // beat tells the siblings that we live, whether we lead, and what of theirs we heard.
 func (c *Controller) beat() {
 	now := c.env.Now()
-	f := mesh.Frame{Kind: mesh.Beat, ID: c.rng.Uint64(), Life: mesh.Life{Age: mesh.Millis(now.Sub(0)), Trust: mesh.None, Ago: mesh.None}}
+	f := mesh.Frame{Kind: mesh.Heartbeat, ID: c.rng.Uint64(), Life: mesh.Life{ProcessAge: mesh.Millis(now.Sub(0)), SinceLeader: mesh.None, SinceRenewal: mesh.None}}
 	if c.elect.Valid() {
 		f.Node, f.Term = c.set.Node, c.elect.Term()
 		if c.lead.ready {
-			f.Life.Grace = mesh.Millis(c.lead.allowance(now))
+			f.Life.Allowance = mesh.Millis(c.lead.allowance(now))
 		}
 	}
-	if ago, ever := c.vouch.Newest(now); ever {
-		f.Life.Ago = mesh.Millis(ago)
+	if ago, ever := c.renewer.Newest(now); ever {
+		f.Life.SinceRenewal = mesh.Millis(ago)
 	}
-	if age, ever := c.vouch.Age(now); ever {
-		f.Life.Trust = mesh.Millis(age)
+	if age, ever := c.renewer.Age(now); ever {
+		f.Life.SinceLeader = mesh.Millis(age)
 		if age > lookAfter && c.lead == nil {
 			c.look()
 		}
 	}
-	c.echoes.Sent(f.ID, now)
+	c.heartbeats.Sent(f.ID, now)
 	var own links.Row
 	if c.links != nil {
 		own = c.links.row(now)
@@ -182,7 +182,7 @@
 func (c *Controller) hear(from ident.NodeID, p *peer, f *mesh.Frame) {
 	now := c.env.Now()
 	p.beat = f.ID
-	at, echoed := c.echoes.When(f.Life.Echo)
+	at, echoed := c.heartbeats.When(f.Life.Echo)
 	if c.links != nil {
 		if echoed {
 			c.links.monitor.Echoed(siblingLink(from), at, now)
@@ -192,29 +192,29 @@
 		}
 	}
 	if echoed && f.Node == from {
-		c.vouch.Trust(f.Term, at, mesh.Duration(f.Life.Grace))
+		c.renewer.Permit(f.Term, at, mesh.Duration(f.Life.Allowance))
 	}
 	if c.lead != nil {
-		w := vouch.Word{Age: mesh.Duration(f.Life.Age), Trust: mesh.Duration(f.Life.Trust), Ever: f.Life.Ago != mesh.None, Ago: mesh.Duration(f.Life.Ago)}
-		c.lead.ledger.Heard(from, now, at, echoed, w)
+		w := renewal.Claim{ProcessAge: mesh.Duration(f.Life.ProcessAge), SinceLeader: mesh.Duration(f.Life.SinceLeader), HasRenewed: f.Life.SinceRenewal != mesh.None, SinceRenewal: mesh.Duration(f.Life.SinceRenewal)}
+		c.lead.renewals.Heard(from, now, at, echoed, w)
 	}
 }
 
-// vouched answers a worker while neither the leader nor the state service serves this
+// keepLease answers a worker while neither the leader nor the state service serves this
 // node: both are cut off alike, or the leader has died and nobody can follow it. Its
 // work goes on for as long as the leader allows.
-func (c *Controller) vouched(r *api.Report) (Reply, bool) {
+func (c *Controller) keepLease(r *api.Report) (Reply, bool) {
 	now := c.env.Now()
-	if !c.vouch.May(now, r.Epoch) || now.Sub(c.seen) < cutAfter {
+	if !c.renewer.May(now, r.Epoch) || now.Sub(c.seen) < cutAfter {
 		return Reply{}, false
 	}
-	c.vouch.Did(now)
-	c.Vouched++
+	c.renewer.Note(now)
+	c.LeasesKept++
 	o := api.Orders{Epoch: r.Epoch, Orders: []api.Order{}}
-	for _, p := range r.Pieces {
+	for _, p := range r.Tasks {
 		// A kill is safe whoever leads; without it the task ends with the lease only.
-		if _, ok := c.cancelled.Get(p.Piece.Job); ok && p.Status != api.Ended {
-			o.Orders = append(o.Orders, workers.Kill(p.Piece, p.Try))
+		if _, ok := c.cancelled.Get(p.TaskID.Job); ok && p.Status != api.Ended {
+			o.Orders = append(o.Orders, workers.Kill(p.TaskID, p.Attempt))
 		}
 	}
 	return answer(http.StatusOK, o), true
@@ -304,7 +304,7 @@
 		}
 	case mesh.Yield:
 		c.elect.Prefer(f.Node, f.Term)
-	case mesh.Beat:
+	case mesh.Heartbeat:
 		if f.Node != "" {
 			c.elect.Heard(f.Node, f.Term)
 		}
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -104,7 +104,7 @@
 				reply(problem(http.StatusBadRequest, err.Error()))
 				return
 			}
-			if a, ok := c.vouched(r); ok {
+			if a, ok := c.keepLease(r); ok {
 				reply(a)
 				return
 			}
--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -87,7 +87,7 @@
 		set := &settings.Settings{Node: "agent-0", Tuning: settings.DefaultTuning(), Siblings: []settings.Sibling{{Node: "agent-1"}},
 			Cluster: settings.Cluster{Nodes: 2, Workers: settings.Workers{ReportS: 8, LeaseS: 36, CancelS: 61}, State: settings.State{RPS: 100, WriteRPS: 50, ValueKB: 16, TxnOps: 16}}}
 		c := New(w, set, rand.New(rand.NewPCG(1, 2)))
-		c.Frame("agent-1", &mesh.Frame{Kind: mesh.Beat, Node: "agent-1", Term: 5, ID: 1})
+		c.Frame("agent-1", &mesh.Frame{Kind: mesh.Heartbeat, Node: "agent-1", Term: 5, ID: 1})
 		got := ""
 		w.frames = nil
 		c.Request(mesh.Submit, "", gangSpec(), func(r Reply) { got = fmt.Sprint(r.Status) })
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -13,10 +13,10 @@
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/placement"
+	"opaldale/internal/renewal"
 	"opaldale/internal/settings"
 	"opaldale/internal/statesvc"
 	"opaldale/internal/upgrade"
-	"opaldale/internal/vouch"
 	"opaldale/internal/workers"
 )
 
@@ -57,10 +57,10 @@
 	pending map[uint64]func(Reply)
 	lastReq uint64
 
-	ledger  *vouch.Ledger
-	direct  ident.Mono               // when a machine last reached this node, or it one
-	missing map[*workers.Worker]bool // alive as a sibling hears, but not reached from here since
-	probed  ident.Mono               // when one of them was last asked
+	renewals *renewal.Registry
+	direct   ident.Mono               // when a machine last reached this node, or it one
+	missing  map[*workers.Worker]bool // alive as a sibling hears, but not reached from here since
+	probed   ident.Mono               // when one of them was last asked
 
 	handover *handover.Machine // nil unless links are watched
 	upByZone map[string]int    // machines that should be reached
@@ -98,7 +98,7 @@
 
 func newLead(c *Controller, t ident.Term, level ident.Level, key statesvc.Cond) *lead {
 	l := &lead{c: c, term: t, level: level, began: c.env.Now(), kinds: map[string]*cloud.Model{}, groups: map[kindOf]*workers.Group{}, pending: map[uint64]func(Reply){},
-		ledger: vouch.NewLedger(c.grace), direct: c.env.Now(), missing: map[*workers.Worker]bool{}, upByZone: map[string]int{}}
+		renewals: renewal.NewRegistry(c.grace), direct: c.env.Now(), missing: map[*workers.Worker]bool{}, upByZone: map[string]int{}}
 	st := c.set.Cluster.State
 	limits := func(s settings.State) commit.Limits {
 		return commit.Limits{Ops: s.TxnOps, PerSecond: writeShare * s.WriteRPS, ValueBytes: int(s.ValueKB * 1024)}
@@ -130,7 +130,7 @@
 		Failed:  l.failed,
 		Commit:  l.commitWorker,
 		Asked:   l.asked,
-		Renewed: func() ident.Mono { return l.ledger.Renewed(c.env.Now()) },
+		Renewed: func() ident.Mono { return l.renewals.Renewed(c.env.Now()) },
 	})
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
 	l.planner.MaxWait, l.planner.GangWait = c.set.Tuning.MaxWait, c.set.Tuning.GangWait
--- a/internal/controller/lead_test.go
+++ b/internal/controller/lead_test.go
@@ -58,7 +58,7 @@
 			return
 		}
 		if r.Path == catalogKey {
-			f(statesvc.Reply{Outcome: statesvc.OK, Value: api.JSON([]cloud.Model{{SKU: "m8", VCPUs: 8, Sites: []string{"a"}}})})
+			f(statesvc.Reply{Outcome: statesvc.OK, Value: api.JSON([]cloud.Model{{SKU: "m8", VCPUs: 8, Zones: []string{"a"}}})})
 		}
 	case statesvc.Grant, statesvc.Extend:
 		f(statesvc.Reply{Outcome: statesvc.OK, Grant: 1})
@@ -106,7 +106,7 @@
 func TestSilentMachinesTakeNoTurn(t *testing.T) {
 	w := &world{now: ident.Mono(time.Hour), asked: map[string]bool{}}
 	var g groupRecord
-	g.Model, g.Site = "m8", "a"
+	g.Model, g.Zone = "m8", "a"
 	const machines = 3 * maxAsked
 	for i := range machines {
 		g.Hosts = append(g.Hosts, machineRecord{Host: ident.HostID(fmt.Sprintf("host-%06d", i)), Addr: fmt.Sprint("addr-", i)})
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -224,7 +224,7 @@
 // ask sends a machine a command without orders, under no token: it is answered with a report
 // and carried out by nobody.
 func (v *linkView) ask(w links.Witness) {
-	command := workers.Command{Addr: w.Address, Zone: w.Zone, Body: api.Commands{Tenure: 1, Orders: []api.Order{}}}
+	command := workers.Command{Addr: w.Address, Zone: w.Zone, Body: api.Commands{Session: 1, Orders: []api.Order{}}}
 	v.c.env.Worker(command, func(workers.Answer) {})
 }
 
@@ -250,10 +250,10 @@
 // zone is heard.
 func (v *linkView) reported(r *api.Report, direct bool) {
 	if direct {
-		v.monitor.Heard(machinesLink(r.Site), v.c.env.Now())
+		v.monitor.Heard(machinesLink(r.Zone), v.c.env.Now())
 	}
-	w := links.Witness{Zone: r.Site, Address: r.Addr}
-	list := v.recent[r.Site]
+	w := links.Witness{Zone: r.Zone, Address: r.Addr}
+	list := v.recent[r.Zone]
 	for _, known := range list {
 		if known == w {
 			return
@@ -262,7 +262,7 @@
 	if len(list) >= witnessesPerZone {
 		list = list[1:]
 	}
-	v.recent[r.Site] = append(list, w)
+	v.recent[r.Zone] = append(list, w)
 }
 
 // sample reads some of the reports that a follower passes on.
@@ -343,7 +343,7 @@
 // that it names; without one of ours of late there is nothing to date them by.
 func (v *linkView) take(f *mesh.Frame) {
 	now := v.c.env.Now()
-	at, ok := v.c.echoes.When(f.ID)
+	at, ok := v.c.heartbeats.When(f.ID)
 	if !ok {
 		v.undated++
 		return
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -19,12 +19,12 @@
 
 // groupRecord is the value of a key of machines, all of one kind.
 type groupRecord struct {
-	Model   string          `json:"model"`
-	Site    string          `json:"site"`
-	Standby bool            `json:"standby,omitempty"`
-	Hosts   []machineRecord `json:"hosts,omitempty"` // of the first format
-	Text    string          `json:"text,omitempty"`  // from it on: host, address and birth of each
-	BaseMS  int64           `json:"base,omitempty"`  // from which births are counted, in seconds
+	Model  string          `json:"model"`
+	Zone   string          `json:"site"`
+	Spot   bool            `json:"standby,omitempty"`
+	Hosts  []machineRecord `json:"hosts,omitempty"` // of the first format
+	Text   string          `json:"text,omitempty"`  // from it on: host, address and birth of each
+	BaseMS int64           `json:"base,omitempty"`  // from which births are counted, in seconds
 }
 
 type machineRecord struct {
@@ -113,7 +113,7 @@
 func (l *lead) commitWorker(w *workers.Worker) {
 	fresh := w.Group == nil
 	if fresh {
-		k := kindOf{w.Model, w.Site, w.Standby}
+		k := kindOf{w.Model, w.Zone, w.Spot}
 		g := l.groups[k]
 		if g == nil || g.Dropped || !l.groupFits(g, k, w) {
 			g = l.nextGroup(k)
@@ -154,7 +154,7 @@
 			g.Dropped = true
 			return nil
 		}
-		r := groupRecord{Model: k.model, Site: k.site, Standby: k.standby}
+		r := groupRecord{Model: k.model, Zone: k.site, Spot: k.standby}
 		var list []machineRecord
 		for _, w := range members {
 			list = append(list, machineRecord{w.Host, w.Addr, l.c.env.WallMS() - l.c.env.Now().Sub(w.Born).Milliseconds()})
@@ -190,7 +190,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", p.Path, err)
 	}
-	k := kindOf{r.Model, r.Site, r.Standby}
+	k := kindOf{r.Model, r.Zone, r.Spot}
 	g := l.newGroup(p.Path, k)
 	g.Doc.Stamp = p.Stamp
 	now := l.c.env.Now()
@@ -202,7 +202,7 @@
 			continue
 		}
 		age := time.Duration(l.c.env.WallMS()-m.BornMS) * time.Millisecond
-		w := l.workers.Restore(m.Host, r.Model, r.Site, r.Standby, now.Add(-max(0, age)), m.Addr, g)
+		w := l.workers.Restore(m.Host, r.Model, r.Zone, r.Spot, now.Add(-max(0, age)), m.Addr, g)
 		g.Members = append(g.Members, w)
 	}
 	if l.level >= ident.Packed && r.Text == "" {
@@ -239,7 +239,7 @@
 		return
 	}
 	w := g.Members[0]
-	k := kindOf{w.Model, w.Site, w.Standby}
+	k := kindOf{w.Model, w.Zone, w.Spot}
 	if l.groupFits(g, k) {
 		l.commits.MarkLazy(g.Doc, nil)
 	} else {
--- a/internal/controller/machines_test.go
+++ b/internal/controller/machines_test.go
@@ -68,7 +68,7 @@
 
 func (s *store) Cloud(r cloud.Request, f func(cloud.Reply)) {
 	if r.Op == cloud.Catalog {
-		f(cloud.Reply{Outcome: cloud.OK, Models: []cloud.Model{{SKU: "m8", VCPUs: 8, Sites: []string{"a"}}}})
+		f(cloud.Reply{Outcome: cloud.OK, Models: []cloud.Model{{SKU: "m8", VCPUs: 8, Zones: []string{"a"}}}})
 	}
 }
 
@@ -103,7 +103,7 @@
 		s := &store{world: &world{now: ident.Mono(time.Hour), asked: map[string]bool{}}, t: t, pairs: map[string]statesvc.Pair{}, limit: 1536, left: left, lose: lose}
 		s.ledger = 50
 		for g := range 3 {
-			r := groupRecord{Model: "m8", Site: "a", Standby: g == 2}
+			r := groupRecord{Model: "m8", Zone: "a", Spot: g == 2}
 			for i := range 50 {
 				r.Hosts = append(r.Hosts, machineRecord{Host: ident.HostID(fmt.Sprintf("host-%06d", 50*g+i)), Addr: fmt.Sprintf("10.1.%d.%d:9000", g, i), BornMS: int64(-1000 * i)})
 			}
@@ -139,8 +139,8 @@
 				}
 				seen[m.Host] = path
 				// What was lost on its way from one record to the next is told by a report.
-				if want := m.Host >= "host-000100"; r.Standby != want || lose == 0 && !strings.HasPrefix(m.Addr, "10.1.") {
-					t.Errorf("%s: standby %v, address %q", m.Host, r.Standby, m.Addr)
+				if want := m.Host >= "host-000100"; r.Spot != want || lose == 0 && !strings.HasPrefix(m.Addr, "10.1.") {
+					t.Errorf("%s: standby %v, address %q", m.Host, r.Spot, m.Addr)
 				}
 			}
 		}
--- a/internal/controller/requests.go
+++ b/internal/controller/requests.go
@@ -103,8 +103,8 @@
 		if !workers.AllowsModel(s, k.SKU) || !workers.Could(k, s) {
 			continue
 		}
-		for _, z := range k.Sites {
-			if s.Site == nil || *s.Site == z {
+		for _, z := range k.Zones {
+			if s.Zone == nil || *s.Zone == z {
 				return ""
 			}
 		}
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -14,7 +14,7 @@
 	Txns, Puts, Repeats         uint64
 	Relocated, Fences, Stale    uint64
 	Forwarded, Refused, Elected uint64
-	Vouched, Relayed            uint64
+	LeasesKept, Relayed         uint64
 	Level                       uint8
 	Rejected                    uint64
 	GangsStarted, GangsLost     uint64
@@ -24,7 +24,7 @@
 // Snapshot reads the node's counters.
 func (c *Controller) Snapshot() Snapshot {
 	s := Snapshot{Leading: c.lead != nil, Valid: c.elect.Valid(), Term: uint64(c.elect.Term()), Machines: map[string]int{},
-		Forwarded: c.Forwarded, Refused: c.Refused, Elected: c.Elections, Vouched: c.Vouched, Relayed: c.Relayed, Level: uint8(c.level)}
+		Forwarded: c.Forwarded, Refused: c.Refused, Elected: c.Elections, LeasesKept: c.LeasesKept, Relayed: c.Relayed, Level: uint8(c.level)}
 	l := c.lead
 	if l == nil || !l.ready {
 		return s
--- a/internal/controller/takeover_bench_test.go
+++ b/internal/controller/takeover_bench_test.go
@@ -29,7 +29,7 @@
 	}
 	host := func(i int) string { return fmt.Sprintf("host-%06d", i) }
 	for at := 0; at < machines; at += groupSize {
-		g := groupRecord{Model: "m8", Site: "a"}
+		g := groupRecord{Model: "m8", Zone: "a"}
 		var list []machineRecord
 		for i := at; i < min(at+groupSize, machines); i++ {
 			list = append(list, machineRecord{Host: ident.HostID(host(i)), Addr: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250)})
--- a/internal/controller/yield.go
+++ b/internal/controller/yield.go
@@ -82,7 +82,7 @@
 	clear(l.upByZone)
 	for _, w := range l.workers.Sorted() {
 		if w.State == workers.Up || w.State == workers.Silent {
-			l.upByZone[w.Site]++
+			l.upByZone[w.Zone]++
 		}
 	}
 }
--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -74,10 +74,10 @@
 
 // Arrived notes a new job, or at the start of a term one of the term before.
 func (m *Manager) Arrived(s *api.Spec, at ident.Mono) {
-	if m.teams.Guest(s.Desk) {
+	if m.teams.Guest(s.Team) {
 		return // nothing is kept free for them
 	}
-	cpus := s.VCPUs * float64(s.Pieces)
+	cpus := s.VCPUs * float64(s.Tasks)
 	if s.Shape != api.Batch {
 		// Gangs as well want room that is there when they come.
 		m.services.add(at, cpus)
--- a/internal/fleet/cloud.go
+++ b/internal/fleet/cloud.go
@@ -123,7 +123,7 @@
 			return
 		}
 		slog.Info("adopting machine", "host", string(l.ID), "status", l.Status, "age_s", l.AgeS)
-		w = m.machine.Add(l.ID, l.Model, l.Site, l.Standby, m.port.Now().Add(-settings.Seconds(l.AgeS)))
+		w = m.machine.Add(l.ID, l.Model, l.Zone, l.Spot, m.port.Now().Add(-settings.Seconds(l.AgeS)))
 		if w.Addr == "" {
 			w.Addr = l.Addr
 		}
@@ -143,7 +143,7 @@
 	// The term makes the name ours alone; names are never used again.
 	m.hires++
 	r := cloud.Request{Op: cloud.Rent, Hire: fmt.Sprintf("opaldale-%d-%d", m.cfg.Term, m.hires),
-		Model: p.model, Site: p.site, Standby: p.standby, Number: n}
+		Model: p.model, Zone: p.site, Spot: p.standby, Number: n}
 	slog.Info("renting", "model", p.model, "site", p.site, "standby", p.standby, "number", n)
 	m.market(p).pending += n
 	m.hire(p, r, 500*time.Millisecond, 0)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 func TestGhosts(t *testing.T) {
 	r := newRig()
 	r.reply = func(q cloud.Request) cloud.Reply {
-		return cloud.Reply{Outcome: cloud.OK, Listed: []cloud.Listed{{ID: "host-000009", Addr: "b", Model: "m8", Site: "east", Status: "running", AgeS: 5}}}
+		return cloud.Reply{Outcome: cloud.OK, Listed: []cloud.Listed{{ID: "host-000009", Addr: "b", Model: "m8", Zone: "east", Status: "running", AgeS: 5}}}
 	}
 	r.pass(15*time.Second, r.m)
 	if r.count(cloud.List) == 0 || r.table.Workers["host-000009"] != nil {
@@ -45,7 +45,7 @@
 		return cloud.Reply{Outcome: cloud.OK, Rented: []ident.HostID{ident.HostID("host-" + q.Hire)}}
 	}
 	for i := range 2 {
-		r.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", i)), Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 8, MemoryGB: 1}, func() {}, nil)
+		r.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", i)), Team: "red", Shape: api.Service, Tasks: 1, VCPUs: 8, MemoryGB: 1}, func() {}, nil)
 		r.commits.Flush()
 		r.pass(4*time.Second, r.m)
 	}
@@ -100,7 +100,7 @@
 	r.reply = func(cloud.Request) cloud.Reply { return cloud.Reply{Outcome: cloud.Refused} }
 	r.up(1)
 	w := r.table.Workers["host-000000"]
-	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 1}, func() {}, nil)
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Team: "red", Shape: api.Service, Tasks: 1, VCPUs: 1}, func() {}, nil)
 	r.commits.Flush()
 	r.follow()
 	r.jobs.Place(&j.Tasks[0], w.Host, 1, func() {})
@@ -121,7 +121,7 @@
 	r.up(6)
 	for i := range 20 {
 		for n := range 5 {
-			r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(2 + i), Epoch: ident.MakeEpoch(3, 0)})
+			r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: ident.Serial(2 + i), Epoch: ident.MakeEpoch(3, 0)})
 		}
 		r.pass(500*time.Millisecond, r.m)
 	}
@@ -144,7 +144,7 @@
 		}
 		return cloud.Reply{Outcome: cloud.OK}
 	}
-	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Batch, Pieces: 1, VCPUs: 2, MemoryGB: 2, Bundle: "img", RuntimeS: 5}, func() {}, nil)
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Team: "red", Shape: api.Batch, Tasks: 1, VCPUs: 2, MemoryGB: 2, Image: "img", RuntimeS: 5}, func() {}, nil)
 	r.commits.Flush()
 	r.pass(2*time.Second, r.m)
 	if n := r.count(cloud.Rent); n != 0 {
@@ -169,7 +169,7 @@
 			if w := r.table.Workers[h]; w == nil || w.State != workers.Up {
 				continue
 			}
-			o := r.table.Checkin(&api.Report{Host: h, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(2 + i), Epoch: epochs[h]})
+			o := r.table.Checkin(&api.Report{Host: h, Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: ident.Serial(2 + i), Epoch: epochs[h]})
 			if n > 0 && o != nil {
 				epochs[h] = o.Epoch
 			}
@@ -192,7 +192,7 @@
 	for n := 1; n < 40; n++ {
 		r.now = r.now.Add(200 * time.Millisecond)
 		w := r.table.Sorted()[n]
-		r.table.Checkin(&api.Report{Host: w.Host, Addr: w.Addr, Model: "m8", Site: "east", Tenure: 1, Serial: 2, Epoch: ident.MakeEpoch(3, 0)})
+		r.table.Checkin(&api.Report{Host: w.Host, Addr: w.Addr, Model: "m8", Zone: "east", Session: 1, Serial: 2, Epoch: ident.MakeEpoch(3, 0)})
 	}
 	r.m.Tick()
 	r.pass(9*time.Second, r.m)
@@ -209,11 +209,11 @@
 		r.up(12)
 		for i, w := range r.table.Sorted() {
 			if i < 5 {
-				w.Site = "west"
+				w.Zone = "west"
 			}
 		}
 		lost := r.table.Workers["host-000000"]
-		j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: 1, VCPUs: 1}, func() {}, nil)
+		j := r.jobs.Add(&api.Spec{ID: "j-1", Team: "red", Shape: api.Service, Tasks: 1, VCPUs: 1}, func() {}, nil)
 		r.commits.Flush()
 		r.follow()
 		r.jobs.Place(&j.Tasks[0], lost.Host, 1, func() {})
@@ -223,7 +223,7 @@
 			for end := r.now.Add(d); r.now < end; {
 				serial++
 				for n := 5; n < 12; n++ {
-					r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: serial, Epoch: ident.MakeEpoch(3, 0)})
+					r.table.Checkin(&api.Report{Host: ident.HostID(fmt.Sprintf("host-%06d", n)), Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: serial, Epoch: ident.MakeEpoch(3, 0)})
 				}
 				r.pass(500*time.Millisecond, r.m)
 			}
@@ -270,7 +270,7 @@
 		for range 2 {
 			for _, w := range r.table.Sorted() {
 				if w.State == workers.Up {
-					r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: ident.Serial(r.now)})
+					r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: ident.Serial(r.now)})
 				}
 			}
 			r.pass(2500*time.Millisecond, r.m)
@@ -285,7 +285,7 @@
 		return n
 	}
 	for range 4 {
-		r.m.Arrived(&api.Spec{Shape: api.Service, Pieces: 4, VCPUs: 3}, r.now)
+		r.m.Arrived(&api.Spec{Shape: api.Service, Tasks: 4, VCPUs: 3}, r.now)
 		pass()
 	}
 	if n := returned(); n > 0 {
@@ -307,24 +307,24 @@
 		r := newRig()
 		r.m.cfg.Tuning.Headroom = 0 // nothing is rented for jobs to come
 		r.m.cfg.Catalog = func() []cloud.Model {
-			return []cloud.Model{{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Sites: []string{"east", "west"}}}
+			return []cloud.Model{{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Zones: []string{"east", "west"}}}
 		}
 		rented := map[string]int{}
 		r.reply = func(q cloud.Request) cloud.Reply {
 			switch {
 			case q.Op != cloud.Rent:
 				return cloud.Reply{Outcome: cloud.OK}
-			case q.Site == closed:
+			case q.Zone == closed:
 				return cloud.Reply{Outcome: cloud.NoCapacity}
 			}
 			a := cloud.Reply{Outcome: cloud.OK}
 			for range q.Number {
-				rented[q.Site]++
-				a.Rented = append(a.Rented, ident.HostID(fmt.Sprintf("host-%s%03d", q.Site, rented[q.Site])))
+				rented[q.Zone]++
+				a.Rented = append(a.Rented, ident.HostID(fmt.Sprintf("host-%s%03d", q.Zone, rented[q.Zone])))
 			}
 			return a
 		}
-		r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Gang, Pieces: 6, VCPUs: 4, OneZone: true}, func() {}, nil)
+		r.jobs.Add(&api.Spec{ID: "j-1", Team: "red", Shape: api.Gang, Tasks: 6, VCPUs: 4, OneZone: true}, func() {}, nil)
 		r.commits.Flush()
 		r.pass(2*time.Second, r.m)
 		most := max(rented["east"], rented["west"])
@@ -342,12 +342,12 @@
 		r := newRig()
 		r.follow()
 		r.up(2)
-		vast := r.jobs.Add(&api.Spec{ID: "j-1", Desk: desk, Shape: api.Batch, Rank: api.BestEffort, Pieces: 60, VCPUs: 1, Standby: true, RuntimeS: 100}, func() {}, nil)
+		vast := r.jobs.Add(&api.Spec{ID: "j-1", Team: desk, Shape: api.Batch, Priority: api.BestEffort, Tasks: 60, VCPUs: 1, Spot: true, RuntimeS: 100}, func() {}, nil)
 		r.commits.Flush()
 		for i := range 16 {
 			r.jobs.Place(&vast.Tasks[i], ident.HostID(fmt.Sprintf("host-%06d", i/8)), 1, func() {})
 		}
-		r.jobs.Add(&api.Spec{ID: "j-2", Desk: "red", Shape: api.Batch, Rank: api.Standard, Pieces: 2, VCPUs: 4, RuntimeS: 10}, func() {}, nil)
+		r.jobs.Add(&api.Spec{ID: "j-2", Team: "red", Shape: api.Batch, Priority: api.Standard, Tasks: 2, VCPUs: 4, RuntimeS: 10}, func() {}, nil)
 		r.commits.Flush()
 		for range 120 {
 			r.now = r.now.Add(time.Second)
@@ -355,7 +355,7 @@
 		}
 		ordinary := 0
 		for _, c := range r.calls {
-			if c.Op == cloud.Rent && !c.Standby {
+			if c.Op == cloud.Rent && !c.Spot {
 				ordinary += c.Number
 			}
 		}
--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -56,7 +56,7 @@
 }
 
 func (b *bin) allows(s *api.Spec) bool {
-	return (s.Site == nil || *s.Site == b.pool.site) && (!b.pool.standby || s.Standby) &&
+	return (s.Zone == nil || *s.Zone == b.pool.site) && (!b.pool.standby || s.Spot) &&
 		(b.class != endingRoom || s.Shape == api.Batch) &&
 		workers.AllowsModel(s, b.pool.model) && workers.Could(b.kind, s)
 }
@@ -184,10 +184,10 @@
 		// A machine where a task failed is no room to count on: the job keeps off it.
 		// (A job waited for ever while the only idle machine was one that it shunned.)
 		// Nor is one in a zone that is cut off.
-		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Doubtful() || m.cut[w.Site] {
+		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Doubtful() || m.cut[w.Zone] {
 			continue
 		}
-		p := pool{w.Model, w.Site, w.Standby}
+		p := pool{w.Model, w.Zone, w.Spot}
 		v, c, g := w.Kind.VCPUs, w.Kind.Cards, w.Kind.MemoryGB
 		switch w.State {
 		case workers.Booting:
@@ -216,7 +216,7 @@
 	}
 	for i := range catalog {
 		k := &catalog[i]
-		for _, site := range k.Sites {
+		for _, site := range k.Zones {
 			for _, standby := range []bool{true, false} {
 				p := pool{k.SKU, site, standby}
 				if mk := m.markets[p]; mk != nil && mk.pending > 0 {
@@ -231,7 +231,7 @@
 	m.running(now, func(t *jobs.Task, w *workers.Worker, left time.Duration) {
 		if !w.Cordoned && w.Kind != nil && left < m.startup(w) {
 			s := t.Job.Spec
-			add(w.Kind, pool{w.Model, w.Site, w.Standby}, endingRoom, s.VCPUs, s.Cards, s.MemoryGB)
+			add(w.Kind, pool{w.Model, w.Zone, w.Spot}, endingRoom, s.VCPUs, s.Cards, s.MemoryGB)
 		}
 	})
 	for _, b := range order {
@@ -248,7 +248,7 @@
 func (m *Manager) guests() map[ident.HostID]jobs.Need {
 	out := map[ident.HostID]jobs.Need{}
 	m.arraysOpen(func(j *jobs.Job) {
-		if j.Held == 0 || !m.teams.Guest(j.Spec.Desk) {
+		if j.Held == 0 || !m.teams.Guest(j.Spec.Team) {
 			return
 		}
 		for i := range j.Tasks {
--- a/internal/fleet/rig_test.go
+++ b/internal/fleet/rig_test.go
@@ -49,8 +49,8 @@
 		return
 	}
 	w.serial++
-	f(workers.Answer{Status: 200, Report: &api.Report{Host: ident.HostID(addr), Addr: addr, Model: "m8", Site: "east",
-		Tenure: 1, Serial: w.serial, Epoch: c.Body.Epoch}})
+	f(workers.Answer{Status: 200, Report: &api.Report{Host: ident.HostID(addr), Addr: addr, Model: "m8", Zone: "east",
+		Session: 1, Serial: w.serial, Epoch: c.Body.Epoch}})
 }
 
 func (w *world) pass(d time.Duration, m *Manager) {
@@ -77,7 +77,7 @@
 func newRig() *rig {
 	r := &rig{world: &world{now: ident.Mono(time.Hour)}, reached: true}
 	r.reply = func(q cloud.Request) cloud.Reply { return cloud.Reply{Outcome: cloud.OK} }
-	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Sites: []string{"east"}}
+	kind := cloud.Model{SKU: "m8", VCPUs: 8, MemoryGB: 32, Hourly: 1, MarketPrice: 0.4, StartupS: 10, Zones: []string{"east"}}
 	r.commits = commit.New(r, commit.Limits{Ops: 16, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(string) {})
 	r.jobs = jobs.NewTable(r.commits, 16<<10, r.Now, func() int64 { return 0 })
 	r.table = workers.NewTable(r, r.jobs, workers.Config{Term: 3, LeaseS: 30 * time.Second, Grace: 10 * time.Second,
@@ -114,7 +114,7 @@
 func (r *rig) up(n int) {
 	for i := range n {
 		w := r.table.Add(ident.HostID(fmt.Sprintf("host-%06d", i)), "m8", "east", false, r.now)
-		r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 1})
+		r.table.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: 1})
 	}
 }
 
@@ -134,7 +134,7 @@
 	r.m.missed, r.m.silent = 10*time.Second, 18*time.Second
 	r.up(machines)
 	r.dead, r.serial = map[string]bool{}, 100
-	j := r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Service, Pieces: machines, VCPUs: 1}, func() {}, nil)
+	j := r.jobs.Add(&api.Spec{ID: "j-1", Team: "red", Shape: api.Service, Tasks: machines, VCPUs: 1}, func() {}, nil)
 	r.commits.Flush()
 	r.follow()
 	for i, w := range r.table.Sorted() {
--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -65,13 +65,13 @@
 		// on it cordoned most of a fleet within a second of the end of a peak, and
 		// rented it again.)
 		keep := arrays
-		if w.Standby {
+		if w.Spot {
 			keep *= spotKeep
 		}
 		if spare-w.Kind.VCPUs < all+keep {
 			continue
 		}
-		if !w.Standby && free[w.Site]-w.Kind.VCPUs < ordinary[w.Site] {
+		if !w.Spot && free[w.Zone]-w.Kind.VCPUs < ordinary[w.Zone] {
 			continue
 		}
 		excess = true
@@ -82,8 +82,8 @@
 			return
 		}
 		spare -= w.Kind.VCPUs
-		if !w.Standby {
-			free[w.Site] -= w.Kind.VCPUs
+		if !w.Spot {
+			free[w.Zone] -= w.Kind.VCPUs
 		}
 		slog.Info("cordoning machine", "host", string(w.Host), "tasks", len(w.Tasks), "replicas_cpus", w.Replicas)
 		w.Cordoned = true
@@ -100,7 +100,7 @@
 
 // price is what a machine costs at present.
 func price(w *workers.Worker) float64 {
-	if w.Standby {
+	if w.Spot {
 		return w.Kind.MarketPrice
 	}
 	return w.Kind.Hourly
@@ -137,7 +137,7 @@
 			return
 		}
 		if m.cfg.Movable(t, w) {
-			slog.Info("moving replica", "piece", t.Piece().String(), "host", string(w.Host))
+			slog.Info("moving replica", "task", t.TaskID().String(), "host", string(w.Host))
 			m.machine.StopTask(w, t, 0)
 			return
 		}
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -90,7 +90,7 @@
 func whole(catalog []cloud.Model, site string, cpus float64) float64 {
 	most := 0.0
 	for i := range catalog {
-		if slices.Contains(catalog[i].Sites, site) {
+		if slices.Contains(catalog[i].Zones, site) {
 			most = max(most, catalog[i].VCPUs)
 		}
 	}
@@ -103,9 +103,9 @@
 // lay finds room for n tasks of a job, and opens machines for what finds none.
 func (m *Manager) lay(l *layout, j *jobs.Job, n int, late *float64, open func(*api.Spec, ask) *bin, now ident.Mono) {
 	s := j.Spec
-	limit := s.Pieces
-	if s.Apart {
-		limit = (s.Pieces + 1) / 2
+	limit := s.Tasks
+	if s.Spread {
+		limit = (s.Tasks + 1) / 2
 	}
 	sites := maps.Clone(j.Zones)
 	if sites == nil {
@@ -117,7 +117,7 @@
 			return
 		}
 		k := n
-		if s.Apart {
+		if s.Spread {
 			k = min(k, limit-sites[b.pool.site])
 		}
 		if k <= 0 {
@@ -145,7 +145,7 @@
 		l.bins[c] = kept
 	}
 	for n > 0 {
-		if s.Apart {
+		if s.Spread {
 			a.full = nil
 			for z, k := range sites {
 				if k >= limit {
@@ -153,16 +153,16 @@
 				}
 			}
 		}
-		dear := s.Standby && now.Sub(j.Arrived) < patience*m.slowest()
+		dear := s.Spot && now.Sub(j.Arrived) < patience*m.slowest()
 		// An ordinary machine costs several times as much, and spot ones that are
 		// refused now are mostly to be had a little later.
 		// For work of guests no ordinary machine is rented at all: it is for what is to spare.
 		// (They doubled the ordinary fleet, and the price.)
-		a.spot = dear && *late <= 0 || s.Standby && m.teams.Guest(s.Desk)
+		a.spot = dear && *late <= 0 || s.Spot && m.teams.Guest(s.Team)
 		b := open(s, a)
 		if b == nil && j.Gang() && s.OneZone && j.Held == 0 && a.zone != "" {
 			// Nothing is to be had there: perhaps it is elsewhere, for all of them.
-			a.zone, n = "", s.Pieces
+			a.zone, n = "", s.Tasks
 			b = open(s, a)
 		}
 		if b == nil {
@@ -208,7 +208,7 @@
 		}
 	}
 	sort.Slice(out, func(i, k int) bool {
-		if a, b := m.teams.Guest(out[i].Spec.Desk), m.teams.Guest(out[k].Spec.Desk); a != b {
+		if a, b := m.teams.Guest(out[i].Spec.Team), m.teams.Guest(out[k].Spec.Team); a != b {
 			return b
 		}
 		return out[i].Seq < out[k].Seq
@@ -241,12 +241,12 @@
 	}
 	m.arraysOpen(func(j *jobs.Job) {
 		s := j.Spec
-		if !s.Standby || j.Wants() == 0 || m.teams.Guest(s.Desk) {
+		if !s.Spot || j.Wants() == 0 || m.teams.Guest(s.Team) {
 			return
 		}
 		waits := float64(min(j.Wants(), m.teams.Room(s))) * s.VCPUs * s.RuntimeS
 		// What can't be done in time by any machine goes last, and doesn't count.
-		if left := (m.cfg.Aim(s.Lane) - now.Sub(j.Arrived)).Seconds() - s.RuntimeS; left > 0 && waits > 0 {
+		if left := (m.cfg.Aim(s.Class) - now.Sub(j.Arrived)).Seconds() - s.RuntimeS; left > 0 && waits > 0 {
 			work += waits
 			slack += waits * left
 			weight += waits
@@ -258,7 +258,7 @@
 	// A part of the slack, since arrivals go on and estimates are often short.
 	within := max(0.85*slack/weight, m.slowest().Seconds())
 	m.arraysOpen(func(j *jobs.Job) {
-		if j.Held == 0 || !j.Spec.Standby || m.teams.Guest(j.Spec.Desk) {
+		if j.Held == 0 || !j.Spec.Spot || m.teams.Guest(j.Spec.Team) {
 			return // guests' work makes room
 		}
 		for i := range j.Tasks {
@@ -305,7 +305,7 @@
 	cheapest, fewest := math.Inf(1), 0
 	for i := range catalog {
 		k := &catalog[i]
-		for _, z := range k.Sites {
+		for _, z := range k.Zones {
 			if m.cut[z] || m.scouted(z) || a.zone != "" && a.zone != z || slices.Contains(a.full, z) {
 				continue
 			}
@@ -348,7 +348,7 @@
 	boot := m.slowest().Seconds()
 	services = map[string]float64{}
 	for _, k := range m.cfg.Catalog() {
-		for _, z := range k.Sites {
+		for _, z := range k.Zones {
 			services[z] = 0
 		}
 	}
@@ -379,7 +379,7 @@
 	free := l.zones()
 	for _, z := range slices.Sorted(maps.Keys(ordinary)) {
 		for n := 0; n < maxOpened && free[z] < ordinary[z]; n++ {
-			b := open(&api.Spec{Shape: api.Service, Pieces: 1, Site: &z}, ask{zone: z})
+			b := open(&api.Spec{Shape: api.Service, Tasks: 1, Zone: &z}, ask{zone: z})
 			if b == nil {
 				break
 			}
@@ -389,7 +389,7 @@
 	spare := round(l.spare() - total(services))
 	for n := 0; n < maxOpened && spare < arrays; n++ {
 		// Ordinary machines are not rented just in case.
-		b := open(&api.Spec{Shape: api.Batch, Pieces: 1, Standby: true}, ask{spot: true})
+		b := open(&api.Spec{Shape: api.Batch, Tasks: 1, Spot: true}, ask{spot: true})
 		if b == nil {
 			return
 		}
--- a/internal/fleet/unheard.go
+++ b/internal/fleet/unheard.go
@@ -32,33 +32,16 @@
 
 // zonesUnheard finds the zones that are silent as a whole. One stays so until a machine of it
 // is heard, though all that it had may be given up by then.
-func (m *Manager) zonesUnheard(now ident.Mono) {
+func (m *Manager) zonesUnheard(zones map[string]*zoneHearing, now ident.Mono) {
 	if m.cfg.Unheard == nil {
 		return
 	}
-	type zone struct {
-		machines int
-		newest   ident.Mono
-	}
-	zones := map[string]*zone{}
-	for _, w := range m.machine.Sorted() {
-		if w.State != workers.Up && w.State != workers.Silent {
-			continue
-		}
-		z := zones[w.Site]
-		if z == nil {
-			z = &zone{newest: m.stalled}
-			zones[w.Site] = z
-		}
-		z.machines++
-		z.newest = max(z.newest, w.Heard())
-	}
 	for name, z := range zones {
-		silent := z.machines >= minUnheard && now.Sub(z.newest) > m.missed && m.cfg.Unheard(name)
+		silent := z.up >= minUnheard && now.Sub(z.newest) > m.missed && m.cfg.Unheard(name)
 		switch known := m.unheard[name]; {
 		case silent && known == nil:
-			slog.Info("no node hears the machines of a zone", "zone", name, "machines", z.machines)
-			m.unheard[name] = &unheardZone{since: now, machines: z.machines, period: now}
+			slog.Info("no node hears the machines of a zone", "zone", name, "machines", z.up)
+			m.unheard[name] = &unheardZone{since: now, machines: z.up, period: now}
 		case known != nil && now.Sub(z.newest) < m.missed:
 			slog.Info("machines of a zone are heard again", "zone", name)
 			delete(m.unheard, name)
@@ -73,7 +56,7 @@
 // silent as a whole are given up a few at a time; nothing is placed on the others until they
 // are heard.
 func (m *Manager) mayGiveUp(w *workers.Worker, now ident.Mono) bool {
-	z := m.unheard[w.Site]
+	z := m.unheard[w.Zone]
 	if z == nil {
 		return true
 	}
@@ -100,7 +83,7 @@
 	since := m.unheard[zone].since
 	for _, w := range m.machine.Sorted() {
 		coming := w.State == workers.Booting || w.State == workers.Up || w.State == workers.Silent
-		if w.Site == zone && coming && w.Born > since {
+		if w.Zone == zone && coming && w.Born > since {
 			n++
 		}
 	}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -59,28 +59,35 @@
 	zoneLeases = 5
 )
 
-// zonesCut finds the zones from which nothing is heard, neither machines nor
-// siblings: they are cut off rather than dead, and work inside goes on for as long
-// as its leases do. (Half a fleet was fenced for its zone's cut, with replicas that
-// were not allowed anywhere else.) Nothing is placed there meanwhile.
-func (m *Manager) zonesCut(now ident.Mono) {
-	type zone struct {
-		up     int
-		newest ident.Mono
-	}
-	zones := map[string]*zone{}
+// zoneHearing is what is heard of a zone's machines.
+type zoneHearing struct {
+	up     int // machines that should be heard
+	newest ident.Mono
+}
+
+// hearZones returns what is heard of each zone that has machines.
+func (m *Manager) hearZones() map[string]*zoneHearing {
+	zones := map[string]*zoneHearing{}
 	for _, w := range m.machine.Sorted() {
 		if w.State != workers.Up && w.State != workers.Silent {
 			continue
 		}
-		z := zones[w.Site]
+		z := zones[w.Zone]
 		if z == nil {
-			z = &zone{newest: m.stalled}
-			zones[w.Site] = z
+			z = &zoneHearing{newest: m.stalled}
+			zones[w.Zone] = z
 		}
 		z.up++
 		z.newest = max(z.newest, w.Heard())
 	}
+	return zones
+}
+
+// zonesCut finds the zones from which nothing is heard, neither machines nor
+// siblings: they are cut off rather than dead, and work inside goes on for as long
+// as its leases do. (Half a fleet was fenced for its zone's cut, with replicas that
+// were not allowed anywhere else.) Nothing is placed there meanwhile.
+func (m *Manager) zonesCut(zones map[string]*zoneHearing, now ident.Mono) {
 	was := m.cut
 	m.cut = map[string]bool{}
 	for site, z := range zones {
@@ -128,8 +135,9 @@
 		m.stalled = now
 	}
 	m.ticked = now
-	m.zonesCut(now)
-	m.zonesUnheard(now)
+	zones := m.hearZones()
+	m.zonesCut(zones, now)
+	m.zonesUnheard(zones, now)
 	s := &sweep{}
 	for _, w := range m.machine.Sorted() {
 		m.inspect(w, now, s)
@@ -152,7 +160,7 @@
 			m.Return(w, "never came up")
 		}
 	case workers.Up, workers.Silent:
-		if m.cut[w.Site] {
+		if m.cut[w.Zone] {
 			m.strand(w, now)
 			return
 		}
@@ -172,7 +180,7 @@
 // inspectUp looks at a machine that should be heard.
 func (m *Manager) inspectUp(w *workers.Worker, now ident.Mono, s *sweep) {
 	s.up++
-	quiet := min(m.machine.Silence(w), now.Sub(max(m.stalled, m.back[w.Site])))
+	quiet := min(m.machine.Silence(w), now.Sub(max(m.stalled, m.back[w.Zone])))
 	limit := m.silent
 	if w.Replicas > 0 {
 		// Users miss replicas at once: don't wait for reports to fail.
@@ -242,7 +250,7 @@
 		if mass && min(m.machine.Silence(w), now.Sub(m.stalled)) < 2*m.silent {
 			continue
 		}
-		if m.blind(w.Site) || !m.mayGiveUp(w, now) {
+		if m.blind(w.Zone) || !m.mayGiveUp(w, now) {
 			continue
 		}
 		m.Fenced++
--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -35,7 +35,7 @@
 // attempt is one try of a gang at running.
 type attempt struct {
 	job   *jobs.Job
-	try   ident.Try
+	try   ident.Attempt
 	state State
 	since ident.Mono
 	began ident.Mono // when its machines were chosen
@@ -151,7 +151,7 @@
 	a.gap = 0
 	for _, p := range picks {
 		a.used[p.Worker.Host] = true
-		tb.jobs.PlaceAs(p.Task, p.Worker.Host, p.Worker.Tenure, a.try, func() { tb.Touch(j) })
+		tb.jobs.PlaceAs(p.Task, p.Worker.Host, p.Worker.Session, a.try, func() { tb.Touch(j) })
 	}
 }
 
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -54,7 +54,7 @@
 	h := ident.HostID(addr)
 	r.sent[h] = append(r.sent[h], c.Body.Orders...)
 	// An answer that tells nothing new: reports come as the test says.
-	r.queue = append(r.queue, func() { f(workers.Answer{Status: 200, Report: &api.Report{Host: h, Addr: addr, Tenure: 1}}) })
+	r.queue = append(r.queue, func() { f(workers.Answer{Status: 200, Report: &api.Report{Host: h, Addr: addr, Session: 1}}) })
 }
 
 func (r *rig) run() {
@@ -96,22 +96,22 @@
 		r.workers.Add(ident.HostID(fmt.Sprintf("host-%d", i)), "m8", "east", false, r.now)
 		r.report(i)
 	}
-	r.job = r.jobs.Add(&api.Spec{ID: "j-1", Desk: "red", Shape: api.Gang, Rank: api.High, Pieces: 3, VCPUs: 1, SnapshotEveryS: 20, SnapshotS: 3}, func() {}, nil)
+	r.job = r.jobs.Add(&api.Spec{ID: "j-1", Team: "red", Shape: api.Gang, Priority: api.High, Tasks: 3, VCPUs: 1, SnapshotEveryS: 20, SnapshotS: 3}, func() {}, nil)
 	r.run()
 	return r
 }
 
 // report has a machine report pieces; without any it reports none.
-func (r *rig) report(host int, pieces ...api.PieceReport) *api.Orders {
+func (r *rig) report(host int, pieces ...api.TaskReport) *api.Orders {
 	r.serial++
 	h := ident.HostID(fmt.Sprintf("host-%d", host))
-	o := r.workers.Checkin(&api.Report{Host: h, Addr: string(h), Model: "m8", Site: "east", Tenure: 1, Serial: r.serial,
-		Epoch: ident.MakeEpoch(3, 0), Pieces: pieces})
+	o := r.workers.Checkin(&api.Report{Host: h, Addr: string(h), Model: "m8", Zone: "east", Session: 1, Serial: r.serial,
+		Epoch: ident.MakeEpoch(3, 0), Tasks: pieces})
 	return o
 }
 
-func (r *rig) piece(i int, s api.PieceStatus, c api.Cause) api.PieceReport {
-	return api.PieceReport{Piece: ident.Piece{Job: "j-1", Index: i}, Try: r.job.Tasks[i].Try, Status: s, Cause: c}
+func (r *rig) piece(i int, s api.TaskStatus, c api.Cause) api.TaskReport {
+	return api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: i}, Attempt: r.job.Tasks[i].Attempt, Status: s, Cause: c}
 }
 
 // place puts the waiting tasks on machines from the given one on.
@@ -126,7 +126,7 @@
 	r.run()
 }
 
-func (r *rig) all(s api.PieceStatus) {
+func (r *rig) all(s api.TaskStatus) {
 	for i := range 3 {
 		r.report(i, r.piece(i, s, ""))
 	}
@@ -206,10 +206,10 @@
 	if !r.gangs.Used(r.job, "host-2") || r.gangs.Used(r.job, "host-3") {
 		t.Error("where the attempt was is not known")
 	}
-	try := r.job.Tasks[0].Try
+	try := r.job.Tasks[0].Attempt
 	r.place(3)
-	if r.job.Tasks[2].Try != try || r.job.Tasks[2].Host != "host-3" || len(r.sent["host-3"]) != 1 {
-		t.Errorf("try %d on %s, sent %v", r.job.Tasks[2].Try, r.job.Tasks[2].Host, r.sent["host-3"])
+	if r.job.Tasks[2].Attempt != try || r.job.Tasks[2].Host != "host-3" || len(r.sent["host-3"]) != 1 {
+		t.Errorf("try %d on %s, sent %v", r.job.Tasks[2].Attempt, r.job.Tasks[2].Host, r.sent["host-3"])
 	}
 	r.report(3, r.piece(2, api.Running, ""))
 	r.report(0, r.piece(0, api.Running, ""))
@@ -258,7 +258,7 @@
 	r.want("none")
 	r.place(0)
 	for i := range r.job.Tasks {
-		if got := r.job.Tasks[i].Try; got != try+1 {
+		if got := r.job.Tasks[i].Attempt; got != try+1 {
 			t.Errorf("task %d has number %d after %d", i, got, try)
 		}
 	}
@@ -277,7 +277,7 @@
 		t.Errorf("%+v %v, %s", e, ok, r.state())
 	}
 	// What the others report later finds nothing to do.
-	if o := r.report(2, api.PieceReport{Piece: ident.Piece{Job: "j-1", Index: 2}, Try: 1, Status: api.Ended, Cause: api.CauseDone}); len(o.Orders) != 1 || o.Orders[0].Verb != api.Clear {
+	if o := r.report(2, api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: 2}, Attempt: 1, Status: api.Ended, Cause: api.CauseDone}); len(o.Orders) != 1 || o.Orders[0].Verb != api.Clear {
 		t.Errorf("%v", o.Orders)
 	}
 }
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -33,14 +33,14 @@
 	Term uint64
 	// Epoch is the token that entitles to command a worker.
 	Epoch uint64
-	// Tenure counts the sessions of a worker.
-	Tenure uint64
+	// Session counts the sessions of a worker.
+	Session uint64
 	// Serial orders the messages of one session of a worker.
 	Serial uint64
 	// Stamp is the revision of a key's last change; 0: the key does not exist.
 	Stamp uint64
-	// Try counts the attempts at a task.
-	Try uint64
+	// Attempt counts the attempts at a task.
+	Attempt uint64
 	// Level is the format of what is stored, once all nodes can read it; 0: that of
 	// the first version.
 	Level uint8
@@ -85,19 +85,19 @@
 	return JobID(s), nil
 }
 
-// Piece names one task of a job, as in j-000412/3.
-type Piece struct {
+// TaskID names one task of a job, as in j-000412/3.
+type TaskID struct {
 	Job   JobID
 	Index int
 }
 
-func (p Piece) String() string { return string(p.Job) + "/" + strconv.Itoa(p.Index) }
+func (p TaskID) String() string { return string(p.Job) + "/" + strconv.Itoa(p.Index) }
 
 // MarshalText writes the piece's name.
-func (p Piece) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+func (p TaskID) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
 
 // UnmarshalText reads a piece's name.
-func (p *Piece) UnmarshalText(b []byte) error {
+func (p *TaskID) UnmarshalText(b []byte) error {
 	job, index, ok := strings.Cut(string(b), "/")
 	if !ok {
 		return fmt.Errorf("piece %q: %w", b, ErrMalformed)
--- a/internal/jobs/convert.go
+++ b/internal/jobs/convert.go
@@ -68,7 +68,7 @@
 		}
 	}
 	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.Try > 0 && !t.pin.Held() {
+		if t := &j.Tasks[i]; t.Attempt > 0 && !t.pin.Held() {
 			left++
 			lines++
 			tb.commits.Append(t, done)
--- a/internal/jobs/format_test.go
+++ b/internal/jobs/format_test.go
@@ -46,8 +46,8 @@
 func scripted(k *keep, tb *Table, c *commit.Committer) {
 	site, due := "east", 90.5
 	add := func(id string, shape api.Shape, pieces int) *Job {
-		s := &api.Spec{ID: ident.JobID(id), Lane: "lane", Desk: "red", Shape: shape, Rank: api.High, Pieces: pieces, VCPUs: 1.5,
-			MemoryGB: 2, Bundle: "img-1", ImageGB: 0.5, Models: []string{"m8"}, Site: &site, DueS: &due, RuntimeS: 30}
+		s := &api.Spec{ID: ident.JobID(id), Class: "lane", Team: "red", Shape: shape, Priority: api.High, Tasks: pieces, VCPUs: 1.5,
+			MemoryGB: 2, Image: "img-1", ImageGB: 0.5, Models: []string{"m8"}, Zone: &site, DueS: &due, RuntimeS: 30}
 		j := tb.Add(s, func() {}, nil)
 		c.Flush()
 		k.run()
@@ -55,7 +55,7 @@
 	}
 	place := func(j *Job, n int) {
 		for i := range n {
-			tb.Place(&j.Tasks[i], ident.HostID(fmt.Sprintf("host-%06d", i)), ident.Tenure(1+i%3), func() {})
+			tb.Place(&j.Tasks[i], ident.HostID(fmt.Sprintf("host-%06d", i)), ident.Session(1+i%3), func() {})
 		}
 		c.Flush()
 		k.run()
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -10,16 +10,16 @@
 
 // Task is one piece of a job.
 type Task struct {
-	Job    *Job
-	Index  int
-	State  State
-	Try    ident.Try
-	Host   ident.HostID
-	Tenure ident.Tenure
+	Job     *Job
+	Index   int
+	State   State
+	Attempt ident.Attempt
+	Host    ident.HostID
+	Session ident.Session
 
 	// What follows is not durable.
-	Seen     api.PieceStatus // newest report of this try, "" if none
-	placed   uint64          // counts its placements: an attempt of a gang may place it twice
+	Seen     api.TaskStatus // newest report of this try, "" if none
+	placed   uint64         // counts its placements: an attempt of a gang may place it twice
 	pin      commit.Pin
 	Since    ident.Mono    // when it entered its state
 	RunsAt   ident.Mono    // when it was first seen running
@@ -33,8 +33,8 @@
 // PlacedNow says whether the task was placed in this term.
 func (t *Task) PlacedNow() bool { return t.placed > 0 }
 
-// Piece names the task.
-func (t *Task) Piece() ident.Piece { return ident.Piece{Job: t.Job.Spec.ID, Index: t.Index} }
+// TaskID names the task.
+func (t *Task) TaskID() ident.TaskID { return ident.TaskID{Job: t.Job.Spec.ID, Index: t.Index} }
 
 // Job is an accepted job that is not yet over.
 type Job struct {
@@ -89,7 +89,7 @@
 		return true
 	}
 	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State != Assigned || t.Try != j.Tasks[0].Try {
+		if t := &j.Tasks[i]; t.State != Assigned || t.Attempt != j.Tasks[0].Attempt {
 			return false
 		}
 	}
@@ -97,10 +97,10 @@
 }
 
 // LastTry returns the highest number of an attempt that any task was placed in.
-func (j *Job) LastTry() ident.Try {
-	last := ident.Try(0)
+func (j *Job) LastTry() ident.Attempt {
+	last := ident.Attempt(0)
 	for i := range j.Tasks {
-		last = max(last, j.Tasks[i].Try)
+		last = max(last, j.Tasks[i].Attempt)
 	}
 	return last
 }
@@ -137,9 +137,9 @@
 
 // Ended is what is kept for ever of a job that is over.
 type Ended struct {
-	Phase  Phase `json:"phase"`
-	Pieces int   `json:"pieces"`
-	Done   int   `json:"done"`
+	Phase Phase `json:"phase"`
+	Tasks int   `json:"pieces"`
+	Done  int   `json:"done"`
 }
 
 // View is the user's view of a job that is over.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -94,10 +94,10 @@
 	if j.Phase != Open {
 		return
 	}
-	t := tb.Teams[j.Spec.Desk]
+	t := tb.Teams[j.Spec.Team]
 	if t == nil {
 		t = &Team{}
-		tb.Teams[j.Spec.Desk] = t
+		tb.Teams[j.Spec.Team] = t
 	}
 	i := len(t.Jobs)
 	for i > 0 && t.Jobs[i-1].Seq > j.Seq {
@@ -111,7 +111,7 @@
 // close is the one place where a job leaves its open phase.
 func (tb *Table) close(j *Job, p Phase) {
 	j.Phase, j.Ended = p, tb.now()
-	if t := tb.Teams[j.Spec.Desk]; t != nil {
+	if t := tb.Teams[j.Spec.Team]; t != nil {
 		if i := slices.Index(t.Jobs, j); i >= 0 {
 			t.Jobs = slices.Delete(t.Jobs, i, i+1)
 			t.Changed = true
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -57,7 +57,7 @@
 	for _, pieces := range []int{1, 100, 5000} {
 		k := &keep{Store: statetest.New()}
 		tb, c := table(k)
-		s := &api.Spec{ID: "j-1", Shape: api.Batch, Pieces: pieces, Bundle: strings.Repeat("x", 200)}
+		s := &api.Spec{ID: "j-1", Shape: api.Batch, Tasks: pieces, Image: strings.Repeat("x", 200)}
 		accepted := false
 		j := tb.Add(s, func() { accepted = true }, nil)
 		c.Flush()
@@ -93,7 +93,7 @@
 		}
 		next.Loaded()
 		j = next.Jobs["j-1"]
-		if j.Done != pieces/2 || j.Held != pieces-pieces/2 || j.Tasks[pieces-1].Host != "host-999999" || j.Tasks[pieces-1].Tenure != 1<<40 {
+		if j.Done != pieces/2 || j.Held != pieces-pieces/2 || j.Tasks[pieces-1].Host != "host-999999" || j.Tasks[pieces-1].Session != 1<<40 {
 			t.Fatalf("%d pieces: loaded %d done, %d held", pieces, j.Done, j.Held)
 		}
 		if v, err := ReadLive(k.Keys["live/j-1"].Value); err != nil || v.ID != "j-1" {
@@ -123,7 +123,7 @@
 func TestCancelWaits(t *testing.T) {
 	k := &keep{Store: statetest.New()}
 	tb, c := table(k)
-	j := tb.Add(&api.Spec{ID: "j-1", Shape: api.Service, Pieces: 2}, func() {}, nil)
+	j := tb.Add(&api.Spec{ID: "j-1", Shape: api.Service, Tasks: 2}, func() {}, nil)
 	c.Flush()
 	k.run()
 	tb.Place(&j.Tasks[0], "h", 1, func() {})
@@ -177,7 +177,7 @@
 	var j *Job
 	told := ""
 	tell := func() { told = j.View().Status }
-	j = tb.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Pieces: 1, VCPUs: 1}, func() {}, nil)
+	j = tb.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Tasks: 1, VCPUs: 1}, func() {}, nil)
 	c.Flush()
 	if j.WhenClear(tell); j.Clear() || told != "" {
 		t.Errorf("while the submission is written: %q", told)
--- a/internal/jobs/line.go
+++ b/internal/jobs/line.go
@@ -19,7 +19,7 @@
 	r := t.record()
 	b := strconv.AppendInt(nil, int64(t.Index), 10)
 	b = append(b, ',')
-	b = strconv.AppendUint(b, uint64(r.Try), 10)
+	b = strconv.AppendUint(b, uint64(r.Attempt), 10)
 	switch {
 	case r.Done:
 		b = append(b, ",+"...)
@@ -27,7 +27,7 @@
 		b = append(b, ',')
 		b = append(b, url.QueryEscape(string(r.Host))...)
 		b = append(b, ',')
-		b = strconv.AppendUint(b, uint64(r.Tenure), 10)
+		b = strconv.AppendUint(b, uint64(r.Session), 10)
 	}
 	return string(t.Job.Spec.ID), string(b)
 }
@@ -46,7 +46,7 @@
 		}
 		return n
 	}
-	r.Try = ident.Try(num(f[1]))
+	r.Attempt = ident.Attempt(num(f[1]))
 	switch {
 	case len(f) == 3 && f[2] == "+":
 		r.Done = true
@@ -57,7 +57,7 @@
 		if bad != nil || host == "" {
 			return 0, r, fmt.Errorf("malformed line %q", text)
 		}
-		r.Host, r.Tenure = ident.HostID(host), ident.Tenure(num(f[3]))
+		r.Host, r.Session = ident.HostID(host), ident.Session(num(f[3]))
 	}
 	if err != nil || index < 0 {
 		return 0, r, fmt.Errorf("malformed line %q", text)
--- a/internal/jobs/line_test.go
+++ b/internal/jobs/line_test.go
@@ -14,7 +14,7 @@
 	for _, host := range []ident.HostID{"host-000231", "a b,c\nd", "+", "%2C", "ü\"<&>"} {
 		for _, s := range []State{Waiting, Assigned, Stopping, Finished} {
 			task := &j.Tasks[2]
-			*task = Task{Job: j, Index: 2, State: s, Try: 1<<64 - 1, Host: host, Tenure: 1<<64 - 1}
+			*task = Task{Job: j, Index: 2, State: s, Attempt: 1<<64 - 1, Host: host, Session: 1<<64 - 1}
 			group, line := task.Text()
 			if group != "j-1" {
 				t.Errorf("group %q", group)
--- a/internal/jobs/load.go
+++ b/internal/jobs/load.go
@@ -118,13 +118,13 @@
 	if t.State.Held() {
 		j.Held--
 	}
-	t.Try, t.State, t.Host, t.Tenure = r.Try, Waiting, "", 0
+	t.Attempt, t.State, t.Host, t.Session = r.Attempt, Waiting, "", 0
 	switch {
 	case r.Done:
 		t.State = Finished
 		j.Done++
 	case r.Host != "":
-		t.Host, t.Tenure, t.State = r.Host, r.Tenure, Assigned
+		t.Host, t.Session, t.State = r.Host, r.Session, Assigned
 		j.Held++
 	}
 }
--- a/internal/jobs/moves.go
+++ b/internal/jobs/moves.go
@@ -71,10 +71,10 @@
 }
 
 // runs says whether a task with that status has started and not ended.
-func runs(s api.PieceStatus) bool { return s == api.Running || s == api.Flushing }
+func runs(s api.TaskStatus) bool { return s == api.Running || s == api.Flushing }
 
 // see notes the newest reported status.
-func (t *Task) see(tb *Table, s api.PieceStatus) {
+func (t *Task) see(tb *Table, s api.TaskStatus) {
 	if runs(t.Seen) {
 		t.Job.Runs--
 	}
@@ -82,7 +82,7 @@
 		t.Job.Runs++
 		if !runs(t.Seen) {
 			t.RunsAt = tb.now()
-			slog.Debug("task runs", "piece", t.Piece().String(), "host", string(t.Host), "try", uint64(t.Try),
+			slog.Debug("task runs", "task", t.TaskID().String(), "host", string(t.Host), "try", uint64(t.Attempt),
 				"placed_s", t.Since.Sub(0).Seconds(), "job_age_s", t.RunsAt.Sub(t.Job.Arrived).Seconds())
 		}
 	}
@@ -90,7 +90,7 @@
 }
 
 // Observe notes what a worker reports of a task that is on it.
-func (tb *Table) Observe(t *Task, s api.PieceStatus) {
+func (tb *Table) Observe(t *Task, s api.TaskStatus) {
 	if t.State.Held() && t.Seen != s {
 		t.see(tb, s)
 	}
@@ -99,18 +99,18 @@
 // Place chooses a machine for a waiting task; then is called once that is
 // durable, if it still holds. Only then may the task be launched: a successor
 // must find every task that may be on a machine.
-func (tb *Table) Place(t *Task, h ident.HostID, tenure ident.Tenure, then func()) {
-	tb.PlaceAs(t, h, tenure, t.Try+1, then)
+func (tb *Table) Place(t *Task, h ident.HostID, tenure ident.Session, then func()) {
+	tb.PlaceAs(t, h, tenure, t.Attempt+1, then)
 }
 
 // PlaceAs is Place in an attempt whose number is given.
-func (tb *Table) PlaceAs(t *Task, h ident.HostID, tenure ident.Tenure, try ident.Try, then func()) {
-	if try < t.Try {
+func (tb *Table) PlaceAs(t *Task, h ident.HostID, tenure ident.Session, try ident.Attempt, then func()) {
+	if try < t.Attempt {
 		panic("attempts are never numbered back")
 	}
-	t.Try = try
+	t.Attempt = try
 	t.placed++
-	t.Host, t.Tenure = h, tenure
+	t.Host, t.Session = h, tenure
 	tb.to(t, Placing)
 	placed := t.placed
 	tb.save(t, func() {
@@ -207,9 +207,9 @@
 		return
 	}
 	j.over = true
-	end := Ended{Phase: j.Phase, Pieces: len(j.Tasks), Done: j.Done}
+	end := Ended{Phase: j.Phase, Tasks: len(j.Tasks), Done: j.Done}
 	if j.Phase == Done {
-		end.Done = end.Pieces
+		end.Done = end.Tasks
 	}
 	j.head.Also = func() []statesvc.Change {
 		return []statesvc.Change{{Put: OverKey(j.Spec.ID), Value: api.JSON(end)}}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -48,10 +48,10 @@
 
 // record is a task in the state service. A task that was never placed is empty.
 type record struct {
-	Try    ident.Try    `json:"t,omitempty"`
-	Host   ident.HostID `json:"h,omitempty"`
-	Tenure ident.Tenure `json:"n,omitempty"`
-	Done   bool         `json:"d,omitempty"`
+	Attempt ident.Attempt `json:"t,omitempty"`
+	Host    ident.HostID  `json:"h,omitempty"`
+	Session ident.Session `json:"n,omitempty"`
+	Done    bool          `json:"d,omitempty"`
 }
 
 // recordBytes bounds a record's size in JSON, commas included.
@@ -70,7 +70,7 @@
 		return j.Spec
 	}
 	s := *j.Spec
-	s.Models, s.Site, s.Lane, s.Bundle = nil, nil, "", ""
+	s.Models, s.Zone, s.Class, s.Image = nil, nil, "", ""
 	return &s
 }
 
@@ -88,7 +88,7 @@
 func (tb *Table) shape(j *Job) {
 	id := j.Spec.ID
 	now := tb.now()
-	j.Tasks = make([]Task, j.Spec.Pieces)
+	j.Tasks = make([]Task, j.Spec.Tasks)
 	for i := range j.Tasks {
 		j.Tasks[i] = Task{Job: j, Index: i, Since: now}
 	}
@@ -144,9 +144,9 @@
 }
 
 func (t *Task) record() record {
-	r := record{Try: t.Try, Done: t.State == Finished}
+	r := record{Attempt: t.Attempt, Done: t.State == Finished}
 	if t.State.Held() {
-		r.Host, r.Tenure = t.Host, t.Tenure
+		r.Host, r.Session = t.Host, t.Session
 	}
 	return r
 }
--- a/internal/loopback/cloud.go
+++ b/internal/loopback/cloud.go
@@ -54,7 +54,7 @@
 
 func (p *provider) catalog(w http.ResponseWriter, _ *http.Request) {
 	answer(w, http.StatusOK, map[string]any{"models": []cloud.Model{{SKU: machineType, VCPUs: machineCPUs, MemoryGB: 32, LocalGB: 20,
-		PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 1, Sites: zones}}})
+		PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 1, Zones: zones}}})
 }
 
 func (p *provider) rent(w http.ResponseWriter, r *http.Request) {
@@ -69,12 +69,12 @@
 	if !known {
 		have := 0
 		for _, m := range p.machines {
-			if m.zone == q.Site && m.spot == q.Standby {
+			if m.zone == q.Zone && m.spot == q.Spot {
 				have++
 			}
 		}
 		for range min(q.Number, zoneCapacity-have) {
-			hosts = append(hosts, p.boot(q.Site, q.Standby))
+			hosts = append(hosts, p.boot(q.Zone, q.Spot))
 		}
 		if len(hosts) == 0 {
 			answer(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
@@ -138,7 +138,7 @@
 		if h <= since {
 			continue
 		}
-		l := cloud.Listed{ID: h, Model: machineType, Site: m.zone, Standby: m.spot, Status: "booting", AgeS: time.Since(m.born).Seconds()}
+		l := cloud.Listed{ID: h, Model: machineType, Zone: m.zone, Spot: m.spot, Status: "booting", AgeS: time.Since(m.born).Seconds()}
 		if m.worker != nil {
 			l.Status, l.Addr = "running", m.worker.addr
 		}
--- a/internal/loopback/record.go
+++ b/internal/loopback/record.go
@@ -10,7 +10,7 @@
 
 // run is one time that a task was on a machine.
 type run struct {
-	task  ident.Piece
+	task  ident.TaskID
 	host  ident.HostID
 	begin time.Time
 	end   time.Time // zero while it runs
@@ -21,14 +21,14 @@
 	mu       sync.Mutex
 	runs     []*run
 	leaders  map[ident.Term]string // who acted in a term
-	results  map[ident.Piece]bool  // tasks that have completed
+	results  map[ident.TaskID]bool // tasks that have completed
 	broken   []string
 	started  int
 	commands int
 }
 
 func newRecord() *Record {
-	return &Record{leaders: map[ident.Term]string{}, results: map[ident.Piece]bool{}}
+	return &Record{leaders: map[ident.Term]string{}, results: map[ident.TaskID]bool{}}
 }
 
 func (r *Record) breakRule(format string, args ...any) {
@@ -52,7 +52,7 @@
 
 // begin notes a start. A task on another machine at that time is a broken rule, unless that
 // machine's lease was over, which it notices when it next looks.
-func (r *Record) begin(task ident.Piece, host ident.HostID, elsewhere func(ident.HostID) bool) *run {
+func (r *Record) begin(task ident.TaskID, host ident.HostID, elsewhere func(ident.HostID) bool) *run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.started++
@@ -95,7 +95,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range tasks {
-		if !r.results[ident.Piece{Job: id, Index: i}] {
+		if !r.results[ident.TaskID{Job: id, Index: i}] {
 			return false
 		}
 	}
--- a/internal/loopback/record_test.go
+++ b/internal/loopback/record_test.go
@@ -14,7 +14,7 @@
 // TestRecordNotices: the record can fail.
 func TestRecordNotices(t *testing.T) {
 	r := newRecord()
-	task := ident.Piece{Job: "j-1"}
+	task := ident.TaskID{Job: "j-1"}
 	alive := func(ident.HostID) bool { return true }
 	first := r.begin(task, "host-1", alive)
 	if r.begin(task, "host-2", func(ident.HostID) bool { return false }); len(r.broken) != 0 {
--- a/internal/loopback/worker.go
+++ b/internal/loopback/worker.go
@@ -28,7 +28,7 @@
 	stop    context.CancelFunc
 
 	mu      sync.Mutex
-	session ident.Tenure
+	session ident.Session
 	serial  ident.Serial
 	token   ident.Epoch
 	lease   time.Time // when the last answered report was sent
@@ -38,12 +38,12 @@
 }
 
 type taskKey struct {
-	piece   ident.Piece
-	attempt ident.Try
+	piece   ident.TaskID
+	attempt ident.Attempt
 }
 
 type task struct {
-	status api.PieceStatus
+	status api.TaskStatus
 	cause  api.Cause
 	run    *run
 	timer  *time.Timer
@@ -127,13 +127,13 @@
 // message makes a report. Called with the lock.
 func (w *worker) message() *api.Report {
 	w.serial++
-	r := &api.Report{Host: w.host, Addr: w.addr, Model: machineType, Site: w.zone, Standby: w.spot, Tenure: w.session,
-		Serial: w.serial, Epoch: w.token, Pieces: []api.PieceReport{}}
+	r := &api.Report{Host: w.host, Addr: w.addr, Model: machineType, Zone: w.zone, Spot: w.spot, Session: w.session,
+		Serial: w.serial, Epoch: w.token, Tasks: []api.TaskReport{}}
 	for k, t := range w.tasks {
-		r.Pieces = append(r.Pieces, api.PieceReport{Piece: k.piece, Try: k.attempt, Status: t.status, Cause: t.cause})
+		r.Tasks = append(r.Tasks, api.TaskReport{TaskID: k.piece, Attempt: k.attempt, Status: t.status, Cause: t.cause})
 	}
-	slices.SortFunc(r.Pieces, func(a, b api.PieceReport) int {
-		return cmp.Or(cmp.Compare(a.Piece.Job, b.Piece.Job), cmp.Compare(a.Piece.Index, b.Piece.Index), cmp.Compare(a.Try, b.Try))
+	slices.SortFunc(r.Tasks, func(a, b api.TaskReport) int {
+		return cmp.Or(cmp.Compare(a.TaskID.Job, b.TaskID.Job), cmp.Compare(a.TaskID.Index, b.TaskID.Index), cmp.Compare(a.Attempt, b.Attempt))
 	})
 	return r
 }
@@ -147,7 +147,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expire()
-	if w.gone || c.Tenure != w.session || c.Epoch < w.token {
+	if w.gone || c.Session != w.session || c.Epoch < w.token {
 		answer(rw, http.StatusConflict, w.message())
 		return
 	}
@@ -160,7 +160,7 @@
 // obey carries out orders. Called with the lock.
 func (w *worker) obey(orders []api.Order) {
 	for _, o := range orders {
-		k := taskKey{o.Piece, o.Try}
+		k := taskKey{o.TaskID, o.Attempt}
 		t := w.tasks[k]
 		switch o.Verb {
 		case api.Launch:
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -28,13 +28,13 @@
 
 // The messages.
 const (
-	Hello Kind = iota + 1 // first on a connection: who sends
-	Beat                  // who leads, as far as the sender knows
-	Ask                   // a request passed on to the leader
-	Tell                  // the answer to it
-	Links                 // what nodes know of their links; only to nodes that can read it
-	Yield                 // the leader hands the lead over; only to nodes that can read it
-	Relay                 // an Ask for a third node to pass on to the leader; only to nodes that can read it
+	Hello     Kind = iota + 1 // first on a connection: who sends
+	Heartbeat                 // who leads, as far as the sender knows
+	Ask                       // a request passed on to the leader
+	Tell                      // the answer to it
+	Links                     // what nodes know of their links; only to nodes that can read it
+	Yield                     // the leader hands the lead over; only to nodes that can read it
+	Relay                     // an Ask for a third node to pass on to the leader; only to nodes that can read it
 )
 
 // LinksCapability is what a node announces that can read Links, Yield and Relay. They came without
@@ -55,10 +55,10 @@
 // Frame is one message; only the fields of its kind are carried.
 type Frame struct {
 	Kind   Kind
-	Node   ident.NodeID // Hello: sender; Beat: leader, may be empty; Yield: who should follow, may be empty
-	Term   ident.Term   // Beat, Yield
-	Life   Life         // Beat
-	ID     uint64       // Ask, Relay, Tell; Beat: never the same again; Links: the receiver's newest Beat
+	Node   ident.NodeID // Hello: sender; Heartbeat: leader, may be empty; Yield: who should follow, may be empty
+	Term   ident.Term   // Heartbeat, Yield
+	Life   Life         // Heartbeat
+	ID     uint64       // Ask, Relay, Tell; Heartbeat: never the same again; Links: the receiver's newest Heartbeat
 	Rows   []links.Row  // Links
 	Verb   Verb         // Ask, Relay
 	Job    string       // Ask, Relay: the id in the path
@@ -70,11 +70,11 @@
 // Life is what a node says with a beat of itself, and of what it heard. Times are in
 // milliseconds; None: never.
 type Life struct {
-	Echo  uint64 // newest beat that came from the receiver, 0: none
-	Age   uint32 // of the process
-	Grace uint32 // for how long the receiver may vouch for the leader, from what is echoed on
-	Trust uint32 // since the sender heard a leader lead
-	Ago   uint32 // since the sender vouched for one
+	Echo         uint64 // newest beat that came from the receiver, 0: none
+	ProcessAge   uint32 // of the process
+	Allowance    uint32 // for how long the receiver may keep leases for the leader, from what is echoed on
+	SinceLeader  uint32 // since the sender heard a leader lead
+	SinceRenewal uint32 // since the sender kept for one
 }
 
 // None stands for never in a Life.
@@ -106,12 +106,12 @@
 	switch f.Kind {
 	case Hello:
 		str(string(f.Node))
-	case Beat:
+	case Heartbeat:
 		str(string(f.Node))
 		b = binary.BigEndian.AppendUint64(b, uint64(f.Term))
 		b = binary.BigEndian.AppendUint64(b, f.ID)
 		b = binary.BigEndian.AppendUint64(b, f.Life.Echo)
-		for _, v := range []uint32{f.Life.Age, f.Life.Grace, f.Life.Trust, f.Life.Ago} {
+		for _, v := range []uint32{f.Life.ProcessAge, f.Life.Allowance, f.Life.SinceLeader, f.Life.SinceRenewal} {
 			b = binary.BigEndian.AppendUint32(b, v)
 		}
 	case Ask, Relay:
@@ -148,11 +148,11 @@
 	switch f.Kind {
 	case Hello:
 		f.Node = ident.NodeID(r.str())
-	case Beat:
+	case Heartbeat:
 		f.Node = ident.NodeID(r.str())
 		f.Term = ident.Term(r.u64())
 		f.ID = r.u64()
-		f.Life = Life{Echo: r.u64(), Age: r.u32(), Grace: r.u32(), Trust: r.u32(), Ago: r.u32()}
+		f.Life = Life{Echo: r.u64(), ProcessAge: r.u32(), Allowance: r.u32(), SinceLeader: r.u32(), SinceRenewal: r.u32()}
 	case Ask, Relay:
 		f.ID = r.u64()
 		f.Verb = Verb(r.u8())
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -19,8 +19,8 @@
 
 var samples = []*Frame{
 	{Kind: Hello, Node: "agent-0"},
-	{Kind: Beat},
-	{Kind: Beat, Node: "agent-1", Term: 1<<63 + 5, ID: 1 << 60, Life: Life{Echo: 9, Age: 1, Grace: 24_000, Trust: None, Ago: 3}},
+	{Kind: Heartbeat},
+	{Kind: Heartbeat, Node: "agent-1", Term: 1<<63 + 5, ID: 1 << 60, Life: Life{Echo: 9, ProcessAge: 1, Allowance: 24_000, SinceLeader: None, SinceRenewal: 3}},
 	{Kind: Ask, ID: 7, Verb: Poll, Job: "j-000412", Body: []byte{}},
 	{Kind: Ask, ID: 1<<64 - 1, Verb: Submit, Body: []byte(`{"id":"j-1"}`)},
 	{Kind: Tell, ID: 9, Status: 503, Retry: 2, Body: []byte("{}")},
@@ -139,7 +139,7 @@
 	}
 	lines := strings.Fields(string(b))
 	frames := []*Frame{{Kind: Hello, Node: "agent-1"},
-		{Kind: Beat, Node: "agent-2", Term: 7, ID: 99, Life: Life{Echo: 5, Age: 1000, Grace: 2000, Trust: None, Ago: 3}},
+		{Kind: Heartbeat, Node: "agent-2", Term: 7, ID: 99, Life: Life{Echo: 5, ProcessAge: 1000, Allowance: 2000, SinceLeader: None, SinceRenewal: 3}},
 		{Kind: Ask, ID: 12, Verb: Submit, Body: []byte(`{"id":"j-1"}`)}, {Kind: Ask, ID: 13, Verb: Checkin, Body: []byte(`{}`)},
 		{Kind: Ask, ID: 14, Verb: Poll, Job: "j-000412"}, {Kind: Ask, ID: 15, Verb: Cancel, Job: "j-000412"},
 		{Kind: Tell, ID: 12, Status: 503, Retry: 1, Body: []byte(`{"error":"no leader at present"}`)}}
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -182,7 +182,7 @@
 }
 
 func (t *Transport) receive(conn net.Conn) {
-	echo := (&Frame{Kind: Beat}).Append(nil)
+	echo := (&Frame{Kind: Heartbeat}).Append(nil)
 	var from ident.NodeID
 	rd := bufio.NewReaderSize(conn, readBuffer)
 	for {
@@ -207,7 +207,7 @@
 		case from == "":
 			slog.Error("mesh connection without a hello", "remote", conn.RemoteAddr().String())
 			return
-		case f.Kind == Beat:
+		case f.Kind == Heartbeat:
 			conn.SetWriteDeadline(time.Now().Add(writeTime))
 			if _, err := conn.Write(echo); err != nil {
 				return
--- a/internal/placement/begin.go
+++ b/internal/placement/begin.go
@@ -19,7 +19,7 @@
 			late = append(late, j)
 		}
 	}
-	size := func(j *jobs.Job) float64 { return float64(j.Spec.Pieces) * j.Spec.VCPUs }
+	size := func(j *jobs.Job) float64 { return float64(j.Spec.Tasks) * j.Spec.VCPUs }
 	sort.Slice(late, func(i, k int) bool {
 		if a, b := size(late[i]), size(late[k]); a != b {
 			return a > b
@@ -27,28 +27,28 @@
 		return late[i].Seq < late[k].Seq
 	})
 	for _, j := range late {
-		if begun, ok := p.begun[j.Spec.Desk]; ok && p.now().Sub(begun) < p.MaxWait/beginPart {
+		if begun, ok := p.begun[j.Spec.Team]; ok && p.now().Sub(begun) < p.MaxWait/beginPart {
 			continue
 		}
 		if !p.teams.Allows(j.Spec, 1) {
-			if p.blocked[j.Spec.Desk] == nil {
-				p.blocked[j.Spec.Desk] = j
+			if p.blocked[j.Spec.Team] == nil {
+				p.blocked[j.Spec.Team] = j
 			}
 			continue
 		}
 		var fit, wait *workers.Worker
 		for _, w := range p.roomy {
 			if p.fits(j, w) && p.may(j, w) {
-				if fit == nil || w.Holds(j.Spec.Bundle) {
+				if fit == nil || w.Holds(j.Spec.Image) {
 					fit = w
 				}
-				if w.Holds(j.Spec.Bundle) {
+				if w.Holds(j.Spec.Image) {
 					break
 				}
 			}
 		}
 		if fit != nil {
-			p.begun[j.Spec.Desk] = p.now()
+			p.begun[j.Spec.Team] = p.now()
 			p.place(p.next(j), fit)
 			continue
 		}
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -92,17 +92,17 @@
 
 func (l *large) report(w *workers.Worker) {
 	l.serial++
-	r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: "east", Standby: w.Standby, Tenure: 1, Serial: l.serial}
+	r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Zone: "east", Spot: w.Spot, Session: 1, Serial: l.serial}
 	for _, t := range l.fleet.TasksOf(w) {
-		r.Pieces = append(r.Pieces, api.PieceReport{Piece: t.Piece(), Try: t.Try, Status: api.Running})
+		r.Tasks = append(r.Tasks, api.TaskReport{TaskID: t.TaskID(), Attempt: t.Attempt, Status: api.Running})
 	}
 	l.fleet.Checkin(r)
 }
 
 func (l *large) submit(shape api.Shape, pieces int, vcpus float64) {
 	l.next++
-	l.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", l.next)), Desk: "red", Shape: shape, Rank: api.Standard, Pieces: pieces,
-		VCPUs: vcpus, MemoryGB: 2, Bundle: fmt.Sprintf("img-%d", l.next%16), ImageGB: 1, Standby: shape == api.Batch, RuntimeS: 60}, func() {}, nil)
+	l.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", l.next)), Team: "red", Shape: shape, Priority: api.Standard, Tasks: pieces,
+		VCPUs: vcpus, MemoryGB: 2, Image: fmt.Sprintf("img-%d", l.next%16), ImageGB: 1, Spot: shape == api.Batch, RuntimeS: 60}, func() {}, nil)
 	l.commits.Flush()
 }
 
@@ -189,9 +189,9 @@
 			l := newLarge(n)
 			l.fill()
 			w := l.fleet.Sorted()[1]
-			r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: "east", Tenure: 1, Epoch: ident.MakeEpoch(1, 0)}
+			r := &api.Report{Host: w.Host, Addr: "a", Model: "m16", Zone: "east", Session: 1, Epoch: ident.MakeEpoch(1, 0)}
 			for _, t := range l.fleet.TasksOf(w) {
-				r.Pieces = append(r.Pieces, api.PieceReport{Piece: t.Piece(), Try: t.Try, Status: api.Running})
+				r.Tasks = append(r.Tasks, api.TaskReport{TaskID: t.TaskID(), Attempt: t.Attempt, Status: api.Running})
 			}
 			body, _ := json.Marshal(r)
 			for b.Loop() {
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -53,7 +53,7 @@
 		if t.State != jobs.Waiting {
 			continue
 		}
-		if now < t.RetryAt || p.fleet.Orphan(t.Piece()) {
+		if now < t.RetryAt || p.fleet.Orphan(t.TaskID()) {
 			return
 		}
 		tasks = append(tasks, t)
@@ -62,8 +62,8 @@
 		return
 	}
 	if !p.teams.Allows(j.Spec, float64(len(tasks))) {
-		if p.unbegun(j) && p.blocked[j.Spec.Desk] == nil {
-			p.blocked[j.Spec.Desk] = j
+		if p.unbegun(j) && p.blocked[j.Spec.Team] == nil {
+			p.blocked[j.Spec.Team] = j
 		}
 		return
 	}
@@ -107,8 +107,8 @@
 	}
 	var out []string
 	for _, w := range p.order {
-		if !slices.Contains(out, w.Site) {
-			out = append(out, w.Site)
+		if !slices.Contains(out, w.Zone) {
+			out = append(out, w.Zone)
 		}
 	}
 	slices.Sort(out)
@@ -129,11 +129,11 @@
 		zones[z] = n
 	}
 	allowed := func(w *workers.Worker) bool {
-		return (site == "" || w.Site == site) && p.may(j, w) && !p.act.GangUsed(j, w)
+		return (site == "" || w.Zone == site) && p.may(j, w) && !p.act.GangUsed(j, w)
 	}
 	take := func(w *workers.Worker, n int) {
-		if s.Apart {
-			n = min(n, (s.Pieces+1)/2-zones[w.Site])
+		if s.Spread {
+			n = min(n, (s.Tasks+1)/2-zones[w.Zone])
 		}
 		n = min(n, len(left))
 		if n <= 0 {
@@ -143,7 +143,7 @@
 			c.picks = append(c.picks, gang.Pick{Task: t, Worker: w})
 		}
 		left = left[n:]
-		zones[w.Site] += n
+		zones[w.Zone] += n
 		taken[w] += n
 		c.spread++
 	}
@@ -154,7 +154,7 @@
 	var holders, others []room
 	for _, w := range p.roomy {
 		if n := w.Places(s); n > 0 && allowed(w) {
-			if w.Holds(s.Bundle) {
+			if w.Holds(s.Image) {
 				holders = append(holders, room{w, n})
 			} else {
 				others = append(others, room{w, n})
@@ -198,12 +198,12 @@
 		cost float64
 	}
 	var offers []offer
-	enough := max(gangSearch, s.Pieces)
+	enough := max(gangSearch, s.Tasks)
 	for _, w := range p.order {
 		if len(offers) >= enough || p.searched >= p.searchLimit() {
 			break
 		}
-		if taken[w] > 0 || holders && !w.Holds(s.Bundle) || w.Lesser(s.Rank) == 0 && (!j.Within || w.Arrays == 0) || !allowed(w) {
+		if taken[w] > 0 || holders && !w.Holds(s.Image) || w.Lesser(s.Priority) == 0 && (!j.Within || w.Arrays == 0) || !allowed(w) {
 			continue
 		}
 		p.searched++
@@ -229,7 +229,7 @@
 		for _, v := range o.stop {
 			c.wait = c.wait || v.Job.Spec.Saves()
 		}
-		if !o.w.Holds(s.Bundle) {
+		if !o.w.Holds(s.Image) {
 			c.fetch = max(c.fetch, p.fetches(j, o.w))
 		}
 	}
@@ -238,7 +238,7 @@
 // hasty says whether fetching a gang's image takes longer than its users want to wait,
 // or at least a good part of that.
 func (p *Planner) hasty(j *jobs.Job) bool {
-	limit, ok := p.waits[j.Spec.Lane]
+	limit, ok := p.waits[j.Spec.Class]
 	if !ok {
 		return false
 	}
@@ -265,7 +265,7 @@
 			return int((free + slack) / j.Spec.VCPUs)
 		}
 		for _, w := range p.order {
-			if (site == "" || w.Site == site) && places(w) > 0 && p.may(j, w) {
+			if (site == "" || w.Zone == site) && places(w) > 0 && p.may(j, w) {
 				list = append(list, w)
 			}
 		}
--- a/internal/placement/gangs_test.go
+++ b/internal/placement/gangs_test.go
@@ -30,7 +30,7 @@
 		}
 		w := l.fleet.Add(ident.HostID(fmt.Sprintf("host-%06d", i)), "m16", site, false, l.now)
 		l.serial++
-		l.fleet.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m16", Site: site, Tenure: 1, Serial: l.serial})
+		l.fleet.Checkin(&api.Report{Host: w.Host, Addr: "a", Model: "m16", Zone: site, Session: 1, Serial: l.serial})
 	}
 	return l
 }
@@ -38,7 +38,7 @@
 func (l *large) gang(pieces int, vcpus float64, oneZone bool) *jobs.Job {
 	l.next++
 	id := ident.JobID(fmt.Sprintf("j-%d", l.next))
-	l.jobs.Add(&api.Spec{ID: id, Desk: "red", Shape: api.Gang, Rank: api.High, Pieces: pieces, VCPUs: vcpus, MemoryGB: 2, Bundle: "img-gang",
+	l.jobs.Add(&api.Spec{ID: id, Team: "red", Shape: api.Gang, Priority: api.High, Tasks: pieces, VCPUs: vcpus, MemoryGB: 2, Image: "img-gang",
 		ImageGB: 1, OneZone: oneZone, RuntimeS: 30}, func() {}, nil)
 	l.commits.Flush()
 	return l.jobs.Jobs[id]
@@ -48,7 +48,7 @@
 	out := map[string]int{}
 	for i := range j.Tasks {
 		if t := &j.Tasks[i]; t.State.Held() {
-			out[l.fleet.Workers[t.Host].Site]++
+			out[l.fleet.Workers[t.Host].Zone]++
 		}
 	}
 	return out
@@ -117,7 +117,7 @@
 	}
 	l.fill()
 	j := l.gang(2, 16, true)
-	j.Spec.Rank = api.Standard // nothing gives way to it
+	j.Spec.Priority = api.Standard // nothing gives way to it
 	for step := 0; step < 60 && j.Held == 0; step++ {
 		l.now = l.now.Add(time.Second)
 		// Each second a task ends and another comes.
--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -48,7 +48,7 @@
 	for _, pick := range []func(*workers.Worker) (*jobs.Task, *uint64){p.local, p.pick} {
 		for _, standby := range []bool{true, false} {
 			for _, w := range p.roomy {
-				if w.Standby != standby {
+				if w.Spot != standby {
 					continue
 				}
 				for w.Room(need) && p.placed < maxPlaced {
@@ -128,14 +128,14 @@
 
 // inTurn says whether a task's job is one of those whose turn it is, or of an earlier one.
 func (p *Planner) inTurn(t *jobs.Task) bool {
-	return p.turn.to > p.guests || !p.teams.Guest(t.Job.Spec.Desk)
+	return p.turn.to > p.guests || !p.teams.Guest(t.Job.Spec.Team)
 }
 
 // ready says whether a machine may have a task now.
 func (p *Planner) ready(t *jobs.Task, w *workers.Worker) bool {
 	now := p.now()
 	return t.State == jobs.Waiting && t.Job.Phase == jobs.Open && t.Job.Wants() > 0 && now >= t.RetryAt && now >= t.Job.RetryAt &&
-		p.fits(t.Job, w) && p.may(t.Job, w) && !p.fleet.Orphan(t.Piece())
+		p.fits(t.Job, w) && p.may(t.Job, w) && !p.fleet.Orphan(t.TaskID())
 }
 
 // can says whether a machine may have any task of a job now.
@@ -163,12 +163,12 @@
 	}
 	best := p.turn.to
 	for _, im := range w.Images() {
-		list := p.byImage[im.Bundle]
-		at := p.first[im.Bundle]
+		list := p.byImage[im.Name]
+		at := p.first[im.Name]
 		for at < len(list) && p.arrays[list[at]].Waits() == 0 {
 			at++
 		}
-		p.first[im.Bundle] = at
+		p.first[im.Name] = at
 		for _, i := range list[at:] {
 			if i >= best {
 				break
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -65,7 +65,7 @@
 	if age > overdueFactor*p.MaxWait && arrays(j) || !arrays(j) && p.unbegun(j) {
 		return overdue
 	}
-	aims := p.aims[j.Spec.Lane]
+	aims := p.aims[j.Spec.Class]
 	if j.Spec.DueS != nil {
 		aims = append(slices.Clone(aims), settings.Seconds(*j.Spec.DueS))
 		slices.Sort(aims)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -40,7 +40,7 @@
 	room := map[string]int{}
 	total, limit := 0, planLimit(len(p.order))
 	for _, j := range p.arrays {
-		left, ok := room[j.Spec.Desk]
+		left, ok := room[j.Spec.Team]
 		if !ok {
 			left = p.teams.Room(j.Spec)
 		}
@@ -57,12 +57,12 @@
 			total++
 			of = append(of, t)
 		}
-		room[j.Spec.Desk] = left
+		room[j.Spec.Team] = left
 		if len(of) == 0 {
 			continue
 		}
 		g := Group{Tasks: len(of)}
-		for _, w := range p.holding(j.Spec.Bundle) {
+		for _, w := range p.holding(j.Spec.Image) {
 			if w.Allows(j.Spec) && !j.Shunned[w.Host] {
 				g.Machines = append(g.Machines, place[w])
 			}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -159,7 +159,7 @@
 	}
 	for i := p.cursor[j]; i < len(j.Tasks); i++ {
 		t := &j.Tasks[i]
-		if t.State == jobs.Waiting && now >= t.RetryAt && !p.fleet.Orphan(t.Piece()) {
+		if t.State == jobs.Waiting && now >= t.RetryAt && !p.fleet.Orphan(t.TaskID()) {
 			p.cursor[j] = i
 			return t
 		}
@@ -174,8 +174,8 @@
 func (p *Planner) isHeld(j *jobs.Job) bool {
 	held, ok := p.held[j]
 	if !ok {
-		for _, w := range p.holding(j.Spec.Bundle) {
-			if w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) {
+		for _, w := range p.holding(j.Spec.Image) {
+			if w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Zone) {
 				held = true
 				break
 			}
@@ -195,7 +195,7 @@
 			}
 		}
 	}
-	return !s.Apart || j.Zones[site] < (s.Pieces+1)/2
+	return !s.Spread || j.Zones[site] < (s.Tasks+1)/2
 }
 
 // may checks everything but room.
@@ -203,10 +203,10 @@
 	if o := p.reserved[w]; o != nil && o != j {
 		return false
 	}
-	if o := p.blocked[j.Spec.Desk]; o != nil && o != j && arrays(j) {
+	if o := p.blocked[j.Spec.Team]; o != nil && o != j && arrays(j) {
 		return false
 	}
-	return w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Site) && p.teams.Allows(j.Spec, 1)
+	return w.Allows(j.Spec) && !j.Shunned[w.Host] && zoneOK(j, w.Zone) && p.teams.Allows(j.Spec, 1)
 }
 
 // fits checks the room, and for arrays what is kept for services.
@@ -214,8 +214,8 @@
 	if !w.Fits(j.Spec) {
 		return false
 	}
-	return w.Standby || !arrays(j) ||
-		p.free[w.Site]-j.Spec.VCPUs >= p.Reserve[w.Site]-slack
+	return w.Spot || !arrays(j) ||
+		p.free[w.Zone]-j.Spec.VCPUs >= p.Reserve[w.Zone]-slack
 }
 
 func (p *Planner) place(t *jobs.Task, w *workers.Worker) {
@@ -225,11 +225,11 @@
 
 // account notes what a placement takes.
 func (p *Planner) account(t *jobs.Task, w *workers.Worker) {
-	if !w.Holds(t.Job.Spec.Bundle) && !w.Pulls(t.Job.Spec.Bundle) {
+	if !w.Holds(t.Job.Spec.Image) && !w.Pulls(t.Job.Spec.Image) {
 		p.Stats.FetchedGB += t.Job.Spec.ImageGB
 	}
-	if !w.Standby {
-		p.free[w.Site] -= t.Job.Spec.VCPUs
+	if !w.Spot {
+		p.free[w.Zone] -= t.Job.Spec.VCPUs
 	}
 	if p.reserved[w] == t.Job {
 		delete(p.reserved, w)
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -19,7 +19,7 @@
 	l.fill()
 	w := l.fleet.Sorted()[0]
 	l.report(w)
-	j := &jobs.Job{Spec: &api.Spec{Rank: api.Critical, VCPUs: 4, Shape: api.Service}}
+	j := &jobs.Job{Spec: &api.Spec{Priority: api.Critical, VCPUs: 4, Shape: api.Service}}
 	l.now = l.now.Add(30 * time.Second)
 	first, _, ok := l.planner.choose(w, j, jobs.NeedOf(j.Spec), l.now, false, false)
 	if !ok || len(first) != 1 {
@@ -60,10 +60,10 @@
 }
 
 // submitAs submits an array of tasks of one CPU whose image is the team's own.
-func (l *large) submitAs(team string, rank api.Rank, tasks int) *jobs.Job {
+func (l *large) submitAs(team string, rank api.Priority, tasks int) *jobs.Job {
 	l.next++
-	j := l.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", l.next)), Desk: team, Shape: api.Batch, Rank: rank, Pieces: tasks,
-		VCPUs: 1, MemoryGB: 1, Bundle: "img-" + team, ImageGB: 1, Standby: true, RuntimeS: 60}, func() {}, nil)
+	j := l.jobs.Add(&api.Spec{ID: ident.JobID(fmt.Sprintf("j-%d", l.next)), Team: team, Shape: api.Batch, Priority: rank, Tasks: tasks,
+		VCPUs: 1, MemoryGB: 1, Image: "img-" + team, ImageGB: 1, Spot: true, RuntimeS: 60}, func() {}, nil)
 	l.commits.Flush()
 	return j
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -17,10 +17,10 @@
 	if v.State != jobs.Assigned {
 		return false
 	}
-	if v.Job.Spec.Rank.Level() > j.Spec.Rank.Level() {
-		return !arrays(j) || j.Within || p.teams.Guest(v.Job.Spec.Desk)
+	if v.Job.Spec.Priority.Level() > j.Spec.Priority.Level() {
+		return !arrays(j) || j.Within || p.teams.Guest(v.Job.Spec.Team)
 	}
-	return j.Within && !v.Job.Within && v.Job.Spec.Desk != j.Spec.Desk && arrays(v.Job)
+	return j.Within && !v.Job.Within && v.Job.Spec.Team != j.Spec.Team && arrays(v.Job)
 }
 
 // searchKey names a search for work to stop: whose tasks need room, and where it is
@@ -136,13 +136,13 @@
 		}
 		return true
 	}
-	for _, w := range p.holding(key.job.Spec.Bundle) {
+	for _, w := range p.holding(key.job.Spec.Image) {
 		if !look(w) {
 			break
 		}
 	}
 	if !key.holders {
-		p.lookAround(key.job.Spec.Bundle, look)
+		p.lookAround(key.job.Spec.Image, look)
 	}
 	heap.Init(found)
 	return found
@@ -167,10 +167,10 @@
 // mayOffer says whether it is worth to look at a machine for work to stop.
 func (p *Planner) mayOffer(key searchKey, w *workers.Worker) bool {
 	j := key.job
-	if w.Lesser(j.Spec.Rank) == 0 && (!j.Within || w.Arrays == 0) {
+	if w.Lesser(j.Spec.Priority) == 0 && (!j.Within || w.Arrays == 0) {
 		return false
 	}
-	if key.holders && !w.Holds(j.Spec.Bundle) {
+	if key.holders && !w.Holds(j.Spec.Image) {
 		return false
 	}
 	return p.may(j, w)
@@ -187,7 +187,7 @@
 	if !ok {
 		return nil
 	}
-	if !w.Holds(j.Spec.Bundle) {
+	if !w.Holds(j.Spec.Image) {
 		cost += p.fetches(j, w).Seconds() * 2 * max(j.Spec.VCPUs, 1)
 	}
 	return &offer{worker: w, stop: stop, cost: cost}
@@ -195,10 +195,10 @@
 
 // victims says whether there is anything at all that must give way to a job.
 func (p *Planner) victims(j *jobs.Job) bool {
-	if p.fleet.Lesser(j.Spec.Rank) > 0 {
+	if p.fleet.Lesser(j.Spec.Priority) > 0 {
 		return true
 	}
-	return j.Within && p.teams.Borrow(p.jobs, j.Spec.Desk)
+	return j.Within && p.teams.Borrow(p.jobs, j.Spec.Team)
 }
 
 // gangCost is what a gang loses by being stopped, in seconds of each of its tasks.
@@ -235,7 +235,7 @@
 	}
 	if t.Job.Gang() {
 		// All of its tasks save, wait for each other and start again.
-		ran = (ran + gangCost) * float64(t.Job.Spec.Pieces)
+		ran = (ran + gangCost) * float64(t.Job.Spec.Tasks)
 	}
 	return ran * max(t.Job.Spec.VCPUs, 1)
 }
@@ -297,7 +297,7 @@
 	now := p.now()
 	clear(p.cursor)
 	for _, j := range p.arrays {
-		if !j.Within && (p.teams.Guest(j.Spec.Desk) || !p.teams.Guests()) {
+		if !j.Within && (p.teams.Guest(j.Spec.Team) || !p.teams.Guests()) {
 			continue
 		}
 		for j.Waits() > 0 && p.placed < maxPlaced && p.teams.Allows(j.Spec, 1) {
--- a/internal/placement/prepare.go
+++ b/internal/placement/prepare.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		need.Least(j.Spec)
-		w := waiting{j: j, guest: p.teams.Guest(j.Spec.Desk), level: j.Spec.Rank.Level(), urgency: p.urgency(j), work: work(j)}
+		w := waiting{j: j, guest: p.teams.Guest(j.Spec.Team), level: j.Spec.Priority.Level(), urgency: p.urgency(j), work: work(j)}
 		switch j.Spec.Shape {
 		case api.Service:
 			srv = append(srv, w)
@@ -54,7 +54,7 @@
 			p.guests = min(p.guests, i)
 		}
 		p.arrays = append(p.arrays, j)
-		p.byImage[j.Spec.Bundle] = append(p.byImage[j.Spec.Bundle], i)
+		p.byImage[j.Spec.Image] = append(p.byImage[j.Spec.Image], i)
 	}
 	p.order, p.roomy, p.plans, p.unheld = p.order[:0], p.roomy[:0], nil, nil
 	p.held, p.holders = map[*jobs.Job]bool{}, nil
@@ -79,8 +79,8 @@
 		if w.Room(need) {
 			p.roomy = append(p.roomy, w)
 		}
-		if !w.Standby {
-			p.free[w.Site] += w.Kind.VCPUs - w.VCPUs
+		if !w.Spot {
+			p.free[w.Zone] += w.Kind.VCPUs - w.VCPUs
 		}
 	}
 	return services, gangs
@@ -92,7 +92,7 @@
 		p.holders = map[string][]*workers.Worker{}
 		for _, w := range p.order {
 			for _, im := range w.Images() {
-				p.holders[im.Bundle] = append(p.holders[im.Bundle], w)
+				p.holders[im.Name] = append(p.holders[im.Name], w)
 			}
 		}
 	}
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -19,7 +19,7 @@
 		}
 		var found *workers.Worker
 		for ; at < len(p.roomy); at++ {
-			if w := p.roomy[at]; w.Holds(j.Spec.Bundle) && p.may(j, w) && p.fits(j, w) {
+			if w := p.roomy[at]; w.Holds(j.Spec.Image) && p.may(j, w) && p.fits(j, w) {
 				found = w
 				break
 			}
@@ -59,11 +59,11 @@
 	}
 	now := p.now()
 	for _, w := range p.fleet.Sorted() {
-		if w == from || !w.Fits(j.Spec) || !w.Open(now) || !w.Allows(j.Spec) || !w.Holds(j.Spec.Bundle) {
+		if w == from || !w.Fits(j.Spec) || !w.Open(now) || !w.Allows(j.Spec) || !w.Holds(j.Spec.Image) {
 			continue
 		}
 		// As if it had left its zone already.
-		if w.Site == from.Site || zoneOK(j, w.Site) {
+		if w.Zone == from.Zone || zoneOK(j, w.Zone) {
 			return true
 		}
 	}
@@ -81,6 +81,6 @@
 // impatient says whether a job's users want it started sooner than a machine
 // would have its image.
 func (p *Planner) impatient(j *jobs.Job, w *workers.Worker) bool {
-	limit, ok := p.waits[j.Spec.Lane]
+	limit, ok := p.waits[j.Spec.Class]
 	return ok && p.fetches(j, w) > limit
 }
--- a/internal/placement/teams.go
+++ b/internal/placement/teams.go
@@ -41,13 +41,13 @@
 
 // Refusal says why a job can never run within its team's limit, "" if it can.
 func (ts *Teams) Refusal(s *api.Spec) string {
-	t := ts.byName[s.Desk]
+	t := ts.byName[s.Team]
 	if t == nil {
 		return "desk: unknown team"
 	}
 	n := 1.0
 	if s.Shape != api.Batch {
-		n = float64(s.Pieces)
+		n = float64(s.Tasks)
 	}
 	if n*s.VCPUs > t.CPUsMax+slack || n*s.Cards > t.GPUsMax+slack {
 		return "desk: over the team's limit"
@@ -57,7 +57,7 @@
 
 // Count adds or removes a task's use.
 func (ts *Teams) Count(s *api.Spec, sign float64) {
-	if t := ts.byName[s.Desk]; t != nil {
+	if t := ts.byName[s.Team]; t != nil {
 		t.vcpus += sign * s.VCPUs
 		t.cards += sign * s.Cards
 	}
@@ -65,7 +65,7 @@
 
 // Allows says whether a team may use n tasks' worth more.
 func (ts *Teams) Allows(s *api.Spec, n float64) bool {
-	t := ts.byName[s.Desk]
+	t := ts.byName[s.Team]
 	return t != nil && t.vcpus+n*s.VCPUs <= t.CPUsMax+slack && t.cards+n*s.Cards <= t.GPUsMax+slack
 }
 
@@ -87,11 +87,11 @@
 
 // Room returns how many more tasks like s a team's limit admits.
 func (ts *Teams) Room(s *api.Spec) int {
-	t := ts.byName[s.Desk]
+	t := ts.byName[s.Team]
 	if t == nil {
 		return 0
 	}
-	n := api.MaxPieces
+	n := api.MaxTasks
 	if s.VCPUs > 0 {
 		n = int(min(float64(n), (t.CPUsMax-t.vcpus+slack)/s.VCPUs))
 	}
@@ -121,7 +121,7 @@
 		cpus, gpus := 0.0, 0.0
 		t := ts.byName[name]
 		for _, j := range list.Jobs {
-			n := float64(j.Spec.Pieces)
+			n := float64(j.Spec.Tasks)
 			cpus += n * j.Spec.VCPUs
 			gpus += n * j.Spec.Cards
 			j.Within = t != nil && cpus <= t.CPUs+slack && gpus <= t.GPUs+slack
--- a/internal/vouch/vouch_test.go
+++ b/internal/renewal/renewal_test.go
@@ -1,4 +1,4 @@
-package vouch
+package renewal
 
 import (
 	"math/rand/v2"
@@ -12,28 +12,28 @@
 
 // node is a sibling's process in the test below.
 type node struct {
-	Echoes
-	Voucher
+	Heartbeats
+	Renewer
 	born ident.Mono // in the leader's time
 	rate float64
 }
 
 func (n *node) now(at ident.Mono) ident.Mono { return ident.Mono(float64(at-n.born) * n.rate) }
 
-// TestLedger plays beats that are lost, held up and late, and a sibling that is
-// restarted and vouches whenever it may: the leader's bound is never below what it
+// TestRegistry plays beats that are lost, held up and late, and a sibling that is
+// restarted and keeps leases whenever it may: the leader's bound is never below what it
 // did, and it never does so later than the grace after a moment of sure leadership.
-func TestLedger(t *testing.T) {
+func TestRegistry(t *testing.T) {
 	type beat struct {
 		at   ident.Mono
 		f    func(now ident.Mono)
 		seen bool
 	}
-	vouched, sharp := 0, 0
+	kept, sharp := 0, 0
 	for seed := range uint64(200) {
 		r := rand.New(rand.NewPCG(seed, 3))
-		l := NewLedger(grace)
-		var own Echoes
+		l := NewRegistry(grace)
+		var own Heartbeats
 		var way []beat
 		begin := func(at ident.Mono) *node { return &node{born: at, rate: 1 + (r.Float64()-0.5)*0.001} }
 		s := begin(0)
@@ -68,18 +68,18 @@
 					}
 					toS = id
 					if sent, ok := s.When(echo); ok {
-						s.Trust(1, sent, grace)
+						s.Permit(1, sent, grace)
 					}
 				})
 				ids++
 				mine, heard := ids, toS
 				n := s.now(now)
 				s.Sent(mine, n)
-				w := Word{Age: n.Sub(0), Trust: time.Hour}
+				w := Claim{ProcessAge: n.Sub(0), SinceLeader: time.Hour}
 				if age, ok := s.Age(n); ok {
-					w.Trust = age
+					w.SinceLeader = age
 				}
-				w.Ago, w.Ever = s.Newest(n)
+				w.SinceRenewal, w.HasRenewed = s.Newest(n)
 				send(func(at ident.Mono) {
 					toL = mine
 					sent, ok := own.When(heard)
@@ -93,35 +93,35 @@
 				}
 			}
 			if n := s.now(now); s.May(n, ident.MakeEpoch(1, 0)) {
-				s.Did(n)
+				s.Note(n)
 				last = now
-				vouched++
+				kept++
 			}
 			bound := l.Renewed(now)
 			if bound < last.Add(-10*time.Millisecond) && last > 0 {
-				t.Fatalf("seed %d, %v: vouched at %v, bound %v", seed, now.Sub(0), last.Sub(0), bound.Sub(0))
+				t.Fatalf("seed %d, %v: kept at %v, bound %v", seed, now.Sub(0), last.Sub(0), bound.Sub(0))
 			}
 			if bound < now.Add(-time.Minute) {
 				sharp++
 			}
 		}
 	}
-	if vouched == 0 || sharp == 0 {
-		t.Errorf("vouched %d times, bound a minute back %d times: the test shows nothing", vouched, sharp)
+	if kept == 0 || sharp == 0 {
+		t.Errorf("kept %d times, bound a minute back %d times: the test shows nothing", kept, sharp)
 	}
 }
 
 // TestMay: not while the leader is heard, not beyond what it allowed, not for a
 // worker that knows a successor, and never without a leader.
 func TestMay(t *testing.T) {
-	var v Voucher
+	var v Renewer
 	e := ident.MakeEpoch(7, 2)
 	if v.May(ident.Mono(time.Hour), e) {
 		t.Error("without a leader")
 	}
 	at := ident.Mono(time.Minute)
-	v.Trust(7, at, grace)
-	v.Trust(6, at.Add(time.Minute), grace) // an earlier term's, late
+	v.Permit(7, at, grace)
+	v.Permit(6, at.Add(time.Minute), grace) // an earlier term's, late
 	for _, c := range []struct {
 		after time.Duration
 		epoch ident.Epoch
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -97,7 +97,8 @@
 	count("connections_refused", "Closed as they came, for want of room.", float64(c.s.sockets.refused.Load()))
 	count("refused", "Requests refused for want of a leader or of the state service.", float64(n.Refused))
 	count("relayed", "Requests passed to the leader by a sibling that reaches it.", float64(n.Relayed))
-	count("vouched", "Leases renewed for a leader that was out of reach.", float64(n.Vouched))
+	count("leases_kept", "Leases renewed for a leader that was out of reach.", float64(n.LeasesKept))
+	count("vouched", "Deprecated: opaldale_leases_kept_total. Leases renewed for a leader that was out of reach.", float64(n.LeasesKept))
 	count("elected", "Terms begun.", float64(n.Elected))
 	collectLinks(ch, c.s.linkReport())
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,7 +52,7 @@
 	Resources   Resources   `toml:"resources"`
 }
 
-// Team is a desk with its guarantee and its limit; 0 means none of either.
+// Team has its guarantee and its limit; 0 means none of either.
 type Team struct {
 	Name    string  `toml:"name"`
 	CPUs    float64 `toml:"cpus"`
@@ -162,87 +162,136 @@
 	return s, s.check()
 }
 
-func (s *Settings) check() error {
-	var faults []error
-	bad := func(format string, a ...any) { faults = append(faults, fmt.Errorf(format, a...)) }
-	addr := func(name, v string) {
-		host, _, err := net.SplitHostPort(v)
-		if err != nil || net.ParseIP(host) == nil {
-			bad("%s: %q is not an IP address with a port", name, v)
-		}
+// faults gathers what is wrong with the settings, each with the name of its field.
+type faults struct {
+	list []error
+}
+
+func (f *faults) add(format string, args ...any) {
+	f.list = append(f.list, fmt.Errorf(format, args...))
+}
+
+// address checks an IP address with a port.
+func (f *faults) address(name, v string) {
+	host, _, err := net.SplitHostPort(v)
+	if err != nil || net.ParseIP(host) == nil {
+		f.add("%s: %q is not an IP address with a port", name, v)
 	}
-	positive := func(name string, v float64) {
-		if !(v > 0) {
-			bad("%s: must be above 0", name)
-		}
+}
+
+// positive checks an amount that must be above 0.
+func (f *faults) positive(name string, v float64) {
+	if !(v > 0) {
+		f.add("%s: must be above 0", name)
 	}
+}
+
+// check names every fault.
+func (s *Settings) check() error {
+	f := &faults{}
 	if s.Node == "" {
-		bad("node_name: missing")
+		f.add("node_name: missing")
+	}
+	f.address("bind", s.Bind)
+	f.address("mesh_addr", s.MeshAddr)
+	f.address("endpoints.cloud", s.Ends.Cloud)
+	f.address("endpoints.state", s.Ends.State)
+	s.checkSiblings(f)
+	if len(s.Cluster.Zones) == 0 {
+		f.add("cluster.zones: missing")
 	}
-	addr("bind", s.Bind)
-	addr("mesh_addr", s.MeshAddr)
-	addr("endpoints.cloud", s.Ends.Cloud)
-	addr("endpoints.state", s.Ends.State)
+	s.Cluster.checkTeams(f)
+	s.Cluster.Workers.check(f)
+	s.Cluster.State.check(f)
+	s.Cluster.Cloud.check(f)
+	s.Cluster.Resources.check(f)
+	return errors.Join(f.list...)
+}
+
+func (s *Settings) checkSiblings(f *faults) {
 	seen := map[ident.NodeID]bool{s.Node: true}
 	for i, p := range s.Siblings {
 		if p.Node == "" || seen[p.Node] {
-			bad("siblings[%d].node_name: missing or used twice", i)
+			f.add("siblings[%d].node_name: missing or used twice", i)
 		}
 		seen[p.Node] = true
-		addr(fmt.Sprintf("siblings[%d].address", i), p.Address)
-	}
-	c := s.Cluster
-	if len(c.Zones) == 0 {
-		bad("cluster.zones: missing")
+		f.address(fmt.Sprintf("siblings[%d].address", i), p.Address)
 	}
+}
+
+func (c *Cluster) checkTeams(f *faults) {
 	if len(c.Teams) == 0 {
-		bad("cluster.teams: missing")
+		f.add("cluster.teams: missing")
 	}
-	teams := map[string]bool{}
+	seen := map[string]bool{}
 	for i, t := range c.Teams {
-		if t.Name == "" || teams[t.Name] {
-			bad("cluster.teams[%d].name: missing or used twice", i)
+		if t.Name == "" || seen[t.Name] {
+			f.add("cluster.teams[%d].name: missing or used twice", i)
 		}
-		teams[t.Name] = true
+		seen[t.Name] = true
 		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
-			bad("cluster.teams[%d]: negative amount", i)
+			f.add("cluster.teams[%d]: negative amount", i)
 		}
 	}
-	positive("cluster.workers.report_s", c.Workers.ReportS)
-	positive("cluster.workers.lease_s", c.Workers.LeaseS)
-	if c.Workers.CancelS <= c.Workers.LeaseS {
-		bad("cluster.workers.cancel_s: must be above lease_s")
+}
+
+func (w Workers) check(f *faults) {
+	f.positive("cluster.workers.report_s", w.ReportS)
+	f.positive("cluster.workers.lease_s", w.LeaseS)
+	if w.CancelS <= w.LeaseS {
+		f.add("cluster.workers.cancel_s: must be above lease_s")
 	}
-	positive("cluster.state.rps", c.State.RPS)
-	positive("cluster.state.write_rps", c.State.WriteRPS)
-	if c.State.ValueKB < 1 {
-		bad("cluster.state.value_kb: must be at least 1")
+	if w.GangWaitS < 0 || w.GangPeerS < 0 {
+		f.add("cluster.workers: gang_wait_s and gang_peer_s must not be negative")
 	}
-	if c.State.TxnOps < 4 {
-		bad("cluster.state.txn_ops: must be at least 4")
+}
+
+// The least that a state service must take.
+const (
+	minValueKB = 1
+	minTxnOps  = 4
+)
+
+func (s State) check(f *faults) {
+	f.positive("cluster.state.rps", s.RPS)
+	f.positive("cluster.state.write_rps", s.WriteRPS)
+	if s.ValueKB < minValueKB {
+		f.add("cluster.state.value_kb: must be at least 1")
 	}
-	if n := c.State.Next; n != nil {
-		if n.WriteRPS < 0 {
-			bad("cluster.state.next.write_rps: negative")
-		}
-		if n.ValueKB != 0 && n.ValueKB < 1 {
-			bad("cluster.state.next.value_kb: must be at least 1")
-		}
-		if n.TxnOps != 0 && n.TxnOps < 4 {
-			bad("cluster.state.next.txn_ops: must be at least 4")
-		}
+	if s.TxnOps < minTxnOps {
+		f.add("cluster.state.txn_ops: must be at least 4")
+	}
+	if s.Next != nil {
+		s.Next.check(f)
 	}
-	if c.Workers.GangWaitS < 0 || c.Workers.GangPeerS < 0 {
-		bad("cluster.workers: gang_wait_s and gang_peer_s must not be negative")
+}
+
+func (n *NextState) check(f *faults) {
+	if n.WriteRPS < 0 {
+		f.add("cluster.state.next.write_rps: negative")
+	}
+	if n.ValueKB != 0 && n.ValueKB < minValueKB {
+		f.add("cluster.state.next.value_kb: must be at least 1")
 	}
-	positive("cluster.cloud.rps", c.Cloud.RPS)
-	if c.Cloud.ListLagS < 0 {
-		bad("cluster.cloud.list_lag_s: negative")
+	if n.TxnOps != 0 && n.TxnOps < minTxnOps {
+		f.add("cluster.state.next.txn_ops: must be at least 4")
 	}
-	positive("cluster.resources.cores", c.Resources.Cores)
-	positive("cluster.resources.memory_mb", c.Resources.MemoryMB)
-	if c.Resources.Sockets < 16 {
-		bad("cluster.resources.sockets: must be at least 16")
+}
+
+func (c Cloud) check(f *faults) {
+	f.positive("cluster.cloud.rps", c.RPS)
+	if c.ListLagS < 0 {
+		f.add("cluster.cloud.list_lag_s: negative")
+	}
+}
+
+// minSockets is the least that a node can work with.
+const minSockets = 16
+
+func (r Resources) check(f *faults) {
+	f.positive("cluster.resources.cores", r.Cores)
+	f.positive("cluster.resources.memory_mb", r.MemoryMB)
+	if r.Sockets < minSockets {
+		f.add("cluster.resources.sockets: must be at least 16")
 	}
-	return errors.Join(faults...)
 }
--- a/internal/standin/calm.go
+++ b/internal/standin/calm.go
@@ -48,7 +48,7 @@
 					continue
 				}
 				t := w.jobs[p.Job]
-				if t.spec.Desk == s.Desk {
+				if t.spec.Team == s.Team {
 					cpus += t.spec.VCPUs
 				}
 				if p.Job == s.ID {
@@ -66,14 +66,14 @@
 		return false
 	}
 	for _, t := range w.set.Teams {
-		if t.Name == s.Desk && t.CPUsMax > 0 && cpus+s.VCPUs > t.CPUsMax {
+		if t.Name == s.Team && t.CPUsMax > 0 && cpus+s.VCPUs > t.CPUsMax {
 			return false
 		}
 	}
 	for _, k := range w.workers {
 		site := k.m.site
-		if k.faulty || k.doomed > 0 || w.now < k.hung || s.Site != nil && *s.Site != site || k.m.standby && !s.Standby ||
-			s.Apart && sites[site]+1 > (s.Pieces+1)/2 {
+		if k.faulty || k.doomed > 0 || w.now < k.hung || s.Zone != nil && *s.Zone != site || k.m.standby && !s.Spot ||
+			s.Spread && sites[site]+1 > (s.Tasks+1)/2 {
 			continue
 		}
 		elsewhere := false
@@ -90,12 +90,12 @@
 // largest lists the jobs of each class that are its largest, by CPUs in all.
 func (w *World) largest() (out []*userJob) {
 	most := map[string]float64{}
-	size := func(j *userJob) float64 { return float64(j.spec.Pieces) * j.spec.VCPUs }
+	size := func(j *userJob) float64 { return float64(j.spec.Tasks) * j.spec.VCPUs }
 	for _, j := range w.jobs {
-		most[j.spec.Lane] = max(most[j.spec.Lane], size(j))
+		most[j.spec.Class] = max(most[j.spec.Class], size(j))
 	}
 	for _, id := range w.order {
-		if j := w.jobs[id]; j.accepted && size(j) == most[j.spec.Lane] {
+		if j := w.jobs[id]; j.accepted && size(j) == most[j.spec.Class] {
 			out = append(out, j)
 		}
 	}
@@ -121,17 +121,17 @@
 	good := func(j *userJob) bool { return j.told == "done" || j.spec.Shape == api.Service && j.begunAt > 0 }
 	for _, id := range w.order {
 		if j := w.jobs[id]; j.accepted && j.cancelSent == 0 {
-			count("class "+j.spec.Lane, good(j))
-			count("team "+j.spec.Desk, good(j))
+			count("class "+j.spec.Class, good(j))
+			count("team "+j.spec.Team, good(j))
 		}
 	}
 	for _, j := range w.largest() {
 		if j.cancelSent > 0 {
 			continue
 		}
-		count("largest of "+j.spec.Lane, good(j))
+		count("largest of "+j.spec.Class, good(j))
 		if j.begunAt == 0 || j.begunAt.Sub(j.sentAt) > beginWithin {
-			w.undone("%s, the largest of %s, did not begin within %v", j.spec.ID, j.spec.Lane, beginWithin)
+			w.undone("%s, the largest of %s, did not begin within %v", j.spec.ID, j.spec.Class, beginWithin)
 		}
 	}
 	for what, s := range by {
@@ -162,8 +162,8 @@
 			for _, k := range w.workers {
 				n += k.count(id)
 			}
-			if n != j.spec.Pieces {
-				w.undone("%s: %d of %d replicas run", id, n, j.spec.Pieces)
+			if n != j.spec.Tasks {
+				w.undone("%s: %d of %d replicas run", id, n, j.spec.Tasks)
 			}
 		}
 	}
--- a/internal/standin/gang.go
+++ b/internal/standin/gang.go
@@ -13,7 +13,7 @@
 type gangRun struct {
 	w       *World
 	j       *userJob
-	try     ident.Try
+	try     ident.Attempt
 	members map[int]*member
 	started bool
 	over    bool       // started, and a task has exited since
@@ -29,16 +29,16 @@
 type member struct {
 	k      *worker
 	p      *piece
-	tenure ident.Tenure
+	tenure ident.Session
 	gone   ident.Mono // when it was first found to be gone or hung, 0: it is there
 }
 
 type gangKey struct {
 	job ident.JobID
-	try ident.Try
+	try ident.Attempt
 }
 
-func (w *World) gang(j *userJob, try ident.Try) *gangRun {
+func (w *World) gang(j *userJob, try ident.Attempt) *gangRun {
 	k := gangKey{j.spec.ID, try}
 	g := w.gangs[k]
 	if g == nil {
@@ -91,7 +91,7 @@
 
 // start lets the gang run when its last task is there.
 func (g *gangRun) start() {
-	if g.started || len(g.members) < g.j.spec.Pieces {
+	if g.started || len(g.members) < g.j.spec.Tasks {
 		return
 	}
 	for _, m := range g.members {
@@ -145,7 +145,7 @@
 // savedBy ends a task that has saved, once the others have.
 func (g *gangRun) savedBy(k *worker, p *piece) {
 	switch {
-	case !g.failed && len(g.told) == g.j.spec.Pieces:
+	case !g.failed && len(g.told) == g.j.spec.Tasks:
 		g.safe = true
 		g.j.saved = g.at
 		p.stored = true
@@ -188,10 +188,10 @@
 		g.over, g.overAt = true, w.now
 	}
 	switch {
-	case g.stopAt > 0 && !g.safe && w.now.Sub(g.stopAt) > peer && len(g.told) < g.j.spec.Pieces && !g.failed:
+	case g.stopAt > 0 && !g.safe && w.now.Sub(g.stopAt) > peer && len(g.told) < g.j.spec.Tasks && !g.failed:
 		g.failed = true
 		if whole && w.undisturbed(peer) {
-			w.broken("only %d of %d tasks of %s were told to stop in time", len(g.told), g.j.spec.Pieces, g.j.spec.ID)
+			w.broken("only %d of %d tasks of %s were told to stop in time", len(g.told), g.j.spec.Tasks, g.j.spec.ID)
 		}
 		for _, m := range g.sorted() {
 			if m.acts() && !g.told[m.p.id.Index] {
--- a/internal/standin/guests_test.go
+++ b/internal/standin/guests_test.go
@@ -19,13 +19,13 @@
 		var house []*userJob
 		for s := 40.0; s < 140; s += 5 {
 			w.when(s, func() {
-				house = append(house, w.job(func(s *api.Spec) { s.Desk, s.Pieces, s.VCPUs, s.ImageGB = "blue", 2, 1, 0.1 }, 10*time.Second))
+				house = append(house, w.job(func(s *api.Spec) { s.Team, s.Tasks, s.VCPUs, s.ImageGB = "blue", 2, 1, 0.1 }, 10*time.Second))
 			})
 		}
 		if guests {
 			guest := func(lane string, pieces int, vcpus float64, runs time.Duration) {
 				w.job(func(s *api.Spec) {
-					s.Lane, s.Desk, s.Rank, s.Pieces, s.VCPUs, s.MemoryGB, s.Standby = lane, "guest", api.BestEffort, pieces, vcpus, 0.1, true
+					s.Class, s.Team, s.Priority, s.Tasks, s.VCPUs, s.MemoryGB, s.Spot = lane, "guest", api.BestEffort, pieces, vcpus, 0.1, true
 				}, runs)
 			}
 			w.when(45, func() { guest("vast", 2000, 0.25, 4*time.Second) })
@@ -60,7 +60,7 @@
 		var list []*userJob
 		w.when(30, func() {
 			for i := range 3 {
-				list = append(list, w.job(func(s *api.Spec) { s.Pieces, s.VCPUs, s.Desk = 12, 1, w.set.Teams[i].Name }, 10*time.Second))
+				list = append(list, w.job(func(s *api.Spec) { s.Tasks, s.VCPUs, s.Team = 12, 1, w.set.Teams[i].Name }, 10*time.Second))
 				list[i].mistaken = true
 			}
 		})
@@ -70,7 +70,7 @@
 			sick.faulty = true
 		})
 		for s := 52.0; s < 150; s += 4 {
-			w.when(s, func() { w.job(func(s *api.Spec) { s.Pieces, s.VCPUs, s.ImageGB = 3, 1, 0.1 }, 3*time.Second) })
+			w.when(s, func() { w.job(func(s *api.Spec) { s.Tasks, s.VCPUs, s.ImageGB = 3, 1, 0.1 }, 3*time.Second) })
 		}
 		w.when(140, func() {
 			for _, j := range list {
--- a/internal/standin/large_test.go
+++ b/internal/standin/large_test.go
@@ -18,11 +18,11 @@
 	w := New(Config{Seed: 1, Length: 150 * time.Second, Calm: 110 * time.Second, Quiet: true, Fleet: largeFleet})
 	w.when(1, func() {
 		for range 90 {
-			w.job(func(s *api.Spec) { s.Pieces, s.VCPUs, s.Standby = 50, 7, true }, 60*time.Second)
+			w.job(func(s *api.Spec) { s.Tasks, s.VCPUs, s.Spot = 50, 7, true }, 60*time.Second)
 		}
 		for range 20 {
 			w.job(func(s *api.Spec) {
-				s.Pieces, s.VCPUs, s.Shape, s.Rank, s.Standby, s.RuntimeS = 10, 7, api.Service, api.Critical, false, 0
+				s.Tasks, s.VCPUs, s.Shape, s.Priority, s.Spot, s.RuntimeS = 10, 7, api.Service, api.Critical, false, 0
 			}, 0)
 		}
 	})
--- a/internal/standin/links.go
+++ b/internal/standin/links.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"opaldale/internal/election"
 	"opaldale/internal/ident"
 	"opaldale/internal/links"
 	"opaldale/internal/mesh"
+	"opaldale/internal/statesvc"
 )
 
 // linkEvents is what the stand-in does when nodes speak of their links.
@@ -15,6 +18,9 @@
 	onYield   func(from *node, to ident.NodeID) // at the first announcement of a term
 	oldRows   time.Duration                     // copies of rows come so much later as well
 	newest    map[string]uint64                 // the newest heartbeat from one node to another
+	// sentBefore holds the transactions that were sent.
+	sentBefore map[string]bool
+	yields     map[string]int // nodes that hand the lead over, by their process
 }
 
 // linkFrame takes note of a frame about links before it is sent; false drops it. A node of
@@ -22,7 +28,7 @@
 func (w *World) linkFrame(from, to *node, f *mesh.Frame) bool {
 	way := to.name + " " + from.name
 	switch f.Kind {
-	case mesh.Beat:
+	case mesh.Heartbeat:
 		w.newest[from.name+" "+to.name] = f.ID
 	case mesh.Links, mesh.Yield, mesh.Relay:
 		if to.alive && to.env.old || from.env.old {
@@ -38,6 +44,7 @@
 		if !w.announced[f.Term] {
 			w.announced[f.Term] = true
 			w.took("handover announced")
+			w.yields[from.name] = from.life
 			w.logf("%s hands term %d over to %q", from.name, f.Term, f.Node)
 			if w.onYield != nil {
 				w.onYield(from, f.Node)
@@ -93,3 +100,37 @@
 	}
 	return rows
 }
+
+// yielding says whether a node's process has announced a handover and its term is not over.
+func (w *World) yielding(n *node) bool {
+	life, ok := w.yields[n.name]
+	if ok && (life != n.life || n.ctl.Election().State() != election.Leading) {
+		delete(w.yields, n.name)
+		return false
+	}
+	return ok
+}
+
+// checkYield checks that a node which hands the lead over writes nothing new but the end of
+// its term, and starts nothing. Repeats of what was under way come with it.
+func (w *World) checkYield(n *node, r statesvc.Request) {
+	if r.Op != statesvc.Txn || !w.yielding(n) || len(r.Then) == 1 && r.Then[0].Delete == election.LeaderKey {
+		return
+	}
+	if !w.sentBefore[txnKey(n, r)] {
+		w.broken("%s writes %s%s while it hands the lead over", n.name, r.Then[0].Put, r.Then[0].Delete)
+	}
+}
+
+// txnKey names a transaction of a process: a repeat is the same.
+func txnKey(n *node, r statesvc.Request) string {
+	return fmt.Sprint(n.name, n.life, r.If, len(r.Then), r.Then[0].Put, r.Then[0].Delete)
+}
+
+// noteTxn remembers a transaction, for its repeats to be known.
+func (w *World) noteTxn(n *node, r statesvc.Request) {
+	if w.cfg.Links && r.Op == statesvc.Txn && len(r.Then) > 0 {
+		w.checkYield(n, r)
+		w.sentBefore[txnKey(n, r)] = true
+	}
+}
--- a/internal/standin/links_test.go
+++ b/internal/standin/links_test.go
@@ -75,7 +75,34 @@
 	w.stream(20, 150, 1.5, 20*time.Second)
 }
 
-// other returns a node that is none of those.
+// fencedWithin notes how many machines the node that is the leader, or those that follow,
+// fence within a time.
+func (w *World) fencedWithin(d time.Duration) {
+	var counts [8]uint64 // by node, in its present term
+	var look func()
+	until := w.now.Add(d)
+	look = func() {
+		for i, n := range w.nodes {
+			if !n.alive {
+				continue
+			}
+			fenced := n.ctl.Snapshot().Fenced
+			for range fenced - min(fenced, counts[i]) {
+				w.took("fenced meanwhile")
+			}
+			counts[i] = fenced
+		}
+		if w.now < until {
+			w.at(200*time.Millisecond, look)
+		}
+	}
+	for i, n := range w.nodes {
+		counts[i] = n.ctl.Snapshot().Fenced
+	}
+	look()
+}
+
+// otherThan returns a node that is none of those.
 func (w *World) otherThan(not ...*node) *node {
 	for _, n := range w.nodes {
 		found := false
@@ -107,9 +134,11 @@
 			w.leaderAt(breakAt, func(l *node) {
 				w.severWay(l.name, machines, false, breakFor)
 				w.followed(l, 12*time.Second)
+				w.fencedWithin(breakFor)
 			})
 		},
 		took: map[string]int{"handover announced": 1, "another leads": 1},
+		most: map[string]int{"fenced meanwhile": 0},
 	},
 	{
 		name: "machines reach the leader's siblings only",
@@ -117,9 +146,11 @@
 			w.leaderAt(breakAt, func(l *node) {
 				w.severWay(machines, l.name, false, breakFor)
 				w.followed(l, 15*time.Second)
+				w.fencedWithin(breakFor)
 			})
 		},
 		took: map[string]int{"handover announced": 1, "another leads": 1},
+		most: map[string]int{"fenced meanwhile": 0},
 	},
 	{
 		name: "answers of the state service are lost",
@@ -240,7 +271,7 @@
 				w.severWay(f.name, l.name, false, breakFor)
 				for s := 10; s < 50; s++ {
 					w.at(time.Duration(s)*time.Second, func() {
-						j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Second)
+						j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1, 1 }, time.Second)
 						w.submitAt(j, f)
 						if f.ctl.Healthy() {
 							w.took("healthy")
@@ -457,7 +488,7 @@
 			w := New(Config{Seed: uint64(step), Links: true, Quiet: true, Length: 160 * time.Second})
 			w.steadily()
 			w.leaderAt(breakAt, func(l *node) {
-				j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 2, 1 }, 10*time.Second)
+				j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 2, 1 }, 10*time.Second)
 				w.submitAt(j, l)
 				w.at(time.Duration(step)*500*time.Microsecond, func() {
 					w.took("cut in a commit")
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -16,13 +16,13 @@
 // job submits a job like most here: an array of long tasks.
 func (w *World) job(change func(s *api.Spec), runs time.Duration) *userJob {
 	w.nextJob++
-	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Lane: "lane", Desk: w.set.Teams[w.nextJob%3].Name, Shape: api.Batch,
-		Rank: api.Standard, Pieces: 3, VCPUs: 2, MemoryGB: 2, Bundle: fmt.Sprintf("img-%d", w.nextJob%2), ImageGB: 1.5, Standby: w.nextJob%2 == 0,
+	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Class: "lane", Team: w.set.Teams[w.nextJob%3].Name, Shape: api.Batch,
+		Priority: api.Standard, Tasks: 3, VCPUs: 2, MemoryGB: 2, Image: fmt.Sprintf("img-%d", w.nextJob%2), ImageGB: 1.5, Spot: w.nextJob%2 == 0,
 		RuntimeS: runs.Seconds()}
 	if change != nil {
 		change(&s)
 	}
-	j := &userJob{spec: s, runs: runs, done: make([]bool, s.Pieces)}
+	j := &userJob{spec: s, runs: runs, done: make([]bool, s.Tasks)}
 	w.add(j)
 	return j
 }
@@ -35,7 +35,7 @@
 		}
 		for range 2 {
 			w.job(func(s *api.Spec) {
-				s.Shape, s.Rank, s.Standby, s.RuntimeS, s.VCPUs = api.Service, api.Critical, false, 0, 1
+				s.Shape, s.Priority, s.Spot, s.RuntimeS, s.VCPUs = api.Service, api.Critical, false, 0, 1
 			}, 0)
 		}
 	})
@@ -46,7 +46,7 @@
 func (w *World) stream(from, to, every float64, cancelled time.Duration) {
 	for s := from; s < to; s += every {
 		w.when(s, func() {
-			j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Duration(2+w.rng.IntN(10))*time.Second)
+			j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1, 1 }, time.Duration(2+w.rng.IntN(10))*time.Second)
 			if w.rng.IntN(3) == 0 {
 				w.at(time.Duration(w.rng.Int64N(int64(cancelled))), func() { w.callOff(j, nil) })
 			}
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -133,7 +133,7 @@
 			w.when(1, func() { w.closeLooks = spell{1, second(90)} })
 			for s := 5.0; s < 105; s += 0.25 {
 				w.when(s, func() {
-					j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 0.5 }, time.Duration(2+w.rng.IntN(6))*time.Second)
+					j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1, 0.5 }, time.Duration(2+w.rng.IntN(6))*time.Second)
 					if w.rng.IntN(4) == 0 {
 						w.at(time.Duration(w.rng.IntN(9000))*time.Millisecond, func() {
 							if j.accepted && !finalStatus(j.told) {
@@ -219,7 +219,7 @@
 			})
 			for s := 31.0; s < 90; s += 1.5 {
 				w.when(s, func() {
-					j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, time.Duration(1+w.rng.IntN(8))*time.Second)
+					j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1, 1 }, time.Duration(1+w.rng.IntN(8))*time.Second)
 					if w.rng.IntN(2) == 0 {
 						w.at(time.Duration(500+w.rng.IntN(6000))*time.Millisecond, func() {
 							if j.accepted {
@@ -250,7 +250,7 @@
 			for s := 30.0; s < 400; s += 10 {
 				w.when(s, func() {
 					j := w.job(func(s *api.Spec) {
-						s.Shape, s.Rank, s.Standby, s.RuntimeS, s.VCPUs, s.Pieces, s.Desk = api.Service, api.Critical, false, 0, 1, 1, "blue"
+						s.Shape, s.Priority, s.Spot, s.RuntimeS, s.VCPUs, s.Tasks, s.Team = api.Service, api.Critical, false, 0, 1, 1, "blue"
 					}, 0)
 					w.at(30*time.Second, func() { w.callOff(j, nil) })
 				})
@@ -266,7 +266,7 @@
 			w.load(3)
 			for s := 20.0; s < 110; s += 1.2 {
 				w.when(s, func() {
-					j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1+w.rng.IntN(2), 1 }, time.Duration(1+w.rng.IntN(5))*time.Second)
+					j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1+w.rng.IntN(2), 1 }, time.Duration(1+w.rng.IntN(5))*time.Second)
 					switch w.rng.IntN(4) {
 					case 0:
 						w.at(time.Duration(w.rng.IntN(60))*time.Millisecond, func() { w.callOff(j, nil) })
@@ -379,14 +379,14 @@
 			})
 		},
 		took:   map[string]int{"zone cut off": 1, "cancelled inside": 1},
-		caught: []Mutation{VouchOn}, seeds: 4,
+		caught: []Mutation{KeepLeasesOn}, seeds: 4,
 	},
 	{
 		name: "a job's tasks end far apart, across a change of leader", guards: "an end of the term before being forgotten, or a task that goes on started again",
 		play: func(w *World) {
 			w.when(5, func() {
 				for range 6 {
-					j := w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 2+w.rng.IntN(2), 2 }, 25*time.Second)
+					j := w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 2+w.rng.IntN(2), 2 }, 25*time.Second)
 					j.step = 25 * time.Second
 				}
 			})
@@ -401,7 +401,7 @@
 			w.when(56, func() {
 				for _, j := range w.running() {
 					for i, d := range j.done {
-						if d && i < j.spec.Pieces {
+						if d && i < j.spec.Tasks {
 							w.took("ended before, others go on")
 							break
 						}
@@ -432,7 +432,7 @@
 			w.load(2)
 			for s := 10.0; s < 110; s += 1 {
 				w.when(s, func() {
-					w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1+w.rng.IntN(2), 1 }, time.Duration(1+w.rng.IntN(4))*time.Second)
+					w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1+w.rng.IntN(2), 1 }, time.Duration(1+w.rng.IntN(4))*time.Second)
 				})
 			}
 		},
@@ -457,14 +457,14 @@
 		play: func(w *World) {
 			w.when(3, func() {
 				for range 4 {
-					w.job(func(s *api.Spec) { s.OneZone, s.VCPUs, s.Pieces = true, 3, 4 }, 60*time.Second)
-					w.job(func(s *api.Spec) { s.Site, s.VCPUs = &w.set.Zones[1], 3 }, 60*time.Second)
+					w.job(func(s *api.Spec) { s.OneZone, s.VCPUs, s.Tasks = true, 3, 4 }, 60*time.Second)
+					w.job(func(s *api.Spec) { s.Zone, s.VCPUs = &w.set.Zones[1], 3 }, 60*time.Second)
 				}
 			})
 			for s := 40.0; s < 70; s += 5 {
 				w.when(s, func() {
 					for _, j := range w.running() {
-						if list := w.hosts(j); (j.spec.OneZone || j.spec.Site != nil) && len(list) > 0 {
+						if list := w.hosts(j); (j.spec.OneZone || j.spec.Zone != nil) && len(list) > 0 {
 							w.took("machine lost")
 							w.cloud.take(list[w.rng.IntN(len(list))].m)
 							return
--- a/internal/standin/mistake_test.go
+++ b/internal/standin/mistake_test.go
@@ -23,10 +23,10 @@
 func TestMistakesOfEveryShape(t *testing.T) {
 	t.Parallel()
 	for _, m := range []mistake{
-		{"vast array", 1, func(s *api.Spec) { s.Pieces, s.VCPUs = 2000, 0.25 }, 400},
-		{"services", 3, func(s *api.Spec) { s.Shape, s.Rank, s.RuntimeS, s.Standby = api.Service, api.Critical, 0, false }, 250},
-		{"gangs", 2, func(s *api.Spec) { s.Shape, s.Pieces, s.VCPUs, s.OneZone = api.Gang, 4, 1, true }, 250},
-		{"many at once", 40, func(s *api.Spec) { s.Pieces, s.VCPUs = 2, 0.5 }, 900},
+		{"vast array", 1, func(s *api.Spec) { s.Tasks, s.VCPUs = 2000, 0.25 }, 400},
+		{"services", 3, func(s *api.Spec) { s.Shape, s.Priority, s.RuntimeS, s.Spot = api.Service, api.Critical, 0, false }, 250},
+		{"gangs", 2, func(s *api.Spec) { s.Shape, s.Tasks, s.VCPUs, s.OneZone = api.Gang, 4, 1, true }, 250},
+		{"many at once", 40, func(s *api.Spec) { s.Tasks, s.VCPUs = 2, 0.5 }, 900},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			t.Parallel()
@@ -43,7 +43,7 @@
 				})
 				for s := 45.0; s < 125; s += 4 {
 					w.when(s, func() {
-						beside = append(beside, w.job(func(s *api.Spec) { s.Desk, s.Pieces, s.VCPUs, s.ImageGB = "red", 1, 1, 0.1 }, 3*time.Second))
+						beside = append(beside, w.job(func(s *api.Spec) { s.Team, s.Tasks, s.VCPUs, s.ImageGB = "red", 1, 1, 0.1 }, 3*time.Second))
 					})
 				}
 				w.when(80, func() { w.depose(3 * time.Second) })
--- a/internal/standin/mutation.go
+++ b/internal/standin/mutation.go
@@ -82,7 +82,7 @@
 	if json.Unmarshal(body, &s) != nil {
 		return body
 	}
-	s.Site, s.OneZone = nil, false
+	s.Zone, s.OneZone = nil, false
 	return api.JSON(s)
 }
 
@@ -98,7 +98,7 @@
 	StarvePolls               // polls for some jobs get no answer
 	TrustCopies               // late copies of reports have new serials, as if they were sent now
 	NoMaxWait                 // nothing bounds how long a job waits for its first task
-	VouchOn                   // nodes that are cut off with workers answer them for as long as it lasts
+	KeepLeasesOn              // nodes that are cut off with workers answer them for as long as it lasts
 	StopPart                  // only the first task of a gang hears that it should save and stop
 	HideGathering             // reports don't tell of tasks that wait for their gang
 	OneTry                    // every attempt of a gang has the same number
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -107,16 +107,21 @@
 
 // sever breaks a link for a while; what was held is then delivered in order.
 func (w *World) sever(a, b string, hold bool, d time.Duration) {
+	w.breakLink(w.cuts, a, b, "link", hold, d)
+}
+
+// breakLink breaks a link of a table for a while.
+func (w *World) breakLink(table map[[2]string]*cut, a, b, what string, hold bool, d time.Duration) {
 	k := [2]string{a, b}
-	if w.cuts[k] != nil {
+	if table[k] != nil {
 		return
 	}
-	w.logf("cut %s from %s, hold=%v, for %v", a, b, hold, d)
+	w.logf("%s %s to %s is cut, hold=%v, for %v", what, a, b, hold, d)
 	c := &cut{hold: hold}
-	w.cuts[k] = c
+	table[k] = c
 	w.at(d, func() {
-		delete(w.cuts, k)
-		w.logf("link %s %s heals", a, b)
+		delete(table, k)
+		w.logf("%s %s to %s heals", what, a, b)
 		w.release(c)
 	})
 }
@@ -134,18 +139,7 @@
 // severWay breaks a link in one direction for a while: nothing that the first says comes to
 // the second, requests and answers alike.
 func (w *World) severWay(from, to string, hold bool, d time.Duration) {
-	k := [2]string{from, to}
-	if w.oneWay[k] != nil {
-		return
-	}
-	w.logf("one way cut from %s to %s, hold=%v, for %v", from, to, hold, d)
-	c := &cut{hold: hold}
-	w.oneWay[k] = c
-	w.at(d, func() {
-		delete(w.oneWay, k)
-		w.logf("the way from %s to %s heals", from, to)
-		w.release(c)
-	})
+	w.breakLink(w.oneWay, from, to, "way", hold, d)
 }
 
 // flap breaks a link in one direction again and again, for down out of each period.
--- a/internal/standin/nights_test.go
+++ b/internal/standin/nights_test.go
@@ -87,8 +87,8 @@
 		var list []*userJob
 		w.when(32, func() {
 			for range 3 {
-				list = append(list, w.job(func(s *api.Spec) { s.Pieces, s.VCPUs, s.Desk = 3, 4, "red" }, 15*time.Second),
-					w.job(func(s *api.Spec) { s.Pieces, s.VCPUs, s.Desk = 2, 4, "blue" }, 15*time.Second))
+				list = append(list, w.job(func(s *api.Spec) { s.Tasks, s.VCPUs, s.Team = 3, 4, "red" }, 15*time.Second),
+					w.job(func(s *api.Spec) { s.Tasks, s.VCPUs, s.Team = 2, 4, "blue" }, 15*time.Second))
 			}
 		})
 		most := 0
@@ -117,7 +117,7 @@
 		}
 		for _, j := range list {
 			if wait := j.begunAt.Sub(j.sentAt); j.begunAt == 0 || wait > 45*time.Second {
-				t.Errorf("seed %d: %s of %s began after %v", seed, j.spec.ID, j.spec.Desk, wait)
+				t.Errorf("seed %d: %s of %s began after %v", seed, j.spec.ID, j.spec.Team, wait)
 			}
 		}
 		if most > 20 {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -136,6 +136,7 @@
 		f = func(a statesvc.Reply) { g(forgetPlacements(a)) }
 	}
 	w.wrote(e.n.name, r)
+	w.noteTxn(e.n, r)
 	send := func() {
 		w.call(e.n.name, "state", r.Timeout, func(reply func(any)) { w.store.serve(e.n.name, r, reply) }, func(a any) {
 			e.in(func() {
@@ -186,6 +187,9 @@
 	w := e.w()
 	answer := func(a workers.Answer) { e.in(func() { f(a) })() }
 	w.commanded(e.n.name, c)
+	if c.Launches() && w.yielding(e.n) {
+		w.broken("%s starts a task while it hands the lead over", e.n.name)
+	}
 	if c.Launches() && !e.past(c.NotAfter) && !e.leads() {
 		w.took("launch without leadership")
 	}
@@ -237,8 +241,8 @@
 		if err != nil {
 			panic(err)
 		}
-		if w.cfg.Mutation == VouchOn && g.Kind == mesh.Beat && g.Life.Grace > 0 {
-			g.Life.Grace = mesh.Millis(time.Hour)
+		if w.cfg.Mutation == KeepLeasesOn && g.Kind == mesh.Heartbeat && g.Life.Allowance > 0 {
+			g.Life.Allowance = mesh.Millis(time.Hour)
 		}
 		if !w.linkFrame(e.n, o, g) {
 			return
--- a/internal/standin/old.go
+++ b/internal/standin/old.go
@@ -15,10 +15,10 @@
 // its formats, frozen, and what it refuses. It can go with package upgrade.
 
 type oldRecord struct {
-	Try    ident.Try    `json:"t,omitempty"`
-	Host   ident.HostID `json:"h,omitempty"`
-	Tenure ident.Tenure `json:"n,omitempty"`
-	Done   bool         `json:"d,omitempty"`
+	Attempt ident.Attempt `json:"t,omitempty"`
+	Host    ident.HostID  `json:"h,omitempty"`
+	Session ident.Session `json:"n,omitempty"`
+	Done    bool          `json:"d,omitempty"`
 }
 
 type oldHeader struct {
@@ -45,10 +45,10 @@
 }
 
 type oldGroup struct {
-	Model   string `json:"model"`
-	Site    string `json:"site"`
-	Standby bool   `json:"standby,omitempty"`
-	Hosts   []struct {
+	Model string `json:"model"`
+	Zone  string `json:"site"`
+	Spot  bool   `json:"standby,omitempty"`
+	Hosts []struct {
 		Host   ident.HostID `json:"h"`
 		Addr   string       `json:"a,omitempty"`
 		BornMS int64        `json:"b"`
--- a/internal/standin/play_test.go
+++ b/internal/standin/play_test.go
@@ -10,7 +10,7 @@
 func (w *World) full() {
 	w.load(12)
 	for s := 4.0; s < 110; s += 4 {
-		w.when(s, func() { w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, 15*time.Second) })
+		w.when(s, func() { w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1, 1 }, 15*time.Second) })
 	}
 	w.when(58, func() {
 		used := map[string]float64{}
@@ -18,7 +18,7 @@
 			for p, tries := range k.pieces {
 				for _, q := range tries {
 					if q.onMachine() {
-						used[w.jobs[p.Job].spec.Desk] += w.jobs[p.Job].spec.VCPUs
+						used[w.jobs[p.Job].spec.Team] += w.jobs[p.Job].spec.VCPUs
 					}
 				}
 			}
@@ -61,7 +61,7 @@
 // burst submits jobs from one moment to another, so that placements are under way.
 func (w *World) burst(from, to float64) {
 	for s := from; s < to; s += 0.05 {
-		w.when(s, func() { w.job(func(s *api.Spec) { s.Pieces, s.VCPUs = 1, 1 }, 15*time.Second) })
+		w.when(s, func() { w.job(func(s *api.Spec) { s.Tasks, s.VCPUs = 1, 1 }, 15*time.Second) })
 	}
 }
 
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -248,7 +248,7 @@
 
 func newProvider(w *World) *provider {
 	return &provider{w: w, hires: map[string][]ident.HostID{}, models: []cloud.Model{{SKU: "m8", VCPUs: 8, MemoryGB: 32,
-		LocalGB: 4, PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 6, Sites: []string{"east", "west"}}}}
+		LocalGB: 4, PullGBPerS: 1, Hourly: 1, MarketPrice: 0.4, StartupS: 6, Zones: []string{"east", "west"}}}}
 }
 
 // capacity returns how many machines of a zone and kind there are.
@@ -274,7 +274,7 @@
 		}
 		have := 0
 		for _, m := range p.machines {
-			if m.gone == 0 && m.site == r.Site && m.standby == r.Standby {
+			if m.gone == 0 && m.site == r.Zone && m.standby == r.Spot {
 				have++
 			}
 		}
@@ -306,8 +306,8 @@
 			if m.up > 0 && m.up <= at {
 				st = "running"
 			}
-			out.Listed = append(out.Listed, cloud.Listed{ID: m.host, Addr: string(m.host), Model: "m8", Site: m.site,
-				Standby: m.standby, Status: st, AgeS: at.Sub(m.born).Seconds()})
+			out.Listed = append(out.Listed, cloud.Listed{ID: m.host, Addr: string(m.host), Model: "m8", Zone: m.site,
+				Spot: m.standby, Status: st, AgeS: at.Sub(m.born).Seconds()})
 		}
 	}
 	w.at(50*time.Millisecond, func() { reply(out) })
@@ -315,7 +315,7 @@
 
 func (p *provider) rent(r cloud.Request) ident.HostID {
 	w := p.w
-	m := &rented{host: ident.HostID(fmt.Sprintf("host-%06d", len(p.machines)+1)), site: r.Site, standby: r.Standby, born: w.now,
+	m := &rented{host: ident.HostID(fmt.Sprintf("host-%06d", len(p.machines)+1)), site: r.Zone, standby: r.Spot, born: w.now,
 		never: w.rng.IntN(40) == 0}
 	p.machines = append(p.machines, m)
 	boot := time.Duration(3000+w.rng.IntN(6000)) * time.Millisecond
--- a/internal/standin/troubles.go
+++ b/internal/standin/troubles.go
@@ -117,7 +117,7 @@
 func (w *World) resend(m *api.Report, n *node) {
 	if k := w.workers[m.Host]; k != nil {
 		switch {
-		case k.tenure > m.Tenure:
+		case k.tenure > m.Session:
 			w.took("copy of an earlier session")
 		case k.serial > m.Serial:
 			w.took("copy after newer reports")
@@ -262,8 +262,8 @@
 	}
 	n := w.some()
 	w.nextJob++
-	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-8%05d", w.nextJob)), Lane: "lane", Desk: "red", Shape: api.Batch, Rank: api.Standard,
-		Pieces: 1, VCPUs: 1, MemoryGB: 2, Bundle: "img-0", ImageGB: 1, RuntimeS: 5}
+	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-8%05d", w.nextJob)), Class: "lane", Team: "red", Shape: api.Batch, Priority: api.Standard,
+		Tasks: 1, VCPUs: 1, MemoryGB: 2, Image: "img-0", ImageGB: 1, RuntimeS: 5}
 	send := func(body []byte, what string, ok func(status int) bool) {
 		w.took("odd request")
 		w.request("users", n, mesh.Submit, "", body, 5*time.Second, func(r *controller.Reply) {
@@ -278,7 +278,7 @@
 		s.VCPUs = 9
 		send(api.JSON(s), "a job that fits no machine", never)
 	case 1:
-		s.Desk = "mauve"
+		s.Team = "mauve"
 		send(api.JSON(s), "a job of an unknown team", never)
 	case 2:
 		var m map[string]any
@@ -305,7 +305,7 @@
 		for _, id := range w.order {
 			if j := w.jobs[id]; j.accepted && w.rng.IntN(3) == 0 {
 				o := j.spec
-				o.RuntimeS, o.Bundle = o.RuntimeS+1, "another"
+				o.RuntimeS, o.Image = o.RuntimeS+1, "another"
 				asked := w.now
 				w.took("other body")
 				w.request("users", n, mesh.Submit, "", api.JSON(o), 5*time.Second, func(r *controller.Reply) {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -51,37 +51,37 @@
 func (w *World) newJob() {
 	w.nextJob++
 	r := w.rng
-	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Lane: "lane", Desk: w.set.Teams[r.IntN(3)].Name,
-		Shape: api.Batch, Rank: api.Standard, Pieces: 1 + r.IntN(6), VCPUs: float64(1 + r.IntN(4)), MemoryGB: 2,
-		Bundle: fmt.Sprintf("img-%d", r.IntN(3)), ImageGB: 1.5, Standby: r.IntN(3) > 0, RuntimeS: 20}
+	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Class: "lane", Team: w.set.Teams[r.IntN(3)].Name,
+		Shape: api.Batch, Priority: api.Standard, Tasks: 1 + r.IntN(6), VCPUs: float64(1 + r.IntN(4)), MemoryGB: 2,
+		Image: fmt.Sprintf("img-%d", r.IntN(3)), ImageGB: 1.5, Spot: r.IntN(3) > 0, RuntimeS: 20}
 	switch r.IntN(6) {
 	case 0:
 		s.OneZone = true
-		s.Pieces = min(s.Pieces, 3)
+		s.Tasks = min(s.Tasks, 3)
 	case 1:
-		s.Apart = true
+		s.Spread = true
 	case 2:
 		z := w.set.Zones[r.IntN(2)]
-		s.Site = &z
+		s.Zone = &z
 	}
-	if r.IntN(3) == 0 && w.services(s.Desk) < 4 { // services must leave their team room for arrays
-		s.Shape, s.Rank, s.Standby, s.RuntimeS = api.Service, api.Critical, false, 0
-		s.Pieces = 1 + r.IntN(2)
+	if r.IntN(3) == 0 && w.services(s.Team) < 4 { // services must leave their team room for arrays
+		s.Shape, s.Priority, s.Spot, s.RuntimeS = api.Service, api.Critical, false, 0
+		s.Tasks = 1 + r.IntN(2)
 		s.VCPUs = 1
 	}
 	if r.IntN(40) == 0 {
-		s.Pieces, s.VCPUs = 200, 0.1 // more than a header holds
-		s.Shape, s.Rank, s.OneZone = api.Batch, api.Standard, false
+		s.Tasks, s.VCPUs = 200, 0.1 // more than a header holds
+		s.Shape, s.Priority, s.OneZone = api.Batch, api.Standard, false
 	}
 	if gangs := 12; w.gangsWelcome() && r.IntN(gangs) < 2 || w.cfg.Gangs && r.IntN(2) == 0 {
-		s.Shape, s.Rank, s.Standby, s.Apart, s.VCPUs = api.Gang, []api.Rank{api.High, api.Standard}[r.IntN(2)], r.IntN(3) == 0, false, 1
-		s.Pieces, s.RuntimeS = 2+r.IntN(5), 40
+		s.Shape, s.Priority, s.Spot, s.Spread, s.VCPUs = api.Gang, []api.Priority{api.High, api.Standard}[r.IntN(2)], r.IntN(3) == 0, false, 1
+		s.Tasks, s.RuntimeS = 2+r.IntN(5), 40
 		s.OneZone = r.IntN(3) > 0
 		if r.IntN(4) > 0 {
 			s.SnapshotEveryS, s.SnapshotS = 8, 2
 		}
 	}
-	j := &userJob{spec: s, runs: time.Duration(2000+r.IntN(40_000)) * time.Millisecond, done: make([]bool, s.Pieces)}
+	j := &userJob{spec: s, runs: time.Duration(2000+r.IntN(40_000)) * time.Millisecond, done: make([]bool, s.Tasks)}
 	if w.cfg.Meet && s.Shape == api.Batch && r.IntN(12) == 0 {
 		j.mistaken = true
 		w.at(time.Duration(20+r.IntN(100))*time.Second, func() { w.callOff(j, nil) })
@@ -115,18 +115,18 @@
 		return
 	}
 	w.nextJob++
-	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Lane: "lane", Desk: "red", Shape: api.Batch, Rank: api.Standard,
-		Pieces: 2, VCPUs: 2, MemoryGB: 2, Bundle: "img-0", ImageGB: 1.5, Standby: true, RuntimeS: 10}
+	s := api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", w.nextJob)), Class: "lane", Team: "red", Shape: api.Batch, Priority: api.Standard,
+		Tasks: 2, VCPUs: 2, MemoryGB: 2, Image: "img-0", ImageGB: 1.5, Spot: true, RuntimeS: 10}
 	runs := 10 * time.Second
 	if w.nextJob%40 == 20 {
-		s.Pieces, s.VCPUs, s.RuntimeS, runs = 3, 7.5, 30, 30*time.Second
+		s.Tasks, s.VCPUs, s.RuntimeS, runs = 3, 7.5, 30, 30*time.Second
 		if w.nextJob%80 == 20 {
-			s.Apart = true
+			s.Spread = true
 		} else {
-			s.OneZone, s.Desk, s.VCPUs, s.Pieces = true, "grey", 8, 2
+			s.OneZone, s.Team, s.VCPUs, s.Tasks = true, "grey", 8, 2
 		}
 	}
-	w.add(&userJob{spec: s, runs: runs, done: make([]bool, s.Pieces)})
+	w.add(&userJob{spec: s, runs: runs, done: make([]bool, s.Tasks)})
 	w.at(600*time.Millisecond, w.crowd)
 }
 
@@ -134,8 +134,8 @@
 func (w *World) services(desk string) int {
 	n := 0
 	for _, j := range w.jobs {
-		if j.spec.Desk == desk && j.spec.Shape == api.Service && j.told != "cancelled" {
-			n += j.spec.Pieces
+		if j.spec.Team == desk && j.spec.Shape == api.Service && j.told != "cancelled" {
+			n += j.spec.Tasks
 		}
 	}
 	return n
@@ -185,7 +185,7 @@
 	if calm := ident.Mono(w.cfg.Length + faultsEnd); w.now > calm && w.now.Sub(max(j.answered, calm)) > knownWithin {
 		w.broken("forgotten: nothing about %s was answered for %v", j.spec.ID, w.now.Sub(max(j.answered, calm)))
 	}
-	if w.cfg.Mutation == StarvePolls && w.now > ident.Mono(w.cfg.Length) && j.spec.Pieces%2 == 0 {
+	if w.cfg.Mutation == StarvePolls && w.now > ident.Mono(w.cfg.Length) && j.spec.Tasks%2 == 0 {
 		w.at(5*time.Second, func() { w.poll(j) })
 		return
 	}
@@ -320,7 +320,7 @@
 					w.broken("ran_twice: %s starts on %s (try %d) while on %s (try %d)", p.id, k.host, p.try, o.host, q.try)
 				}
 				t := w.jobs[q.id.Job]
-				if t.spec.Desk == s.Desk {
+				if t.spec.Team == s.Team {
 					cpus += t.spec.VCPUs
 				}
 				if q.id.Job == p.id.Job {
@@ -330,17 +330,17 @@
 		}
 	}
 	for _, t := range w.set.Teams {
-		if t.Name == s.Desk && t.CPUsMax > 0 && cpus+s.VCPUs > t.CPUsMax+1e-6 {
+		if t.Name == s.Team && t.CPUsMax > 0 && cpus+s.VCPUs > t.CPUsMax+1e-6 {
 			w.broken("quota: %s uses %v of %v with %s", t.Name, cpus+s.VCPUs, t.CPUsMax, p.id)
 		}
 	}
 	site := k.m.site
 	switch {
-	case s.Site != nil && *s.Site != site:
+	case s.Zone != nil && *s.Zone != site:
 		w.broken("wrong_place: %s in %s", p.id, site)
-	case k.m.standby && !s.Standby:
+	case k.m.standby && !s.Spot:
 		w.broken("wrong_place: %s on a spot machine", p.id)
-	case s.Apart && zones[site]+1 > (s.Pieces+1)/2:
+	case s.Spread && zones[site]+1 > (s.Tasks+1)/2:
 		w.broken("wrong_place: %s is one of %d in %s", p.id, zones[site]+1, site)
 	}
 	if s.OneZone {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,13 +24,13 @@
 	host    ident.HostID
 	dead    bool
 	hung    ident.Mono
-	tenure  ident.Tenure
+	tenure  ident.Session
 	serial  ident.Serial
 	epoch   ident.Epoch
 	leaseAt ident.Mono
 	doomed  ident.Mono
 	node    int
-	pieces  map[ident.Piece]map[ident.Try]*piece
+	pieces  map[ident.TaskID]map[ident.Attempt]*piece
 	images  map[string]bool
 	flying  bool // a report is under way
 	last    ident.Mono
@@ -38,9 +38,9 @@
 }
 
 type piece struct {
-	id     ident.Piece
-	try    ident.Try
-	status api.PieceStatus
+	id     ident.TaskID
+	try    ident.Attempt
+	status api.TaskStatus
 	cause  api.Cause
 	stored bool
 	alike  bool // of the mutation OneTry
@@ -49,7 +49,7 @@
 
 func newWorker(w *World, m *rented) *worker {
 	k := &worker{w: w, m: m, host: m.host, tenure: 1, leaseAt: w.now, node: w.rng.IntN(len(w.nodes)),
-		pieces: map[ident.Piece]map[ident.Try]*piece{}, images: map[string]bool{}, faulty: w.cfg.Faults && w.rng.IntN(25) == 0}
+		pieces: map[ident.TaskID]map[ident.Attempt]*piece{}, images: map[string]bool{}, faulty: w.cfg.Faults && w.rng.IntN(25) == 0}
 	w.workers[m.host] = k
 	w.sorted = nil
 	k.tick()
@@ -103,22 +103,22 @@
 
 func (k *worker) message() *api.Report {
 	k.serial++
-	r := &api.Report{Host: k.host, Addr: string(k.host), Model: "m8", Site: k.m.site, Standby: k.m.standby,
-		Tenure: k.tenure, Serial: k.serial, Epoch: k.epoch}
+	r := &api.Report{Host: k.host, Addr: string(k.host), Model: "m8", Zone: k.m.site, Spot: k.m.standby,
+		Session: k.tenure, Serial: k.serial, Epoch: k.epoch}
 	if k.doomed > 0 {
 		s := k.doomed.Sub(k.w.now).Seconds()
-		r.WarningS = &s
+		r.NoticeS = &s
 	}
 	for _, tries := range k.pieces {
 		for _, p := range tries {
 			if k.w.cfg.Mutation == HideGathering && p.status == api.Gathering {
 				continue
 			}
-			r.Pieces = append(r.Pieces, api.PieceReport{Piece: p.id, Try: p.try, Status: p.status, Cause: p.cause, Stored: p.stored})
+			r.Tasks = append(r.Tasks, api.TaskReport{TaskID: p.id, Attempt: p.try, Status: p.status, Cause: p.cause, Stored: p.stored})
 		}
 	}
-	slices.SortFunc(r.Pieces, func(a, b api.PieceReport) int {
-		return cmp.Or(cmp.Compare(a.Piece.Job, b.Piece.Job), cmp.Compare(a.Piece.Index, b.Piece.Index), cmp.Compare(a.Try, b.Try))
+	slices.SortFunc(r.Tasks, func(a, b api.TaskReport) int {
+		return cmp.Or(cmp.Compare(a.TaskID.Job, b.TaskID.Job), cmp.Compare(a.TaskID.Index, b.TaskID.Index), cmp.Compare(a.Attempt, b.Attempt))
 	})
 	return r
 }
@@ -191,7 +191,7 @@
 
 // session begins the next one, without any task.
 func (k *worker) session() {
-	k.pieces = map[ident.Piece]map[ident.Try]*piece{}
+	k.pieces = map[ident.TaskID]map[ident.Attempt]*piece{}
 	k.images = map[string]bool{}
 	k.tenure++
 	k.serial = 0
@@ -214,7 +214,7 @@
 	if k.w.now < k.w.mute[string(k.host)] {
 		k.w.took("command to a mute machine")
 	}
-	if c.Tenure != k.tenure || !k.entitled(c.Epoch) {
+	if c.Session != k.tenure || !k.entitled(c.Epoch) {
 		reply(workers.Answer{Status: 409, Report: k.message()})
 		return
 	}
@@ -224,15 +224,15 @@
 
 func (k *worker) obey(orders []api.Order) {
 	for _, o := range orders {
-		p := k.pieces[o.Piece][o.Try]
+		p := k.pieces[o.TaskID][o.Attempt]
 		switch o.Verb {
 		case api.Launch:
-			if j := k.w.jobs[o.Piece.Job]; k.w.cfg.Mutation == OneTry && j != nil && j.spec.Shape == api.Gang {
+			if j := k.w.jobs[o.TaskID.Job]; k.w.cfg.Mutation == OneTry && j != nil && j.spec.Shape == api.Gang {
 				k.obeyOneTry(o)
 				continue
 			}
 			if p == nil {
-				k.launch(o.Piece, o.Try)
+				k.launch(o.TaskID, o.Attempt)
 			}
 		case api.Kill:
 			if p != nil && p.status != api.Ended {
@@ -240,9 +240,9 @@
 			}
 		case api.Clear:
 			if p != nil && p.status == api.Ended {
-				delete(k.pieces[o.Piece], o.Try)
-				if len(k.pieces[o.Piece]) == 0 {
-					delete(k.pieces, o.Piece)
+				delete(k.pieces[o.TaskID], o.Attempt)
+				if len(k.pieces[o.TaskID]) == 0 {
+					delete(k.pieces, o.TaskID)
 				}
 			}
 		}
@@ -289,7 +289,7 @@
 	return cpus
 }
 
-func (k *worker) launch(id ident.Piece, try ident.Try) {
+func (k *worker) launch(id ident.TaskID, try ident.Attempt) {
 	p := &piece{id: id, try: try, status: api.Pulling}
 	busy := false
 	for _, o := range k.pieces[id] {
@@ -297,12 +297,12 @@
 	}
 	cpus := k.taken()
 	if k.pieces[id] == nil {
-		k.pieces[id] = map[ident.Try]*piece{}
+		k.pieces[id] = map[ident.Attempt]*piece{}
 	}
 	k.pieces[id][try] = p
 	j := k.w.jobs[id.Job]
 	switch {
-	case j == nil || id.Index >= j.spec.Pieces:
+	case j == nil || id.Index >= j.spec.Tasks:
 		k.end(p, api.CauseUnknown)
 	case busy:
 		k.end(p, api.CauseBusy)
@@ -310,11 +310,11 @@
 		k.end(p, api.CauseFull)
 	default:
 		d := time.Millisecond
-		if !k.images[j.spec.Bundle] {
+		if !k.images[j.spec.Image] {
 			d = time.Duration(500+k.w.rng.IntN(3000)) * time.Millisecond
 		}
 		k.step(p, d, func() {
-			k.images[j.spec.Bundle] = true
+			k.images[j.spec.Image] = true
 			if j.spec.Shape == api.Gang && !k.faulty {
 				try := p.try
 				if p.alike {
@@ -348,11 +348,11 @@
 
 // obeyOneTry is the mutation that numbers every attempt of a gang alike.
 func (k *worker) obeyOneTry(o api.Order) {
-	if p := k.pieces[o.Piece][o.Try]; p != nil {
+	if p := k.pieces[o.TaskID][o.Attempt]; p != nil {
 		return
 	}
-	k.launch(o.Piece, o.Try)
-	if p := k.pieces[o.Piece][o.Try]; p != nil && p.status != api.Ended {
+	k.launch(o.TaskID, o.Attempt)
+	if p := k.pieces[o.TaskID][o.Attempt]; p != nil && p.status != api.Ended {
 		p.alike = true
 	}
 }
@@ -399,8 +399,8 @@
 		}
 		commit.Unpack(v.Text, func(id, line string) error {
 			var i int
-			var try ident.Try
-			var tenure ident.Tenure
+			var try ident.Attempt
+			var tenure ident.Session
 			f := strings.Split(line, ",")
 			if len(f) != 4 {
 				return nil
@@ -412,7 +412,7 @@
 			}
 			w.deliver(from, f[2], func() {
 				k.when(func() {
-					piece := ident.Piece{Job: ident.JobID(id), Index: i}
+					piece := ident.TaskID{Job: ident.JobID(id), Index: i}
 					if k.tenure == tenure && k.pieces[piece][try] == nil {
 						k.launch(piece, try)
 					}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -108,7 +108,7 @@
 func New(cfg Config) *World {
 	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 7)), workers: map[ident.HostID]*worker{},
 		jobs: map[ident.JobID]*userJob{}, gangs: map[gangKey]*gangRun{}, cuts: map[[2]string]*cut{}, oneWay: map[[2]string]*cut{}, zones: map[string]*cut{}, deaf: map[string]ident.Mono{},
-		linkEvents: linkEvents{announced: map[ident.Term]bool{}, newest: map[string]uint64{}},
+		linkEvents: linkEvents{announced: map[ident.Term]bool{}, newest: map[string]uint64{}, yields: map[string]int{}, sentBefore: map[string]bool{}},
 		troubles:   troubles{mute: map[string]ident.Mono{}, seen: map[string]int{}}}
 	w.set = settings.Cluster{
 		Nodes: cfg.nodeCount(), Zones: []string{"east", "west"}, TimeBoundMS: 200,
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -88,9 +88,9 @@
 	return w, cancelled
 }
 
-// TestVouchingEnds: nodes that are cut off with workers keep their leases no longer than
+// TestKeepingLeasesEnds: nodes that are cut off with workers keep their leases no longer than
 // a cancellation may take; without that bound the checks notice.
-func TestVouchingEnds(t *testing.T) {
+func TestKeepingLeasesEnds(t *testing.T) {
 	t.Parallel()
 	cancelled, noticed := 0, false
 	for seed := range uint64(10) {
@@ -99,11 +99,11 @@
 			t.Errorf("seed %d: %v %v", seed, w.Broken, w.Undone)
 		}
 		cancelled += n
-		w, _ = cutAndCancelled(seed, VouchOn)
+		w, _ = cutAndCancelled(seed, KeepLeasesOn)
 		noticed = noticed || len(w.Broken) > 0
 	}
 	if cancelled == 0 || !noticed {
-		t.Errorf("%d jobs were cancelled; vouching without end was noticed: %v", cancelled, noticed)
+		t.Errorf("%d jobs were cancelled; keeping leases without end was noticed: %v", cancelled, noticed)
 	}
 }
 
@@ -181,9 +181,9 @@
 	}
 	done, all := map[string]int{}, map[string]int{}
 	for _, j := range w.jobs {
-		all[j.spec.Desk]++
+		all[j.spec.Team]++
 		if j.told == "done" {
-			done[j.spec.Desk]++
+			done[j.spec.Team]++
 		}
 	}
 	for desk, n := range all {
@@ -277,10 +277,10 @@
 }
 
 // TestZoneCutOff: in a zone that is cut off for less than a lease and the grace, work
-// goes on, whether the leader is inside or a node that vouches for it.
+// goes on, whether the leader is inside or a node that keeps leases for it.
 func TestZoneCutOff(t *testing.T) {
 	t.Parallel()
-	vouched := uint64(0)
+	kept := uint64(0)
 	for seed := range uint64(8) {
 		w := New(Config{Seed: seed, Length: 160 * time.Second})
 		inside := 0
@@ -298,7 +298,7 @@
 		})
 		w.at(101*time.Second, func() {
 			for _, n := range w.nodes {
-				vouched += n.ctl.Vouched
+				kept += n.ctl.LeasesKept
 			}
 		})
 		w.Run()
@@ -310,18 +310,18 @@
 		}
 		keptLeases(t, w)
 	}
-	if vouched == 0 {
-		t.Error("no node vouched: the test shows nothing")
+	if kept == 0 {
+		t.Error("no node kept: the test shows nothing")
 	}
 }
 
 // TestLeaderDiesInOutage: with the state service down nobody can follow a leader that
-// dies; the others vouch for it, and no worker loses its lease before the service is
+// dies; the others keep leases for it, and no worker loses its lease before the service is
 // back, for as long as lease and grace last together.
 func TestLeaderDiesInOutage(t *testing.T) {
 	t.Parallel()
 	w := New(Config{Seed: 3, Length: 160 * time.Second})
-	vouched := uint64(0)
+	kept := uint64(0)
 	w.at(70*time.Second, func() { w.store.downUntil = w.now.Add(35 * time.Second) })
 	w.at(72*time.Second, func() {
 		for _, n := range w.nodes {
@@ -333,7 +333,7 @@
 	w.at(104*time.Second, func() {
 		for _, n := range w.nodes {
 			if n.alive {
-				vouched += n.ctl.Vouched
+				kept += n.ctl.LeasesKept
 			}
 		}
 	})
@@ -342,8 +342,8 @@
 		t.Errorf("%v %v", w.Broken, w.Undone)
 	}
 	keptLeases(t, w)
-	if vouched == 0 {
-		t.Error("no node vouched: the test shows nothing")
+	if kept == 0 {
+		t.Error("no node kept: the test shows nothing")
 	}
 }
 
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -33,15 +33,15 @@
 }
 
 func launch(t *jobs.Task) api.Order {
-	return api.Order{Verb: api.Launch, Piece: t.Piece(), Try: t.Try}
+	return api.Order{Verb: api.Launch, TaskID: t.TaskID(), Attempt: t.Attempt}
 }
 
 // Kill is the order that ends an attempt at once.
-func Kill(p ident.Piece, t ident.Try) api.Order { return kill(attempt{p, t}, 0) }
+func Kill(p ident.TaskID, t ident.Attempt) api.Order { return kill(attempt{p, t}, 0) }
 
 func kill(a attempt, windDown time.Duration) api.Order {
 	s := windDown.Seconds()
-	return api.Order{Verb: api.Kill, Piece: a.piece, Try: a.try, WindDownS: &s}
+	return api.Order{Verb: api.Kill, TaskID: a.piece, Attempt: a.try, WindDownS: &s}
 }
 
 // Launch sends a durable placement to its machine.
@@ -55,13 +55,13 @@
 	case jobs.Assigned:
 		tb.jobs.Stop(t, windDown)
 		if w != nil {
-			tb.Push(w, kill(attempt{t.Piece(), t.Try}, windDown))
+			tb.Push(w, kill(attempt{t.TaskID(), t.Attempt}, windDown))
 		}
 	case jobs.Stopping:
 		if windDown < t.WindDown {
 			t.WindDown = windDown
 			if w != nil {
-				tb.Push(w, kill(attempt{t.Piece(), t.Try}, windDown))
+				tb.Push(w, kill(attempt{t.TaskID(), t.Attempt}, windDown))
 			}
 		}
 	}
@@ -71,7 +71,7 @@
 // so that orders keep their order; what gets lost is repeated by the answer to
 // the worker's next report.
 func (tb *Table) Push(w *Worker, o api.Order) {
-	if w.State == Gone || w.Addr == "" || w.Tenure == 0 || w.dull {
+	if w.State == Gone || w.Addr == "" || w.Session == 0 || w.dull {
 		return
 	}
 	w.queue = append(w.queue, o)
@@ -100,12 +100,12 @@
 	}
 	w.probing = false
 	w.flying, w.queue = w.queue, nil
-	epoch, tenure := tb.epoch(w), max(w.Tenure, 1)
+	epoch, tenure := tb.epoch(w), max(w.Session, 1)
 	orders := w.flying
 	if orders == nil {
 		orders = []api.Order{}
 	}
-	tb.port.Worker(Command{Addr: w.Addr, Zone: w.Site, Body: api.Commands{Epoch: epoch, Tenure: tenure, Orders: orders}}, func(a Answer) {
+	tb.port.Worker(Command{Addr: w.Addr, Zone: w.Zone, Body: api.Commands{Epoch: epoch, Session: tenure, Orders: orders}}, func(a Answer) {
 		if tb.dead {
 			return
 		}
@@ -150,7 +150,7 @@
 // then the state service was down and it had no orders to give any more.)
 func (tb *Table) stopUnwanted(w *Worker, r *api.Report) {
 	for _, o := range unwanted(w, r) {
-		if !slices.ContainsFunc(w.queue, func(q api.Order) bool { return q.Verb == o.Verb && q.Piece == o.Piece && q.Try == o.Try }) {
+		if !slices.ContainsFunc(w.queue, func(q api.Order) bool { return q.Verb == o.Verb && q.TaskID == o.TaskID && q.Attempt == o.Attempt }) {
 			tb.Push(w, o)
 		}
 	}
--- a/internal/workers/lease.go
+++ b/internal/workers/lease.go
@@ -17,7 +17,7 @@
 
 // lose notes that a task is proven not to be on its machine.
 func (tb *Table) lose(w *Worker, t *jobs.Task, why string) {
-	slog.Info("task is gone", "piece", t.Piece().String(), "try", uint64(t.Try), "host", string(w.Host), "why", why)
+	slog.Info("task is gone", "task", t.TaskID().String(), "try", uint64(t.Attempt), "host", string(w.Host), "why", why)
 	tb.Relocated++
 	tb.jobs.Gone(t, nil)
 }
@@ -34,7 +34,7 @@
 
 // Expired says whether the worker's lease is surely over, and with it its
 // tasks: no report sent after the last answer can have been answered, by us or,
-// in its grace, by the leader before us, or by a sibling that vouched for either.
+// in its grace, by the leader before us, or by a sibling that kept for either.
 func (tb *Table) Expired(w *Worker) bool {
 	from := max(tb.began.Add(tb.cfg.Grace), tb.cfg.Renewed())
 	if w.everAns {
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -24,7 +24,7 @@
 	if !tb.take(w, r) {
 		// No effect, but its lease is renewed by any answer, and so each must end what
 		// has to be gone.
-		if tb.dead || r.Tenure < w.Tenure {
+		if tb.dead || r.Session < w.Session {
 			return nil
 		}
 		return tb.renew(w, r, unwanted(w, r))
@@ -46,7 +46,7 @@
 	epoch := ident.MakeEpoch(tb.cfg.Term, 0)
 	if !tb.asked[r.Host] && len(tb.asked) < tb.strangerLimit() {
 		tb.asked[r.Host] = true
-		tb.port.Worker(Command{Addr: r.Addr, Zone: r.Site, Body: api.Commands{Epoch: epoch, Tenure: r.Tenure, Orders: []api.Order{}}}, func(a Answer) {
+		tb.port.Worker(Command{Addr: r.Addr, Zone: r.Zone, Body: api.Commands{Epoch: epoch, Session: r.Session, Orders: []api.Order{}}}, func(a Answer) {
 			if tb.dead {
 				return
 			}
@@ -55,7 +55,7 @@
 				return
 			}
 			slog.Info("unexpected machine", "host", string(r.Host))
-			w := tb.Add(r.Host, r.Model, r.Site, r.Standby, tb.port.Now())
+			w := tb.Add(r.Host, r.Model, r.Zone, r.Spot, tb.port.Now())
 			if w.State != Gone && tb.take(w, a.Report) && !tb.dead {
 				tb.stopUnwanted(w, a.Report)
 			}
@@ -78,7 +78,7 @@
 // what must be gone is stopped.
 func (tb *Table) Renew(r *api.Report) *api.Orders {
 	w := tb.Workers[r.Host]
-	if w == nil || w.State == Gone || r.Epoch > tb.epoch(w) || r.Tenure < w.Tenure {
+	if w == nil || w.State == Gone || r.Epoch > tb.epoch(w) || r.Session < w.Session {
 		// One that has seen a successor's token would have to drop our answer, and
 		// stay with us until its lease is over.
 		return nil
@@ -99,7 +99,7 @@
 	if r.Epoch != tb.epoch(w) || w.busy || r.Serial < w.serial {
 		for _, t := range w.Tasks {
 			j := t.Job
-			if j.Phase == jobs.Cancelled && tb.port.Now().Sub(j.Ended) > tb.cfg.Grace && !listed(r, attempt{t.Piece(), t.Try}) {
+			if j.Phase == jobs.Cancelled && tb.port.Now().Sub(j.Ended) > tb.cfg.Grace && !listed(r, attempt{t.TaskID(), t.Attempt}) {
 				tb.Probe(w)
 				return nil
 			}
@@ -111,7 +111,7 @@
 
 // listed says whether a report has an attempt.
 func listed(r *api.Report, a attempt) bool {
-	return slices.ContainsFunc(r.Pieces, func(p api.PieceReport) bool { return p.Piece == a.piece && p.Try == a.try })
+	return slices.ContainsFunc(r.Tasks, func(p api.TaskReport) bool { return p.TaskID == a.piece && p.Attempt == a.try })
 }
 
 // unwanted returns the orders that stop the tasks in a report which nobody wants any
@@ -119,10 +119,10 @@
 // at any time, whoever leads.
 func unwanted(w *Worker, r *api.Report) []api.Order {
 	orders := []api.Order{}
-	for _, p := range r.Pieces {
-		t := w.Tasks[p.Piece]
-		if p.Status != api.Ended && (t == nil || t.Try != p.Try || t.Job.Phase == jobs.Cancelled) {
-			orders = append(orders, Kill(p.Piece, p.Try))
+	for _, p := range r.Tasks {
+		t := w.Tasks[p.TaskID]
+		if p.Status != api.Ended && (t == nil || t.Attempt != p.Attempt || t.Job.Phase == jobs.Cancelled) {
+			orders = append(orders, Kill(p.TaskID, p.Attempt))
 		}
 	}
 	return orders
@@ -131,7 +131,7 @@
 // take notes what a report says of the worker itself. It returns false for a
 // report that is not newer than the newest seen.
 func (tb *Table) take(w *Worker, r *api.Report) bool {
-	if r.Tenure < w.Tenure || r.Tenure == w.Tenure && r.Serial <= w.serial {
+	if r.Session < w.Session || r.Session == w.Session && r.Serial <= w.serial {
 		tb.Stale++
 		return false
 	}
@@ -150,10 +150,10 @@
 		w.Kind = tb.cfg.Catalog(w.Model)
 		tb.cfg.Commit(w)
 	}
-	if r.Tenure > w.Tenure {
+	if r.Session > w.Session {
 		// The worker has killed and forgotten all tasks of earlier sessions, and
 		// orders for them are refused.
-		w.Tenure = r.Tenure
+		w.Session = r.Session
 		w.queue = nil
 		w.images = nil
 		tb.clearOrphans(w)
@@ -180,28 +180,28 @@
 		w.probing = false
 		tb.cfg.Changed()
 	}
-	if r.WarningS == nil {
+	if r.NoticeS == nil {
 		w.Doomed = 0
 	} else {
-		at := now.Add(time.Duration(*r.WarningS * float64(time.Second)))
+		at := now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
 		if w.Doomed == 0 {
-			slog.Info("machine will be taken", "host", string(w.Host), "in_s", *r.WarningS)
+			slog.Info("machine will be taken", "host", string(w.Host), "in_s", *r.NoticeS)
 			tb.cfg.Changed()
 		}
 		w.Doomed = max(at, 1)
 	}
 	tb.clearOrphans(w)
-	for _, p := range r.Pieces {
-		t := w.Tasks[p.Piece]
-		if p.Status != api.Ended && (t == nil || t.Try != p.Try) {
-			tb.orphan(w, p.Piece, p.Try)
+	for _, p := range r.Tasks {
+		t := w.Tasks[p.TaskID]
+		if p.Status != api.Ended && (t == nil || t.Attempt != p.Attempt) {
+			tb.orphan(w, p.TaskID, p.Attempt)
 			continue
 		}
-		if t == nil || t.Try != p.Try {
+		if t == nil || t.Attempt != p.Attempt {
 			continue
 		}
 		if p.Status == api.Running || p.Status == api.Flushing || p.Status == api.Gathering || p.Cause == api.CauseDone {
-			w.cache(t.Job.Spec.Bundle, t.Job.Spec.ImageGB)
+			w.cache(t.Job.Spec.Image, t.Job.Spec.ImageGB)
 		}
 		if p.Status != api.Ended {
 			tb.jobs.Observe(t, p.Status)
@@ -217,7 +217,7 @@
 // when what took their room was. (It launched them in the new session, and a team was over
 // its limit.)
 func (tb *Table) loseEarlier(w *Worker, r *api.Report) {
-	earlier := func(t *jobs.Task) bool { return t.Tenure < r.Tenure && !listed(r, attempt{t.Piece(), t.Try}) }
+	earlier := func(t *jobs.Task) bool { return t.Session < r.Session && !listed(r, attempt{t.TaskID(), t.Attempt}) }
 	some := false
 	for _, t := range w.Tasks {
 		some = some || earlier(t)
@@ -234,10 +234,10 @@
 
 // ended handles a task that exited. Its attempt is cleared from the worker only
 // when that is durable: else a successor would start it again.
-func (tb *Table) ended(w *Worker, t *jobs.Task, p api.PieceReport) {
-	a := attempt{p.Piece, p.Try}
+func (tb *Table) ended(w *Worker, t *jobs.Task, p api.TaskReport) {
+	a := attempt{p.TaskID, p.Attempt}
 	if now := tb.port.Now(); t.RunsAt > 0 {
-		slog.Debug("task ended", "piece", p.Piece.String(), "cause", string(p.Cause), "host", string(w.Host),
+		slog.Debug("task ended", "task", p.TaskID.String(), "cause", string(p.Cause), "host", string(w.Host),
 			"ran_s", now.Sub(t.RunsAt).Seconds(), "job_age_s", now.Sub(t.Job.Arrived).Seconds(), "runtime_s", t.Job.Spec.RuntimeS)
 	}
 	w.unclear[a] = true
@@ -246,7 +246,7 @@
 			return
 		}
 		delete(w.unclear, a)
-		tb.Push(w, api.Order{Verb: api.Clear, Piece: a.piece, Try: a.try})
+		tb.Push(w, api.Order{Verb: api.Clear, TaskID: a.piece, Attempt: a.try})
 	}
 	if p.Cause == api.CauseDone {
 		w.absolve(t.Job)
@@ -280,13 +280,13 @@
 	// here could be carried out, end and be cleared before the command's own
 	// comes and starts the task again.
 	flying := func(a attempt) bool {
-		named := func(o api.Order) bool { return o.Piece == a.piece && o.Try == a.try }
+		named := func(o api.Order) bool { return o.TaskID == a.piece && o.Attempt == a.try }
 		return slices.ContainsFunc(w.flying, named) || slices.ContainsFunc(w.queue, named)
 	}
-	for _, p := range r.Pieces {
-		a := attempt{p.Piece, p.Try}
-		t := w.Tasks[p.Piece]
-		known := t != nil && t.Try == p.Try
+	for _, p := range r.Tasks {
+		a := attempt{p.TaskID, p.Attempt}
+		t := w.Tasks[p.TaskID]
+		known := t != nil && t.Attempt == p.Attempt
 		switch {
 		case known && t.State == jobs.Stopping && t.Job.Phase == jobs.Cancelled && p.Status != api.Ended:
 			// A command that says so may be lost, and this answer renews the lease.
@@ -294,7 +294,7 @@
 		case flying(a):
 		case p.Status == api.Ended:
 			if !known && !w.unclear[a] {
-				orders = append(orders, api.Order{Verb: api.Clear, Piece: p.Piece, Try: p.Try})
+				orders = append(orders, api.Order{Verb: api.Clear, TaskID: p.TaskID, Attempt: p.Attempt})
 			}
 		case !known:
 			orders = append(orders, kill(a, 0))
@@ -311,7 +311,7 @@
 	// this report was sent, or never will be.
 	fresh := r.Epoch == tb.epoch(w)
 	for _, t := range tb.TasksOf(w) {
-		a := attempt{t.Piece(), t.Try}
+		a := attempt{t.TaskID(), t.Attempt}
 		if listed(r, a) || flying(a) {
 			continue
 		}
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -29,25 +29,25 @@
 
 // Image is a cached image.
 type Image struct {
-	Bundle string
-	GB     float64
+	Name string
+	GB   float64
 }
 
 // attempt names one try of a task.
 type attempt struct {
-	piece ident.Piece
-	try   ident.Try
+	piece ident.TaskID
+	try   ident.Attempt
 }
 
 // Worker is a machine and the worker on it.
 type Worker struct {
-	Host    ident.HostID
-	Addr    string
-	Model   string
-	Kind    *cloud.Model // nil while the catalog doesn't list it
-	Site    string
-	Standby bool
-	State   State
+	Host  ident.HostID
+	Addr  string
+	Model string
+	Kind  *cloud.Model // nil while the catalog doesn't list it
+	Zone  string
+	Spot  bool
+	State State
 
 	Since    ident.Mono         // when it entered its state
 	Born     ident.Mono         // when it was rented, as far as known
@@ -57,7 +57,7 @@
 	Cordoned bool               // being emptied, to be returned
 	blame    map[*jobs.Job]bool // whose tasks failed on it since a task of another job completed
 
-	Tenure   ident.Tenure
+	Session  ident.Session
 	serial   ident.Serial
 	told     ident.Epoch // token in the newest answer to a report of this term
 	fence    uint32
@@ -65,10 +65,10 @@
 	answered ident.Mono // last time a report was answered
 	everAns  bool
 
-	Tasks   map[ident.Piece]*jobs.Task
+	Tasks   map[ident.TaskID]*jobs.Task
 	Plan    []*jobs.Task // of the current round
 	images  []Image      // newest last
-	orphans map[ident.Piece]ident.Try
+	orphans map[ident.TaskID]ident.Attempt
 	unclear map[attempt]bool // ended, and not yet durably so
 
 	flying  []api.Order // of the command under way
@@ -107,7 +107,7 @@
 		return 0
 	}
 	free := jobs.Need{VCPUs: w.Kind.VCPUs - w.VCPUs, Cards: w.Kind.Cards - w.Cards, MemoryGB: w.Kind.MemoryGB - w.MemoryGB}
-	return max(0, min(s.Pieces, free.Places(s)))
+	return max(0, min(s.Tasks, free.Places(s)))
 }
 
 // Room says whether as much is free.
@@ -122,7 +122,7 @@
 // ranks is the number of priorities.
 const ranks = 4
 
-func lesser(counts *[ranks]int, r api.Rank) int {
+func lesser(counts *[ranks]int, r api.Priority) int {
 	n := 0
 	for _, k := range counts[r.Level()+1:] {
 		n += k
@@ -131,14 +131,14 @@
 }
 
 // Lesser returns how many tasks of a lower priority count on the machine.
-func (w *Worker) Lesser(r api.Rank) int { return lesser(&w.ranks, r) }
+func (w *Worker) Lesser(r api.Priority) int { return lesser(&w.ranks, r) }
 
 // slack forgives rounding in sums of amounts.
 const slack = 1e-6
 
 // Allows says whether the job may use the machine at all.
 func (w *Worker) Allows(s *api.Spec) bool {
-	if s.Site != nil && *s.Site != w.Site || w.Standby && !s.Standby || w.Kind == nil {
+	if s.Zone != nil && *s.Zone != w.Zone || w.Spot && !s.Spot || w.Kind == nil {
 		return false
 	}
 	return AllowsModel(s, w.Model) && Could(w.Kind, s)
@@ -161,14 +161,14 @@
 
 // Open says whether tasks may be placed on the machine now.
 func (w *Worker) Open(now ident.Mono) bool {
-	return w.State == Up && w.Doomed == 0 && !w.Cordoned && now >= w.Shun && !w.dull && w.Tenure != 0 &&
+	return w.State == Up && w.Doomed == 0 && !w.Cordoned && now >= w.Shun && !w.dull && w.Session != 0 &&
 		w.Recorded // a successor must know every machine that tasks may be on
 }
 
 // Holds says whether the machine surely or probably has an image.
 func (w *Worker) Holds(bundle string) bool {
 	for _, im := range w.images {
-		if im.Bundle == bundle {
+		if im.Name == bundle {
 			return true
 		}
 	}
@@ -198,7 +198,7 @@
 // ones, as far as their disk reaches.
 func (w *Worker) cache(bundle string, gb float64) {
 	n := len(w.images)
-	i := slices.IndexFunc(w.images, func(im Image) bool { return im.Bundle == bundle })
+	i := slices.IndexFunc(w.images, func(im Image) bool { return im.Name == bundle })
 	if i >= 0 && i == n-1 {
 		return
 	}
@@ -225,7 +225,7 @@
 // Pulls says whether a task on the machine waits for an image.
 func (w *Worker) Pulls(bundle string) bool {
 	for _, t := range w.Tasks {
-		if t.Job.Spec.Bundle == bundle {
+		if t.Job.Spec.Image == bundle {
 			return true
 		}
 	}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -18,7 +18,7 @@
 )
 
 // Lesser returns how many tasks of a lower priority count on any machine.
-func (tb *Table) Lesser(r api.Rank) int { return lesser(&tb.ranks, r) }
+func (tb *Table) Lesser(r api.Priority) int { return lesser(&tb.ranks, r) }
 
 // Port is what the table needs of the world.
 type Port interface {
@@ -50,9 +50,9 @@
 // Table holds all machines. It lives for one term.
 type Table struct {
 	Workers map[ident.HostID]*Worker
-	sorted  []*Worker           // in the order of their names
-	orphans map[ident.Piece]int // on how many machines
-	ranks   [ranks]int          // tasks that count on a machine, by priority
+	sorted  []*Worker            // in the order of their names
+	orphans map[ident.TaskID]int // on how many machines
+	ranks   [ranks]int           // tasks that count on a machine, by priority
 	cfg     Config
 	port    Port
 	jobs    *jobs.Table
@@ -67,7 +67,7 @@
 
 // NewTable makes the machines' table of a term.
 func NewTable(port Port, j *jobs.Table, cfg Config) *Table {
-	return &Table{Workers: map[ident.HostID]*Worker{}, orphans: map[ident.Piece]int{}, asked: map[ident.HostID]bool{}, cfg: cfg, port: port, jobs: j, began: port.Now()}
+	return &Table{Workers: map[ident.HostID]*Worker{}, orphans: map[ident.TaskID]int{}, asked: map[ident.HostID]bool{}, cfg: cfg, port: port, jobs: j, began: port.Now()}
 }
 
 // Close ends the table with its term.
@@ -121,9 +121,9 @@
 
 func (tb *Table) insert(h ident.HostID, model, site string, standby bool, born ident.Mono) *Worker {
 	now := tb.port.Now()
-	w := &Worker{Host: h, Model: model, Site: site, Standby: standby, Kind: tb.cfg.Catalog(model),
-		Born: born, Since: now, IdleFrom: now, heard: now, Tasks: map[ident.Piece]*jobs.Task{},
-		orphans: map[ident.Piece]ident.Try{}, unclear: map[attempt]bool{}}
+	w := &Worker{Host: h, Model: model, Zone: site, Spot: standby, Kind: tb.cfg.Catalog(model),
+		Born: born, Since: now, IdleFrom: now, heard: now, Tasks: map[ident.TaskID]*jobs.Task{},
+		orphans: map[ident.TaskID]ident.Attempt{}, unclear: map[attempt]bool{}}
 	tb.Workers[h] = w
 	i := tb.place(h)
 	if i == len(tb.sorted) {
@@ -141,18 +141,18 @@
 
 // Hold counts a task on its machine.
 func (tb *Table) Hold(w *Worker, t *jobs.Task) {
-	w.Tasks[t.Piece()] = t
+	w.Tasks[t.TaskID()] = t
 	// A report of an earlier session than the placement's is a late one.
-	w.Tenure = max(w.Tenure, t.Tenure)
+	w.Session = max(w.Session, t.Session)
 	tb.count(w, t.Job.Spec, 1)
 }
 
 // Release stops counting it.
 func (tb *Table) Release(w *Worker, t *jobs.Task) {
-	if w.Tasks[t.Piece()] != t {
+	if w.Tasks[t.TaskID()] != t {
 		return
 	}
-	delete(w.Tasks, t.Piece())
+	delete(w.Tasks, t.TaskID())
 	tb.count(w, t.Job.Spec, -1)
 	if len(w.Tasks) == 0 {
 		w.VCPUs, w.Cards, w.MemoryGB, w.Arrays, w.Replicas = 0, 0, 0, 0, 0
@@ -172,16 +172,16 @@
 		part = &w.Replicas
 	}
 	*part = math.Round((*part+sign*s.VCPUs)*1e6) / 1e6
-	w.ranks[s.Rank.Level()] += int(sign)
-	tb.ranks[s.Rank.Level()] += int(sign)
+	w.ranks[s.Priority.Level()] += int(sign)
+	tb.ranks[s.Priority.Level()] += int(sign)
 }
 
 // Orphan says whether a piece is on some machine in a try that we don't know
 // of. Then it must not start elsewhere.
-func (tb *Table) Orphan(p ident.Piece) bool { return tb.orphans[p] > 0 }
+func (tb *Table) Orphan(p ident.TaskID) bool { return tb.orphans[p] > 0 }
 
 // orphan notes a piece in a try that we don't know of.
-func (tb *Table) orphan(w *Worker, p ident.Piece, try ident.Try) {
+func (tb *Table) orphan(w *Worker, p ident.TaskID, try ident.Attempt) {
 	if _, ok := w.orphans[p]; !ok {
 		tb.orphans[p]++
 	}
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -81,7 +81,7 @@
 	}
 	r.w = r.tb.Add("h", "m8", "east", false, r.now)
 	r.report(0)
-	r.job = r.jobs.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Pieces: 2, VCPUs: 1, Bundle: "img", ImageGB: 1}, func() {}, nil)
+	r.job = r.jobs.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Tasks: 2, VCPUs: 1, Image: "img", ImageGB: 1}, func() {}, nil)
 	r.settle()
 	r.jobs.Place(r.task(), "h", 1, func() { r.tb.Launch(r.w, r.task()) })
 	r.settle()
@@ -99,14 +99,14 @@
 	}
 }
 
-func (r *rig) report(fence uint32, pieces ...api.PieceReport) *api.Orders {
+func (r *rig) report(fence uint32, pieces ...api.TaskReport) *api.Orders {
 	r.serial++
-	return r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: r.serial,
-		Epoch: ident.MakeEpoch(term, fence), Pieces: pieces})
+	return r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: r.serial,
+		Epoch: ident.MakeEpoch(term, fence), Tasks: pieces})
 }
 
-func (r *rig) piece(s api.PieceStatus, c api.Cause) api.PieceReport {
-	return api.PieceReport{Piece: r.task().Piece(), Try: r.task().Try, Status: s, Cause: c}
+func (r *rig) piece(s api.TaskStatus, c api.Cause) api.TaskReport {
+	return api.TaskReport{TaskID: r.task().TaskID(), Attempt: r.task().Attempt, Status: s, Cause: c}
 }
 
 func verbs(o *api.Orders) string {
@@ -145,7 +145,7 @@
 // the worker, for after that a repeated launch would start it again.
 func TestClearAfterDurable(t *testing.T) {
 	r := newRig(t)
-	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Tenure: 1, Serial: 50, Epoch: ident.MakeEpoch(term, 0)}})
+	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Session: 1, Serial: 50, Epoch: ident.MakeEpoch(term, 0)}})
 	r.serial = 50
 	if got := verbs(r.report(0, r.piece(api.Ended, api.CauseDone))); got != "" {
 		t.Errorf("orders before the end is durable: %q", got)
@@ -200,7 +200,7 @@
 // the old one changes nothing.
 func TestNewTenure(t *testing.T) {
 	r := newRig(t)
-	r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 2, Serial: 1})
+	r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 2, Serial: 1})
 	if r.task().State != jobs.Waiting {
 		t.Errorf("task %v", r.task().State)
 	}
@@ -215,9 +215,9 @@
 	r := newRig(t)
 	r.now = r.now.Add(10 * time.Minute)
 	// Learned from the answer to a command, which renews nothing.
-	r.answers[0](Answer{Status: 409, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 2, Serial: 1}})
-	if r.w.Tenure != 2 || r.tb.Expired(r.w) {
-		t.Errorf("tenure %d, expired %v", r.w.Tenure, r.tb.Expired(r.w))
+	r.answers[0](Answer{Status: 409, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 2, Serial: 1}})
+	if r.w.Session != 2 || r.tb.Expired(r.w) {
+		t.Errorf("tenure %d, expired %v", r.w.Session, r.tb.Expired(r.w))
 	}
 	r.now = r.now.Add(30 * time.Second)
 	if r.tb.Expired(r.w) {
@@ -233,12 +233,12 @@
 // nowhere else while it is there.
 func TestOrphans(t *testing.T) {
 	r := newRig(t)
-	stray := api.PieceReport{Piece: ident.Piece{Job: "j-1", Index: 1}, Try: 3, Status: api.Running}
-	if got := verbs(r.report(0, stray)); got != "kill " || !r.tb.Orphan(stray.Piece) {
+	stray := api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: 1}, Attempt: 3, Status: api.Running}
+	if got := verbs(r.report(0, stray)); got != "kill " || !r.tb.Orphan(stray.TaskID) {
 		t.Errorf("orders %q", got)
 	}
 	stray.Status, stray.Cause = api.Ended, api.CauseStopped
-	if got := verbs(r.report(0, stray)); got != "clear " || r.tb.Orphan(stray.Piece) {
+	if got := verbs(r.report(0, stray)); got != "clear " || r.tb.Orphan(stray.TaskID) {
 		t.Errorf("orders %q", got)
 	}
 }
@@ -247,7 +247,7 @@
 // asked first, and only its own answer takes it in.
 func TestStranger(t *testing.T) {
 	r := newRig(t)
-	copied := &api.Report{Host: "x", Addr: "b", Model: "m8", Site: "east", Tenure: 4, Serial: 9}
+	copied := &api.Report{Host: "x", Addr: "b", Model: "m8", Zone: "east", Session: 4, Serial: 9}
 	n := len(r.sent)
 	r.tb.Checkin(copied)
 	r.tb.Checkin(copied)
@@ -259,7 +259,7 @@
 		t.Fatal("taken in without an answer")
 	}
 	r.tb.Checkin(copied)
-	r.answers[n+1](Answer{Status: 200, Report: &api.Report{Host: "x", Addr: "b", Model: "m8", Site: "east", Tenure: 4, Serial: 10}})
+	r.answers[n+1](Answer{Status: 200, Report: &api.Report{Host: "x", Addr: "b", Model: "m8", Zone: "east", Session: 4, Serial: 10}})
 	if w := r.tb.Workers["x"]; w == nil || w.State != Up {
 		t.Errorf("after its answer: %+v", w)
 	}
@@ -270,7 +270,7 @@
 // lease is over.
 func TestSuccessorsToken(t *testing.T) {
 	r := newRig(t)
-	rep := &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 50, Epoch: ident.MakeEpoch(term, 0)}
+	rep := &api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: 50, Epoch: ident.MakeEpoch(term, 0)}
 	if r.tb.Renew(rep) == nil {
 		t.Error("no answer in the grace")
 	}
@@ -287,13 +287,13 @@
 // one cancelled task, while the leader that knew of it talked to them.)
 func TestRenewalsStopTheCancelled(t *testing.T) {
 	r := newRig(t)
-	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 40,
-		Epoch: ident.MakeEpoch(term, 0), Pieces: []api.PieceReport{r.piece(api.Running, "")}}})
+	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: 40,
+		Epoch: ident.MakeEpoch(term, 0), Tasks: []api.TaskReport{r.piece(api.Running, "")}}})
 	serial := ident.Serial(50)
-	report := func(fence uint32, pieces ...api.PieceReport) *api.Report {
+	report := func(fence uint32, pieces ...api.TaskReport) *api.Report {
 		serial++
-		return &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: serial,
-			Epoch: ident.MakeEpoch(term, fence), Pieces: pieces}
+		return &api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: serial,
+			Epoch: ident.MakeEpoch(term, fence), Tasks: pieces}
 	}
 	if got := verbs(r.tb.Renew(report(0, r.piece(api.Running, "")))); got != "" {
 		t.Errorf("before the cancellation: %q", got)
@@ -305,8 +305,8 @@
 	if got := verbs(r.tb.Renew(report(0, r.piece(api.Running, "")))); got != "kill " {
 		t.Errorf("listed, long after: %q", got)
 	}
-	if got := verbs(r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 3,
-		Epoch: ident.MakeEpoch(term, 0), Pieces: []api.PieceReport{r.piece(api.Running, "")}})); got != "kill " {
+	if got := verbs(r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: 3,
+		Epoch: ident.MakeEpoch(term, 0), Tasks: []api.TaskReport{r.piece(api.Running, "")}})); got != "kill " {
 		t.Errorf("an older report: %q", got)
 	}
 	if r.tb.Renew(report(0)) != nil {
@@ -347,7 +347,7 @@
 		if fresh {
 			epoch = ident.MakeEpoch(term, 1)
 		}
-		o := r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 2, Serial: 100, Epoch: epoch})
+		o := r.tb.Checkin(&api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 2, Serial: 100, Epoch: epoch})
 		if got := verbs(o); got != "" {
 			t.Errorf("fresh %v: orders %q", fresh, got)
 		}
@@ -365,21 +365,21 @@
 func TestGangIsDone(t *testing.T) {
 	r := newRig(t)
 	r.answers[0](Answer{})
-	j := r.jobs.Add(&api.Spec{ID: "j-7", Shape: api.Gang, Pieces: 4, VCPUs: 1}, func() {}, nil)
+	j := r.jobs.Add(&api.Spec{ID: "j-7", Shape: api.Gang, Tasks: 4, VCPUs: 1}, func() {}, nil)
 	r.settle()
 	for i := range j.Tasks {
 		r.jobs.Place(&j.Tasks[i], "h", 1, func() {})
 	}
 	r.settle()
-	running := api.PieceReport{Piece: j.Tasks[1].Piece(), Try: 1, Status: api.Running}
+	running := api.TaskReport{TaskID: j.Tasks[1].TaskID(), Attempt: 1, Status: api.Running}
 	r.report(1, running)
-	done := api.PieceReport{Piece: j.Tasks[0].Piece(), Try: 1, Status: api.Ended, Cause: api.CauseDone}
+	done := api.TaskReport{TaskID: j.Tasks[0].TaskID(), Attempt: 1, Status: api.Ended, Cause: api.CauseDone}
 	r.report(1, done, running)
 	if j.Phase != jobs.Done || j.Held != 2 || j.Tasks[2].State != jobs.Stopping {
 		t.Fatalf("job %v, %d tasks held, the last one %v", j.Phase, j.Held, j.Tasks[2].State)
 	}
 	r.settle() // the command that stops the last task is under way from here on
-	r.report(1, done, api.PieceReport{Piece: j.Tasks[3].Piece(), Try: 1, Status: api.Ended, Cause: api.CauseDone})
+	r.report(1, done, api.TaskReport{TaskID: j.Tasks[3].TaskID(), Attempt: 1, Status: api.Ended, Cause: api.CauseDone})
 	for range 3 { // long enough for the pace of the log
 		r.now = r.now.Add(time.Second)
 		r.settle()
@@ -406,12 +406,12 @@
 	r := newRig(t)
 	r.answers[0](Answer{})
 	fail := func(id string, suspect bool) *jobs.Job {
-		j := r.jobs.Add(&api.Spec{ID: ident.JobID(id), Shape: api.Batch, Pieces: 1, VCPUs: 1}, func() {}, nil)
+		j := r.jobs.Add(&api.Spec{ID: ident.JobID(id), Shape: api.Batch, Tasks: 1, VCPUs: 1}, func() {}, nil)
 		r.settle()
 		j.Suspect = suspect
 		r.jobs.Place(&j.Tasks[0], "h", 1, func() {})
 		r.settle()
-		r.report(1, api.PieceReport{Piece: j.Tasks[0].Piece(), Try: 1, Status: api.Ended, Cause: api.CauseError})
+		r.report(1, api.TaskReport{TaskID: j.Tasks[0].TaskID(), Attempt: 1, Status: api.Ended, Cause: api.CauseError})
 		r.settle()
 		return j
 	}
@@ -450,11 +450,11 @@
 // unknown try, and waited for ever.
 func TestAnswerOfTheGone(t *testing.T) {
 	r := newRig(t)
-	stray := api.PieceReport{Piece: ident.Piece{Job: "j-1", Index: 1}, Try: 9, Status: api.Running}
+	stray := api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: 1}, Attempt: 9, Status: api.Running}
 	r.tb.Drop(r.w, "returned")
-	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Site: "east", Tenure: 1, Serial: 40,
-		Epoch: ident.MakeEpoch(term, 0), Pieces: []api.PieceReport{stray}}})
-	if r.tb.Orphan(stray.Piece) {
+	r.answers[0](Answer{Status: 200, Report: &api.Report{Host: "h", Addr: "a", Model: "m8", Zone: "east", Session: 1, Serial: 40,
+		Epoch: ident.MakeEpoch(term, 0), Tasks: []api.TaskReport{stray}}})
+	if r.tb.Orphan(stray.TaskID) {
 		t.Error("thought to be on a machine that is gone")
 	}
 }
