--- /dev/null
+++ b/cmd/opaldale/links_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"opaldale/internal/controller"
+)
+
+// TestLinksCommand prints what a node answers, as tables and as it is.
+func TestLinksCommand(t *testing.T) {
+	report := controller.LinkReport{Node: "agent-0", Enabled: true, Authority: "deciding", Handover: "steady",
+		Links:     []controller.LinkEntry{{Peer: "sibling agent-1", Direction: "outbound", State: "down", Evidence: "silence", Damped: true, Breaks: 4}},
+		Rows:      []controller.RowEntry{{Origin: "agent-2", Links: []controller.RowLink{{Peer: "state service", Inbound: "up", Outbound: "up", Refusing: true}}}},
+		Handovers: []controller.HandoverEntry{{Term: 7, To: "agent-2", Reason: "a sibling is better placed", Own: 70, Standing: 100}}}
+	status := http.StatusOK
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(report)
+	}))
+	defer node.Close()
+	run := func(args ...string) (string, error) {
+		cmd := links()
+		var out strings.Builder
+		cmd.SetOut(&out)
+		cmd.SetArgs(append(args, "--addr", strings.TrimPrefix(node.URL, "http://")))
+		err := cmd.Execute()
+		return out.String(), err
+	}
+	out, err := run()
+	for _, want := range []string{"agent-0: authority deciding, handover steady", "sibling agent-1  outbound   down", "damped", "refuses", "term 7", "a sibling is better placed"} {
+		if err != nil || !strings.Contains(out, want) {
+			t.Errorf("%q is not in the tables, %v:\n%s", want, err, out)
+		}
+	}
+	out, err = run("--json")
+	var again controller.LinkReport
+	if err != nil || json.Unmarshal([]byte(out), &again) != nil || again.Handovers[0].To != "agent-2" {
+		t.Errorf("as JSON: %v\n%s", err, out)
+	}
+	report.Enabled = false
+	if out, err = run(); err != nil || !strings.Contains(out, "is off") {
+		t.Errorf("with the view off: %v\n%s", err, out)
+	}
+	status = http.StatusServiceUnavailable
+	if _, err = run(); err == nil {
+		t.Error("a refusal is no error")
+	}
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -125,6 +125,9 @@
 		}
 		c.Close()
 	}
+	if n := b.Malformed.Load(); n != 1 {
+		t.Errorf("%d malformed frames were counted", n)
+	}
 	l.Close()
 	wg.Wait()
 }
--- a/internal/mesh/transport.go
+++ b/internal/mesh/transport.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"opaldale/internal/ident"
@@ -43,6 +44,9 @@
 	// Dial opens connections to siblings; net.DialTimeout unless it is set before the first.
 	Dial func(network, addr string, timeout time.Duration) (net.Conn, error)
 
+	// Malformed counts the frames that could not be read; each ends its connection.
+	Malformed atomic.Uint64
+
 	mu     sync.Mutex
 	open   map[net.Conn]bool
 	closed bool
@@ -190,6 +194,7 @@
 		f, err := Read(rd)
 		if err != nil {
 			if errors.Is(err, ErrFrame) {
+				t.Malformed.Add(1)
 				slog.Error("mesh connection closed", "from", string(from), "err", err)
 			} else if !errors.Is(err, io.EOF) {
 				slog.Debug("mesh connection closed", "from", string(from), "err", err)
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -100,6 +100,7 @@
 	count("leases_kept", "Leases renewed for a leader that was out of reach.", float64(n.LeasesKept))
 	count("vouched", "Deprecated: opaldale_leases_kept_total. Leases renewed for a leader that was out of reach.", float64(n.LeasesKept))
 	count("elected", "Terms begun.", float64(n.Elected))
+	count("mesh_malformed", "Frames of siblings that could not be read.", float64(c.s.mesh.Malformed.Load()))
 	collectLinks(ch, c.s.linkReport())
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -75,6 +75,8 @@
 		{"GET", "/up", "", 200, ""},
 		{"GET", "/nothing", "", 404, ""},
 		{"GET", "/metrics", "", 200, "opaldale_leading 0"},
+		{"GET", "/metrics", "", 200, `opaldale_authority{state="none"} 1`},
+		{"GET", "/links", "", 200, `"enabled":false`},
 	} {
 		began := time.Now()
 		req, _ := http.NewRequest(c.method, web.URL+c.path, strings.NewReader(c.body))
