The load of machines and teams, and which moves would pay, are reported

Change: internal/load keeps the use of machines and the demand of teams by updates (imbalance as coefficient of variation; hot teams with hysteresis); internal/rebalance proposes moves by gain and cost within budgets, carried out by nobody; placement can spread local work over equal holders while a team is hot. Off unless the tuning says (rebalance report) or place. Both stay off.

--- /dev/null
+++ b/cmd/study/flood.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"opaldale/internal/settings"
+	"opaldale/internal/standin"
+)
+
+// perMille is the unit in which imbalance is kept in histograms.
+const perMille = 1000
+
+func floodCommand() *cobra.Command {
+	var seeds int
+	cmd := &cobra.Command{Use: "flood", Short: "Have one team flood a fleet of fifty machines, by mode of rebalancing", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds < 1 {
+				return fmt.Errorf("seeds: must be at least 1")
+			}
+			slog.SetDefault(slog.New(slog.DiscardHandler))
+			out := cmd.OutOrStdout()
+			fmt.Fprintln(out, "| mode | imbalance (p50, p90, max) | hot team's arrays done after, s (p50, p90, max) | others' | fetched GB a day | machines a day | hot, of 81 s | moves that would pay |")
+			fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+			for _, mode := range []settings.Rebalance{settings.RebalanceReport, settings.RebalancePlace} {
+				if err := flood(out, mode, seeds); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+	cmd.Flags().IntVar(&seeds, "seeds", 20, "how many days of each kind are played")
+	return cmd
+}
+
+// flood prints one row.
+func flood(out io.Writer, mode settings.Rebalance, seeds int) error {
+	outcomes := make([]standin.LoadOutcome, seeds)
+	var all sync.WaitGroup
+	turns := make(chan struct{}, runtime.NumCPU())
+	for seed := range seeds {
+		all.Go(func() {
+			turns <- struct{}{}
+			outcomes[seed] = standin.StudyFlood(uint64(seed), mode)
+			<-turns
+		})
+	}
+	all.Wait()
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMost, histogramDigits) }
+	imbalance, hot, others := h(), h(), h()
+	fetched, machines, faults, hotSeconds, moves := 0.0, 0, 0, 0, uint64(0)
+	for _, o := range outcomes {
+		for _, x := range o.Imbalance {
+			if err := imbalance.RecordValue(int64(x * perMille)); err != nil {
+				return err
+			}
+		}
+		for _, d := range o.HotDone {
+			if err := hot.RecordValue(d.Milliseconds()); err != nil {
+				return err
+			}
+		}
+		for _, d := range o.OtherDone {
+			if err := others.RecordValue(d.Milliseconds()); err != nil {
+				return err
+			}
+		}
+		fetched += o.FetchedGB
+		machines += o.Machines
+		hotSeconds += o.HotSeconds
+		moves += o.Moves
+		faults += o.Broken + o.Undone
+	}
+	fmt.Fprintf(out, "| %s | %.2f, %.2f, %.2f | %s | %s | %.0f | %.1f | %.0f | %.1f |\n", mode,
+		float64(imbalance.ValueAtQuantile(50))/perMille, float64(imbalance.ValueAtQuantile(90))/perMille, float64(imbalance.Max())/perMille,
+		seconds(hot), seconds(others), fetched/float64(seeds), float64(machines)/float64(seeds), float64(hotSeconds)/float64(seeds), float64(moves)/float64(seeds))
+	if faults > 0 {
+		fmt.Fprintf(out, "\nRULES BROKEN, or work left undone: %d\n\n", faults)
+	}
+	return nil
+}
--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -21,6 +21,9 @@
 	if w == nil {
 		return
 	}
+	if l.loads != nil {
+		l.loads.Use(w.Host, float64(sign)*j.Spec.VCPUs)
+	}
 	if j.Spec.OneZone || j.Spec.Spread {
 		if j.Zones == nil {
 			j.Zones = map[string]int{}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -12,6 +12,7 @@
 	"opaldale/internal/handover"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/load"
 	"opaldale/internal/placement"
 	"opaldale/internal/renewal"
 	"opaldale/internal/settings"
@@ -64,6 +65,8 @@
 
 	handover *handover.Machine // nil unless links are watched
 	upByZone map[string]int    // machines that should be reached
+	loads    *load.Model       // nil unless load is watched
+	moves    moveReport
 }
 
 const (
@@ -141,6 +144,7 @@
 		times.Hold, times.Persist = c.set.Tuning.Links.Hold, c.set.Tuning.Links.Persist
 		l.handover = handover.New(times, &c.links.history, c.env.Now())
 	}
+	l.watchLoad()
 	l.fleet = fleet.New(port, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
 		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
 		Catalog: func() []cloud.Model { return l.models },
@@ -189,6 +193,7 @@
 	}
 	next := tickEvery
 	l.countUp()
+	l.judgeLoad()
 	if l.c.links == nil && l.c.elect.Valid() && l.alone() {
 		l.c.elect.Resign(restAfter, "nobody is heard")
 		return
@@ -214,6 +219,7 @@
 		}
 		if l.c.may(authority.Launch) {
 			l.planner.Round()
+			l.proposeMoves()
 			l.dirty = true
 			if l.planner.Stats.Rounds%12 == 0 {
 				s := l.planner.Stats
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -1,5 +1,7 @@
 package controller
 
+import "opaldale/internal/load"
+
 // Snapshot is what the metrics show of a node.
 type Snapshot struct {
 	Leading, Valid              bool
@@ -19,6 +21,10 @@
 	Rejected                    uint64
 	GangsStarted, GangsLost     uint64
 	GangsReplaced, GangsStopped uint64
+	Imbalance                   float64 // of the machines' use, while load is watched
+	TeamLoads                   []load.TeamReport
+	MovesProposed               uint64
+	MoveGainSeconds             float64
 }
 
 // Snapshot reads the node's counters.
@@ -45,6 +51,10 @@
 	s.Txns, s.Puts, s.Repeats = l.commits.Txns, l.commits.Puts, l.commits.Repeats
 	s.Rejected = l.commits.Rejected
 	s.GangsStarted, s.GangsLost, s.GangsReplaced, s.GangsStopped = l.gangs.Started, l.gangs.Lost, l.gangs.Replaced, l.gangs.Stopped
+	if l.loads != nil {
+		s.MovesProposed, s.MoveGainSeconds = l.moves.proposed, l.moves.gain.Seconds()
+		s.Imbalance, s.TeamLoads = l.loads.Imbalance(), l.loads.Teams(c.env.Now())
+	}
 	s.Relocated, s.Fences, s.Stale = l.workers.Relocated, l.workers.Fences, l.workers.Stale
 	return s
 }
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,209 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/propertytest"
+)
+
+func TestMain(m *testing.M) { os.Exit(propertytest.Main(m)) }
+
+// TestImbalance compares the sums that updates keep with a walk over a simple model: machines
+// come, grow, are used and go in any order.
+func TestImbalance(t *testing.T) {
+	type simple struct {
+		zone       string
+		cpus, used float64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		m, model := New(DefaultConfig(), nil), map[ident.HostID]*simple{}
+		host := rapid.Custom(func(t *rapid.T) ident.HostID {
+			return ident.HostID(fmt.Sprintf("host-%d", rapid.IntRange(0, 9).Draw(t, "host")))
+		})
+		get := func(h ident.HostID) *simple {
+			if model[h] == nil {
+				model[h] = &simple{}
+			}
+			return model[h]
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			h := host.Draw(t, "machine")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				zone, cpus := rapid.SampledFrom([]string{"east", "west"}).Draw(t, "zone"), float64(rapid.IntRange(1, 64).Draw(t, "cpus"))
+				m.Machine(h, zone, cpus)
+				get(h).zone, get(h).cpus = zone, cpus
+			case 1:
+				m.Gone(h)
+				delete(model, h)
+			default:
+				cpus := float64(rapid.IntRange(-4, 8).Draw(t, "use"))
+				m.Use(h, cpus)
+				if model[h] != nil || cpus >= 0 {
+					get(h).used += cpus
+				}
+			}
+		}
+		for _, zone := range []string{"", "east", "west"} {
+			var shares []float64
+			for _, k := range model {
+				if k.cpus > 0 && (zone == "" || k.zone == zone) {
+					shares = append(shares, k.used/k.cpus)
+				}
+			}
+			got := m.Imbalance()
+			if zone != "" {
+				got = m.ZoneImbalance(zone)
+			}
+			if want := variation(shares); math.Abs(got-want) > 1e-3*max(1, want) && want < 1e3 {
+				t.Fatalf("zone %q: %v, want %v of %v", zone, got, want, shares)
+			}
+		}
+	})
+}
+
+// variation is the coefficient of variation, by a walk.
+func variation(shares []float64) float64 {
+	sum := 0.0
+	for _, x := range shares {
+		sum += x
+	}
+	if len(shares) < 2 || sum < 1e-9 {
+		return 0
+	}
+	mean, square := sum/float64(len(shares)), 0.0
+	for _, x := range shares {
+		square += (x - mean) * (x - mean)
+	}
+	return math.Sqrt(square/float64(len(shares))) / mean
+}
+
+// TestAverage: after one half-life half of a step has come through, and rest changes nothing.
+func TestAverage(t *testing.T) {
+	var a Average
+	now, half := ident.Mono(time.Hour), 10*time.Second
+	a.Set(4, now, half)
+	a.Set(8, now, half)
+	if got := a.Value(now.Add(half), half); math.Abs(got-6) > 1e-9 {
+		t.Errorf("after a half-life %v", got)
+	}
+	a.Set(8, now.Add(half), half)
+	if got := a.Value(now.Add(2*half), half); math.Abs(got-7) > 1e-9 {
+		t.Errorf("after another %v", got)
+	}
+}
+
+// play has a team ask for demand by a function of time, and returns its states.
+func play(d time.Duration, demand func(time.Duration) float64) (states []Heat, hotFor time.Duration) {
+	m := New(DefaultConfig(), map[string]float64{"red": 100, "blue": 100})
+	start := ident.Mono(time.Hour)
+	for at := time.Duration(0); at < d; at += 500 * time.Millisecond {
+		now := start.Add(at)
+		m.Demand("red", demand(at), now)
+		m.Demand("blue", 50, now)
+		for _, c := range m.Evaluate(now) {
+			if c.Team != "red" {
+				panic("the other team is " + c.To.String())
+			}
+			states = append(states, c.To)
+		}
+		if m.Hot("red") {
+			hotFor += 500 * time.Millisecond
+		}
+		if m.AnyHot() != m.Hot("red") {
+			panic("any hot")
+		}
+	}
+	return states, hotFor
+}
+
+// TestHeat: a flood makes a team hot within seconds and it cools some time after; what lasts
+// for a moment, or hovers between the bounds, changes nothing to and fro.
+func TestHeat(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		demand func(time.Duration) float64
+		states []Heat
+	}{
+		{"within its share", func(time.Duration) float64 { return 90 }, nil},
+		{"a hundred times hotter for a minute", func(at time.Duration) float64 {
+			if at < time.Minute {
+				return 10_000
+			}
+			return 10
+		}, []Heat{Warming, Hot, Cooling, Cool}},
+		{"a moment", func(at time.Duration) float64 {
+			if at > 20*time.Second && at < 22*time.Second {
+				return 1000
+			}
+			return 50
+		}, nil},
+		{"just beyond the bound and back", func(at time.Duration) float64 {
+			if at < 20*time.Second {
+				return 300
+			}
+			return 160 + 40*math.Sin(at.Seconds())
+		}, []Heat{Warming, Hot}},
+	} {
+		states, _ := play(4*time.Minute, c.demand)
+		if fmt.Sprint(states) != fmt.Sprint(c.states) {
+			t.Errorf("%s: %v, want %v", c.name, states, c.states)
+		}
+	}
+}
+
+// TestPulsesDontOscillate: demand in short pulses makes a team hot or leaves it cool, and
+// changes that no more than twice; in longer ones each pulse does so once at the most.
+func TestPulsesDontOscillate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		period := time.Duration(rapid.IntRange(1, 60).Draw(t, "period_s")) * time.Second
+		high := rapid.Float64Range(100, 2000).Draw(t, "high")
+		const long = 10 * time.Minute
+		states, _ := play(long, func(at time.Duration) float64 {
+			if at%period < period/2 {
+				return high
+			}
+			return 20
+		})
+		flips := 0
+		for i, h := range states {
+			if h == Hot && (i == 0 || states[i-1] == Warming) || h == Cool && i > 0 && states[i-1] == Cooling {
+				flips++
+			}
+		}
+		most := 2 * (int(long/period) + 1)
+		if period <= 2*DefaultConfig().Persist {
+			most = 2
+		}
+		if flips > most {
+			t.Fatalf("%d changes between hot and cool with pulses every %v, at the most %d", flips, period, most)
+		}
+	})
+}
+
+// BenchmarkUse tells that a change costs the same whatever the number of machines.
+func BenchmarkUse(b *testing.B) {
+	for _, machines := range []int{500, 4500} {
+		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
+			m := New(DefaultConfig(), nil)
+			hosts := make([]ident.HostID, machines)
+			for i := range hosts {
+				hosts[i] = ident.HostID(fmt.Sprintf("host-%06d", i))
+				m.Machine(hosts[i], "east", 16)
+			}
+			i := 0
+			for b.Loop() {
+				m.Use(hosts[i%machines], 1)
+				m.Imbalance()
+				i++
+			}
+		})
+	}
+}
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -174,7 +174,7 @@
 		if len(left) == 0 {
 			break
 		}
-		c.fetch = max(c.fetch, p.fetches(j, r.w))
+		c.fetch = max(c.fetch, r.w.FetchTime(j.Spec))
 		take(r.w, r.n)
 	}
 	if len(left) > 0 && p.victims(j) && now.Sub(j.Arrived) > claimAfter {
@@ -230,7 +230,7 @@
 			c.wait = c.wait || v.Job.Spec.Saves()
 		}
 		if !o.w.Holds(s.Image) {
-			c.fetch = max(c.fetch, p.fetches(j, o.w))
+			c.fetch = max(c.fetch, o.w.FetchTime(j.Spec))
 		}
 	}
 }
@@ -243,7 +243,7 @@
 		return false
 	}
 	for _, w := range p.order {
-		return p.fetches(j, w) > limit/2
+		return w.FetchTime(j.Spec) > limit/2
 	}
 	return false
 }
--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -45,10 +45,14 @@
 	need := p.least(turn)
 	// What machines with room have the images of comes first on all of them: else the
 	// first one by name takes a task, and fetches, that another has the image of.
-	for _, pick := range []func(*workers.Worker) (*jobs.Task, *uint64){p.local, p.pick} {
-		for _, standby := range []bool{true, false} {
+	for i, pick := range []func(*workers.Worker) (*jobs.Task, *uint64){p.local, p.pick} {
+		for _, spot := range []bool{true, false} {
+			if local := i == 0; local && p.Even() {
+				p.takeEvenly(spot, need)
+				continue
+			}
 			for _, w := range p.roomy {
-				if w.Spot != standby {
+				if w.Spot != spot {
 					continue
 				}
 				for w.Room(need) && p.placed < maxPlaced {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -40,6 +40,9 @@
 	// machines of a zone, for services to come.
 	Reserve map[string]float64
 
+	// Even says whether the work of equal holders is spread over them, the least used first,
+	// rather than taken by name.
+	Even func() bool
 	// MaxWait is how long a job may wait for its first task before it goes first.
 	MaxWait time.Duration
 
@@ -97,7 +100,7 @@
 
 // NewPlanner makes a planner without a plan.
 func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool, aims []settings.Objective) *Planner {
-	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}, MaxWait: time.Hour, GangWait: time.Hour,
+	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}, MaxWait: time.Hour, GangWait: time.Hour, Even: func() bool { return false },
 		reserved: map[*workers.Worker]*jobs.Job{}, begun: map[string]ident.Mono{}, aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
 	for _, o := range aims {
 		switch o.Kind {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -188,7 +188,7 @@
 		return nil
 	}
 	if !w.Holds(j.Spec.Image) {
-		cost += p.fetches(j, w).Seconds() * 2 * max(j.Spec.VCPUs, 1)
+		cost += w.FetchTime(j.Spec).Seconds() * 2 * max(j.Spec.VCPUs, 1)
 	}
 	return &offer{worker: w, stop: stop, cost: cost}
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -1,10 +1,7 @@
 package placement
 
 import (
-	"time"
-
 	"opaldale/internal/jobs"
-	"opaldale/internal/settings"
 	"opaldale/internal/workers"
 )
 
@@ -18,6 +15,10 @@
 			return
 		}
 		var found *workers.Worker
+		if p.Even() {
+			found = p.leastUsedHolder(j)
+			at = len(p.roomy)
+		}
 		for ; at < len(p.roomy); at++ {
 			if w := p.roomy[at]; w.Holds(j.Spec.Image) && p.may(j, w) && p.fits(j, w) {
 				found = w
@@ -70,17 +71,9 @@
 	return false
 }
 
-// fetches estimates how long a machine would fetch a job's image.
-func (p *Planner) fetches(j *jobs.Job, w *workers.Worker) time.Duration {
-	if w.Kind.PullGBPerS <= 0 {
-		return 0
-	}
-	return settings.Seconds(j.Spec.ImageGB / w.Kind.PullGBPerS)
-}
-
 // impatient says whether a job's users want it started sooner than a machine
 // would have its image.
 func (p *Planner) impatient(j *jobs.Job, w *workers.Worker) bool {
 	limit, ok := p.waits[j.Spec.Class]
-	return ok && p.fetches(j, w) > limit
+	return ok && w.FetchTime(j.Spec) > limit
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -102,6 +102,30 @@
 	count("elected", "Terms begun.", float64(n.Elected))
 	count("mesh_malformed", "Frames of siblings that could not be read.", float64(c.s.mesh.Malformed.Load()))
 	collectLinks(ch, c.s.linkReport())
+	collectLoad(ch, n)
+}
+
+// Descriptions of the metrics about load.
+var (
+	loadImbalance = prometheus.NewDesc("opaldale_load_imbalance", "Coefficient of variation of the machines' use.", nil, nil)
+	movesProposed = prometheus.NewDesc("opaldale_moves_proposed_total", "Moves of running tasks that would pay; none is carried out.", nil, nil)
+	moveGain      = prometheus.NewDesc("opaldale_move_gain_seconds_total", "Seconds that they would gain, less what they cost.", nil, nil)
+	teamDemand    = prometheus.NewDesc("opaldale_team_demand_ratio", "Demand of a team as a multiple of what it is entitled to.", []string{"team"}, nil)
+	teamHeat      = prometheus.NewDesc("opaldale_team_heat", "State of a team: 0 cool, 1 warming, 2 hot, 3 cooling.", []string{"team"}, nil)
+)
+
+// collectLoad shows the load, while a leader watches it.
+func collectLoad(ch chan<- prometheus.Metric, n controller.Snapshot) {
+	if n.TeamLoads == nil {
+		return
+	}
+	ch <- prometheus.MustNewConstMetric(loadImbalance, prometheus.GaugeValue, n.Imbalance)
+	ch <- prometheus.MustNewConstMetric(movesProposed, prometheus.CounterValue, float64(n.MovesProposed))
+	ch <- prometheus.MustNewConstMetric(moveGain, prometheus.CounterValue, n.MoveGainSeconds)
+	for _, t := range n.TeamLoads {
+		ch <- prometheus.MustNewConstMetric(teamDemand, prometheus.GaugeValue, t.Ratio, t.Team)
+		ch <- prometheus.MustNewConstMetric(teamHeat, prometheus.GaugeValue, float64(t.Heat), t.Team)
+	}
 }
 
 // Descriptions of the metrics about links.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -87,7 +87,7 @@
 	}
 	for _, bad := range []struct{ text, name string }{
 		{"(links-suspect 1h)", "links-suspect"}, {"(links-half-life 0s)", "links-half-life"}, {"(links-hold 1s)", "links-hold"},
-		{"(links-persist 0s)", "links-persist"}, {"(links maybe)", "links"},
+		{"(links-persist 0s)", "links-persist"}, {"(links maybe)", "links"}, {"(rebalance sometimes)", "rebalance"},
 	} {
 		tu := DefaultTuning()
 		err := errors.Join(tu.Read([]byte("(tuning "+bad.text+")")), tu.check())
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -22,8 +22,19 @@
 	GangWait    time.Duration // other work waits so long for room before a whole gang is stopped for it
 	Plan        string        // "asm1", or "none": only local work and stealing
 	Links       Links
+	Rebalance   Rebalance
 }
 
+// Rebalance says what is done about uneven load.
+type Rebalance string
+
+// The modes of rebalancing, each with what the one before does.
+const (
+	RebalanceOff    Rebalance = "off"
+	RebalanceReport Rebalance = "report" // load, imbalance and hot teams are shown
+	RebalancePlace  Rebalance = "place"  // while a team is hot, work is spread over equal holders
+)
+
 // Links holds the operators' settings for the view of half-broken links.
 type Links struct {
 	Enabled  bool
@@ -51,6 +62,7 @@
 			Hold:     15 * time.Second,
 			Persist:  3 * time.Second,
 		},
+		Rebalance: RebalanceOff,
 	}
 }
 
@@ -70,6 +82,7 @@
 		{"max-wait: must be at least 1s", t.MaxWait < time.Second},
 		{"gang-wait: negative", t.GangWait < 0},
 		{"plan: must be asm1 or none", t.Plan != "asm1" && t.Plan != "none"},
+		{"rebalance: must be off, report or place", t.Rebalance != RebalanceOff && t.Rebalance != RebalanceReport && t.Rebalance != RebalancePlace},
 		{"links-suspect: must be from 100ms to leader-lease", t.Links.Suspect < 100*time.Millisecond || t.Links.Suspect > t.LeaderLease},
 		{"links-half-life: must be from 1s to 10m", t.Links.HalfLife < time.Second || t.Links.HalfLife > 10*time.Minute},
 		{"links-hold: must be at least links-persist, and at most 10m", t.Links.Hold < t.Links.Persist || t.Links.Hold > 10*time.Minute},
@@ -120,6 +133,8 @@
 			t.GangWait, err = time.ParseDuration(value)
 		case "plan":
 			t.Plan = value
+		case "rebalance":
+			t.Rebalance = Rebalance(value)
 		case "links":
 			t.Links.Enabled, err = onOff(value)
 		case "links-suspect":
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -28,9 +28,13 @@
 	Quiet    bool          // no jobs come by themselves
 	Meet     bool          // the faults are those of the page on two at once as well
 	Links    bool          // the nodes watch their links
-	Nodes    int           // controllers; 0: three
-	Fleet    int           // machines that the cloud has in all, with limits of teams to match; 0: a small one
-	Calm     time.Duration // after the faults; 0: calm
+	// Rebalance is what the nodes do about uneven load.
+	Rebalance settings.Rebalance
+	Nodes     int // controllers; 0: three
+	Fleet     int // machines that the cloud has in all, with limits of teams to match; 0: a small one
+	// Teams are those of the cluster; nil: four of different kinds.
+	Teams []settings.Team
+	Calm  time.Duration // after the faults; 0: calm
 }
 
 // nodeCount returns how many controllers there are.
@@ -123,6 +127,9 @@
 	if cfg.Fleet > 0 {
 		w.enlarge()
 	}
+	if cfg.Teams != nil {
+		w.set.Teams = cfg.Teams
+	}
 	w.store = newStore(w)
 	w.cloud = newProvider(w)
 	for i := range w.set.Nodes {
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -231,3 +231,11 @@
 	}
 	return false
 }
+
+// FetchTime estimates how long the machine would fetch a job's image.
+func (w *Worker) FetchTime(s *api.Spec) time.Duration {
+	if w.Kind == nil || w.Kind.PullGBPerS <= 0 {
+		return 0
+	}
+	return time.Duration(s.ImageGB / w.Kind.PullGBPerS * float64(time.Second))
+}
