A zone that has lost its last machine says nothing of its next one

Cause: a command to the last machine of a zone, which was being returned, has no answer. Change: a leader forgets the link to a zone without machines; a machine that is late has all witnesses of its zone asked, and one that didn't answer isn't asked again. TestSiblingFlapsKeepTheLead; a leader that only the state service hears, and one whose link flaps, have cases too, and the mutation NoDamping is noticed.

--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -30,6 +30,9 @@
 	// doubtAfter is how long a machine may take to answer before others of its zone are
 	// asked, so that one lost machine is not taken for a lost zone.
 	doubtAfter = 300 * time.Millisecond
+	// doubtEvery paces the questions to all witnesses of a zone while one of its machines is
+	// late.
+	doubtEvery = 500 * time.Millisecond
 	// sampleEvery paces the reports that a follower reads to learn their zone.
 	sampleEvery = 500 * time.Millisecond
 	// capableEvery paces the look for siblings that can read frames about links.
@@ -69,6 +72,7 @@
 	looking     bool
 	sampled     ident.Mono // when a report was last read for its zone
 	recent      map[string][]links.Witness
+	doubted     map[string]ident.Mono    // when all witnesses of a zone were last asked
 	refusals    map[links.Refusal]uint64 // rows that were not taken
 	undated     uint64                   // messages of rows that echoed nothing of this node
 	records     []HandoverRecord
@@ -85,6 +89,7 @@
 		incarnation: uint64(max(1, c.env.WallMS())),
 		capable:     map[ident.NodeID]bool{},
 		recent:      map[string][]links.Witness{},
+		doubted:     map[string]ident.Mono{},
 		refusals:    map[links.Refusal]uint64{},
 	}
 	v.view = links.NewView(c.siblings())
@@ -215,7 +220,17 @@
 	byZone := v.witnesses(now)
 	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		link, witnesses := machinesLink(zone), byZone[zone]
-		if len(witnesses) > 0 && (v.monitor.Idle(link, now, probeMachinesAfter) || v.monitor.Overdue(link, now) > doubtAfter) {
+		switch {
+		case len(witnesses) == 0:
+		case v.monitor.Overdue(link, now) > doubtAfter:
+			if now.Sub(v.doubted[zone]) < doubtEvery {
+				continue
+			}
+			v.doubted[zone] = now
+			for _, w := range witnesses {
+				v.ask(w)
+			}
+		case v.monitor.Idle(link, now, probeMachinesAfter):
 			v.ask(witnesses[v.c.rng.IntN(len(witnesses))])
 		}
 	}
@@ -225,7 +240,17 @@
 // and carried out by nobody.
 func (v *linkView) ask(w links.Witness) {
 	command := workers.Command{Addr: w.Address, Zone: w.Zone, Body: api.Commands{Session: 1, Orders: []api.Order{}}}
-	v.c.env.Worker(command, func(workers.Answer) {})
+	v.c.env.Worker(command, func(a workers.Answer) {
+		if a.Status == 0 {
+			v.drop(w)
+		}
+	})
+}
+
+// drop forgets a witness that didn't answer: it may be gone. (With one of two gone, its zone
+// was found down for the other's being asked too seldom, and the lead moved for it.)
+func (v *linkView) drop(w links.Witness) {
+	v.recent[w.Zone] = slices.DeleteFunc(v.recent[w.Zone], func(o links.Witness) bool { return o == w })
 }
 
 // witnesses returns, by zone, machines that this node may ask: those whose reports came
@@ -386,3 +411,15 @@
 	link := siblingLink(n)
 	return v.monitor.Verdict(link, links.Inbound).State == links.Down || v.monitor.Verdict(link, links.Outbound).State == links.Down
 }
+
+// forgetEmpty forgets the links to zones without machines: the last command to the last one
+// was not answered since that was being returned, and says nothing of the next one. (The zone
+// was found down when its next machine came, and the lead moved for it.)
+func (v *linkView) forgetEmpty(machines map[string]int) {
+	for _, p := range v.monitor.Peers() {
+		if p.Kind == links.Machines && machines[p.Name] == 0 {
+			v.monitor.Forget(p)
+			delete(v.recent, p.Name)
+		}
+	}
+}
--- a/internal/controller/yield.go
+++ b/internal/controller/yield.go
@@ -85,6 +85,9 @@
 			l.upByZone[w.Zone]++
 		}
 	}
+	if l.c.links != nil {
+		l.c.links.forgetEmpty(l.upByZone)
+	}
 }
 
 // unheard says whether no node is known to reach a zone's machines: this one doesn't, and
--- a/internal/links/monitor.go
+++ b/internal/links/monitor.go
@@ -308,6 +308,9 @@
 	return l == nil || l.out.instant != Down
 }
 
+// Forget drops all that is known of a link: its far end is there no more.
+func (m *Monitor) Forget(p Peer) { delete(m.links, p) }
+
 // Peers returns the far ends of all links, in order.
 func (m *Monitor) Peers() []Peer {
 	out := make([]Peer, 0, len(m.links))
--- a/internal/standin/links_test.go
+++ b/internal/standin/links_test.go
@@ -263,6 +263,17 @@
 		},
 		took: map[string]int{"handover announced": 1, "another leads": 1},
 	},
+	{
+		name: "a leader that only the state service hears",
+		play: func(w *World) {
+			w.leaderAt(breakAt, func(l *node) {
+				w.others(l, func(n *node) { w.sever(l.name, n.name, false, breakFor) })
+				w.sever(l.name, machines, false, breakFor)
+				w.followed(l, 9*time.Second)
+			})
+		},
+		took: map[string]int{"another leads": 1},
+	},
 	{
 		name: "a follower reaches the leader by the third node only",
 		play: func(w *World) {
@@ -429,6 +440,20 @@
 	}
 }
 
+// TestSiblingFlapsKeepTheLead: the link to one sibling flaps for ten minutes, while machines of
+// small zones come and go. The lead stays, and submissions at that sibling pass by the third
+// node. (The last command to the last machine of a zone counted against its next one, and the
+// lead moved in a fifth of the days.)
+func TestSiblingFlapsKeepTheLead(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		o := StudyLink(seed, true, LinkEnds{From: Leader, To: Sibling}, 10*time.Minute, 4*time.Second)
+		if o.Changes > 0 || o.Late > o.Submitted/50 || o.Broken+o.Undone > 0 {
+			t.Errorf("seed %d: %+v", seed, o)
+		}
+	}
+}
+
 // pingPong has the links of each leader to the machines break in turn, and returns the
 // changes of the lead in two minutes.
 func pingPong(seed uint64, m Mutation) int {
@@ -462,6 +487,35 @@
 	}
 }
 
+// TestFlappingLeaderIsReplaced: a leader that hears the state service for a part of every few
+// seconds only is replaced for good, though its lease lives on. Without damping its link is as
+// good as any between two breaks, and it stays.
+func TestFlappingLeaderIsReplaced(t *testing.T) {
+	t.Parallel()
+	noticed := false
+	for seed := range uint64(3) {
+		for _, m := range []Mutation{None, NoDamping} {
+			w := New(Config{Seed: seed, Mutation: m, Links: true, Quiet: true, Length: 200 * time.Second})
+			w.steadily()
+			w.leaderAt(breakAt, func(l *node) {
+				w.flap("state", l.name, 2400*time.Millisecond, 4*time.Second, 120*time.Second)
+				w.followed(l, 40*time.Second)
+			})
+			w.Run()
+			if len(w.Broken) > 0 || len(w.Undone) > 0 {
+				t.Errorf("seed %d: %v %v", seed, w.Broken, w.Undone)
+			}
+			if m == None && w.seen["another leads"] == 0 {
+				t.Errorf("seed %d: the leader is not replaced: %v", seed, w.seen)
+			}
+			noticed = noticed || m == NoDamping && w.seen["another leads"] == 0
+		}
+	}
+	if !noticed {
+		t.Error("no seed noticed that nothing was damped")
+	}
+}
+
 // TestUndatedRowsAreNoticed: were late copies of rows taken for new ones, a leader would hand
 // over to a node that can't write.
 func TestUndatedRowsAreNoticed(t *testing.T) {
--- a/internal/standin/mutation.go
+++ b/internal/standin/mutation.go
@@ -112,4 +112,5 @@
 	IgnoreLimits              // what a node decided goes out however long after
 	UndatedRows               // late copies of what siblings say of their links look new
 	EndlessHandovers          // nothing bounds how often the lead is given up
+	NoDamping                 // a link that broke a moment ago is as good as any
 )
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -60,6 +60,9 @@
 	if n.w.cfg.Rebalance != "" {
 		set.Tuning.Rebalance = n.w.cfg.Rebalance
 	}
+	if n.w.cfg.Mutation == NoDamping {
+		set.Tuning.Links.HalfLife = time.Millisecond
+	}
 	if n.w.cfg.Mutation == EndlessHandovers {
 		set.Tuning.Links.Hold, set.Tuning.Links.Persist = 0, 0
 	}
