--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,9 @@
 	pollTime    = 700 * time.Millisecond
 	commitTime  = time.Second
 	graceMargin = 1500 * time.Millisecond
+	// healthPatience is how long the link to the leader may be down before users had better
+	// go to another node: longer than an election takes.
+	healthPatience = 4 * time.Second
 	// lookAfter is how long a node goes without the leader before it looks whether it
 	// still reaches the state service, and cutAfter without that before it is cut off.
 	lookAfter = 2 * time.Second
@@ -260,11 +263,24 @@
 		return true
 	}
 	if way, known := c.leaderRoute(); known && way.to != c.set.Node {
-		return way.up
+		return way.up || c.mayReturn(way.to)
 	}
 	return c.hears(peerSilent) || len(c.peers) == 0
 }
 
+// mayReturn says whether the link to the leader is down for so short a time that a leader
+// will be there before the load balancer could do without this node. (Links are found down
+// sooner than a lease ends: each change of the lead had all nodes taken out for seconds.)
+func (c *Controller) mayReturn(leader ident.NodeID) bool {
+	return c.links != nil && c.heardWithin(leader, peerSilent) && !c.links.downFor(leader, healthPatience)
+}
+
+// heardWithin says whether a sibling was heard within d.
+func (c *Controller) heardWithin(n ident.NodeID, d time.Duration) bool {
+	p := c.peers[n]
+	return p != nil && p.ever && c.env.Now().Sub(p.heard) < d
+}
+
 // hears says whether any sibling was heard within d.
 func (c *Controller) hears(d time.Duration) bool {
 	for _, p := range c.peers {
@@ -277,14 +293,10 @@
 
 // reachable says whether frames to a sibling probably arrive.
 func (c *Controller) reachable(n ident.NodeID) bool {
-	p := c.peers[n]
-	if p == nil {
-		return false
-	}
 	if c.links != nil && !c.links.monitor.Passing(siblingLink(n)) {
 		return false // it is heard, and doesn't hear
 	}
-	return p.ever && c.env.Now().Sub(p.heard) < peerSilent
+	return c.heardWithin(n, peerSilent)
 }
 
 // Frame takes a sibling's message.
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -423,3 +423,16 @@
 		}
 	}
 }
+
+// downFor says whether the link to a sibling has counted as down in either direction for
+// longer than d.
+func (v *linkView) downFor(n ident.NodeID, d time.Duration) bool {
+	now := v.c.env.Now()
+	for _, direction := range []links.Direction{links.Inbound, links.Outbound} {
+		verdict := v.monitor.Verdict(siblingLink(n), direction)
+		if verdict.State == links.Down && now.Sub(verdict.Since) > d {
+			return true
+		}
+	}
+	return false
+}
