Review: one read of the format level, one judgement of a link's downtime, no idle walks

Relayed requests go the way of all others (pass), so that a node also remembers a cancellation that it has relayed; the format level is read by one function; whether and for how long a sibling's link is down is worked out once; a row's link is looked up by Row.Link. The walk over the fleet that counts machines by zone is made only where links are watched. Removed: a count and a method that nobody read.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -117,7 +117,7 @@
 	c.elect.Start()
 	c.beat()
 	if c.links != nil {
-		c.links.start()
+		c.links.evaluate()
 	}
 	upgrade.Announce(c.env, c.rng, c.set.Node)
 }
@@ -272,7 +272,11 @@
 // will be there before the load balancer could do without this node. (Links are found down
 // sooner than a lease ends: each change of the lead had all nodes taken out for seconds.)
 func (c *Controller) mayReturn(leader ident.NodeID) bool {
-	return c.links != nil && c.heardWithin(leader, peerSilent) && !c.links.downFor(leader, healthPatience)
+	if c.links == nil || !c.heardWithin(leader, peerSilent) {
+		return false
+	}
+	d, _ := c.links.downTime(leader)
+	return d <= healthPatience
 }
 
 // heardWithin says whether a sibling was heard within d.
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -122,17 +122,25 @@
 // learn reads the format level; then is called if gangs may be passed on. It goes with
 // the first format.
 func (c *Controller) learn(then func(), reply func(Reply)) {
+	c.readLevel(func() {
+		if c.level < ident.Packed {
+			c.Refused++
+			reply(unavailable("some nodes may run an earlier version"))
+			return
+		}
+		then()
+	})
+}
+
+// readLevel reads the format level from the state service, as far as that answers; then is
+// called either way.
+func (c *Controller) readLevel(then func()) {
 	c.env.State(statesvc.Request{Op: statesvc.Get, Path: election.TermKey, Timeout: commitTime}, func(r statesvc.Reply) {
 		if r.Outcome == statesvc.OK {
 			if _, l, err := election.ReadTerm(r.Value); err == nil {
 				c.level = max(c.level, l)
 			}
 		}
-		if c.level < ident.Packed {
-			c.Refused++
-			reply(unavailable("some nodes may run an earlier version"))
-			return
-		}
 		then()
 	})
 }
@@ -159,17 +167,10 @@
 // relayed passes a sibling's request on to the leader, or answers it as the leader. It goes
 // directly from here, so that no request takes more than two steps.
 func (c *Controller) relayed(f *mesh.Frame, reply func(Reply)) {
-	to, known := c.elect.Leader()
-	switch {
-	case c.lead != nil:
+	if c.lead != nil {
 		c.serve(f.Verb, f.Job, f.Body, false, reply)
-	case !known || !c.reachable(to):
-		c.Refused++
-		reply(unavailable("no leader at present"))
-	default:
-		c.forward(route{to: to, up: true}, f.Verb, f.Job, f.Body, forwardTime, reply, func() {
-			c.Refused++
-			reply(unavailable("the leader did not answer"))
-		})
+		return
 	}
+	to, known := c.elect.Leader()
+	c.pass(route{to: to, up: known && c.reachable(to)}, f.Verb, f.Job, f.Body, reply)
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -192,7 +192,9 @@
 		return
 	}
 	next := tickEvery
-	l.countUp()
+	if l.c.links != nil {
+		l.countUp()
+	}
 	l.judgeLoad()
 	if l.c.links == nil && l.c.elect.Valid() && l.alone() {
 		l.c.elect.Resign(restAfter, "nobody is heard")
--- a/internal/controller/link_report.go
+++ b/internal/controller/link_report.go
@@ -87,7 +87,7 @@
 	for _, h := range v.records {
 		report.Handovers = append(report.Handovers, handoverEntry(h, now))
 	}
-	report.HandoverCount = v.counts.Ended
+	report.HandoverCount = v.handovers
 	for reason, n := range v.refusals {
 		report.Dropped[reason.String()] = n
 	}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -9,7 +9,6 @@
 
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
-	"opaldale/internal/election"
 	"opaldale/internal/handover"
 	"opaldale/internal/ident"
 	"opaldale/internal/links"
@@ -76,7 +75,7 @@
 	refusals    map[links.Refusal]uint64 // rows that were not taken
 	undated     uint64                   // messages of rows that echoed nothing of this node
 	records     []HandoverRecord
-	counts      handoverCounts
+	handovers   uint64 // terms that were ended by choice
 }
 
 // newLinkView makes the view of a node; its own clock and the wall clock at its start tell
@@ -177,13 +176,8 @@
 	})
 }
 
-// start begins to judge.
-func (v *linkView) start() {
-	v.evaluate()
-}
-
 // evaluate brings the verdicts up to date, probes what carries no traffic, and has a leader
-// compare itself with its siblings.
+// compare itself with its siblings; again and again, once it is called.
 func (v *linkView) evaluate() {
 	now := v.c.env.Now()
 	for _, change := range v.monitor.Evaluate(now) {
@@ -320,14 +314,7 @@
 		}
 	})
 	if v.c.level < ident.Packed {
-		v.c.env.State(statesvc.Request{Op: statesvc.Get, Path: election.TermKey, Timeout: commitTime}, func(r statesvc.Reply) {
-			if r.Outcome != statesvc.OK {
-				return
-			}
-			if _, level, err := election.ReadTerm(r.Value); err == nil {
-				v.c.level = max(v.c.level, level)
-			}
-		})
+		v.c.readLevel(func() {})
 	}
 }
 
@@ -396,20 +383,30 @@
 		if r.Origin == to || !v.speaks(r.Origin) || !v.c.reachable(r.Origin) || v.doubtful(r.Origin) {
 			continue
 		}
-		for _, l := range r.Links {
-			if l.Peer == siblingLink(to) && l.In == links.Up && l.Out == links.Up {
-				return r.Origin, true
-			}
+		if l := r.Link(siblingLink(to)); l.In == links.Up && l.Out == links.Up {
+			return r.Origin, true
 		}
 	}
 	return "", false
 }
 
-// doubtful says whether the link to a sibling counts as down in either direction, though it
-// may pass messages at this moment: it may be damped for breaking again and again.
+// downTime returns for how long the link to a sibling has counted as down in either
+// direction, and whether it does.
+func (v *linkView) downTime(n ident.NodeID) (longest time.Duration, down bool) {
+	now := v.c.env.Now()
+	for _, direction := range []links.Direction{links.Inbound, links.Outbound} {
+		if verdict := v.monitor.Verdict(siblingLink(n), direction); verdict.State == links.Down {
+			longest, down = max(longest, now.Sub(verdict.Since)), true
+		}
+	}
+	return longest, down
+}
+
+// doubtful says whether the link to a sibling counts as down, though it may pass messages at
+// this moment: it may be damped for breaking again and again.
 func (v *linkView) doubtful(n ident.NodeID) bool {
-	link := siblingLink(n)
-	return v.monitor.Verdict(link, links.Inbound).State == links.Down || v.monitor.Verdict(link, links.Outbound).State == links.Down
+	_, down := v.downTime(n)
+	return down
 }
 
 // forgetEmpty forgets the links to zones without machines: the last command to the last one
@@ -423,16 +420,3 @@
 		}
 	}
 }
-
-// downFor says whether the link to a sibling has counted as down in either direction for
-// longer than d.
-func (v *linkView) downFor(n ident.NodeID, d time.Duration) bool {
-	now := v.c.env.Now()
-	for _, direction := range []links.Direction{links.Inbound, links.Outbound} {
-		verdict := v.monitor.Verdict(siblingLink(n), direction)
-		if verdict.State == links.Down && now.Sub(verdict.Since) > d {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/controller/yield.go
+++ b/internal/controller/yield.go
@@ -21,11 +21,6 @@
 	Standing links.Standing // of the successor
 }
 
-// handoverCounts are the numbers of handovers by what became of them.
-type handoverCounts struct {
-	Announced, Ended uint64
-}
-
 // maxHandoverRecords bounds the handovers remembered for operators.
 const maxHandoverRecords = 8
 
@@ -51,7 +46,7 @@
 	case handover.Announce:
 		l.announce(assessment, now)
 	case handover.End:
-		v.counts.Ended++
+		v.handovers++
 		_, reason := l.handover.To()
 		l.c.elect.HandOver(l.c.set.Tuning.Links.Hold, reason.String())
 	}
@@ -61,7 +56,6 @@
 func (l *lead) announce(a links.Assessment, now ident.Mono) {
 	v := l.c.links
 	to, reason := l.handover.To()
-	v.counts.Announced++
 	v.records = append(v.records, HandoverRecord{Term: l.term, At: now, To: to, Reason: reason, Own: a.Own, Standing: a.BestRank})
 	if len(v.records) > maxHandoverRecords {
 		v.records = slices.Delete(v.records, 0, len(v.records)-maxHandoverRecords)
@@ -77,7 +71,8 @@
 	}
 }
 
-// countUp counts the machines of each zone that should be reached.
+// countUp counts the machines of each zone that should be reached, for a node that watches
+// its links.
 func (l *lead) countUp() {
 	clear(l.upByZone)
 	for _, w := range l.workers.Sorted() {
@@ -85,9 +80,7 @@
 			l.upByZone[w.Zone]++
 		}
 	}
-	if l.c.links != nil {
-		l.c.links.forgetEmpty(l.upByZone)
-	}
+	l.c.links.forgetEmpty(l.upByZone)
 }
 
 // unheard says whether no node is known to reach a zone's machines: this one doesn't, and
@@ -110,10 +103,8 @@
 // siblingReaches says whether some sibling has a link that works in either direction.
 func (l *lead) siblingReaches(link links.Peer) bool {
 	for _, r := range l.c.links.view.Rows(l.c.env.Now()) {
-		for _, s := range r.Links {
-			if s.Peer == link && (s.Out == links.Up || s.In == links.Up) {
-				return true
-			}
+		if s := r.Link(link); s.Out == links.Up || s.In == links.Up {
+			return true
 		}
 	}
 	return false
--- a/internal/links/assess.go
+++ b/internal/links/assess.go
@@ -35,7 +35,7 @@
 // given: a leader gives it to itself and not to those who would take its place.
 func (c *Cluster) standing(r *Row, doubt bool) Standing {
 	counts := func(p Peer) bool {
-		l := r.link(p)
+		l := r.Link(p)
 		if l.Damped {
 			return false
 		}
--- a/internal/links/row.go
+++ b/internal/links/row.go
@@ -40,8 +40,8 @@
 	Witnesses []Witness // of a leader
 }
 
-// link returns what a row says of a link.
-func (r *Row) link(p Peer) LinkState {
+// Link returns what a row says of a link; both directions are unknown if it says nothing.
+func (r *Row) Link(p Peer) LinkState {
 	for _, l := range r.Links {
 		if l.Peer == p {
 			return l
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -179,6 +179,3 @@
 	}
 	return 0
 }
-
-// Machines returns how many machines count.
-func (m *Model) Machines() int { return m.all.machines }
