--- a/cmd/opaldale/links.go
+++ b/cmd/opaldale/links.go
@@ -1,63 +1,18 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
 	"opaldale/internal/controller"
 )
 
-const (
-	// linksTime bounds the call of a node, and maxLinks what is read of its answer.
-	linksTime = 5 * time.Second
-	maxLinks  = 1 << 20
-)
-
 // links shows what a node knows of its links and of its siblings'.
 func links() *cobra.Command {
-	var addr string
-	var asJSON bool
-	cmd := &cobra.Command{Use: "links", Short: "Show who reaches whom, as a node knows it", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			body, err := fetchLinks(addr)
-			if err != nil {
-				return err
-			}
-			if asJSON {
-				_, err = cmd.OutOrStdout().Write(body)
-				return err
-			}
-			var report controller.LinkReport
-			if err := json.Unmarshal(body, &report); err != nil {
-				return fmt.Errorf("%s: %w", addr, err)
-			}
-			return writeLinks(cmd.OutOrStdout(), report)
-		}}
-	cmd.Flags().StringVar(&addr, "addr", "127.0.0.1:8080", "address of a node")
-	cmd.Flags().BoolVar(&asJSON, "json", false, "print the node's answer as it is")
-	return cmd
-}
-
-func fetchLinks(addr string) ([]byte, error) {
-	resp, err := (&http.Client{Timeout: linksTime}).Get("http://" + addr + "/links")
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLinks))
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: %s", addr, resp.Status)
-	}
-	return body, nil
+	return reportCommand("links", "Show who reaches whom, as a node knows it", writeLinks)
 }
 
 // writeLinks prints a report as tables.
--- a/cmd/opaldale/main.go
+++ b/cmd/opaldale/main.go
@@ -23,7 +23,7 @@
 
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "opaldale", Short: "A cluster scheduler for rented machines", SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(serve(), check(), client(), links(), version())
+	cmd.AddCommand(serve(), check(), client(), links(), moves(), version())
 	return cmd
 }
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -66,7 +66,7 @@
 	handover *handover.Machine // nil unless links are watched
 	upByZone map[string]int    // machines that should be reached
 	loads    *load.Model       // nil unless load is watched
-	moves    moveReport
+	mover    *mover            // nil unless load is watched
 }
 
 const (
@@ -221,7 +221,9 @@
 		}
 		if l.c.may(authority.Launch) {
 			l.planner.Round()
-			l.proposeMoves()
+			if l.mover != nil {
+				l.mover.propose()
+			}
 			l.dirty = true
 			if l.planner.Stats.Rounds%12 == 0 {
 				s := l.planner.Stats
@@ -257,6 +259,9 @@
 	}
 	if l.ready {
 		l.gangs.Settle()
+		if l.mover != nil {
+			l.mover.advance()
+		}
 	}
 	// While nothing gets durable nothing can be launched, and what would be stopped
 	// for it would be stopped for nothing.
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -8,6 +8,7 @@
 	"opaldale/internal/commit"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/migration"
 	"opaldale/internal/statesvc"
 	"opaldale/internal/workers"
 )
@@ -16,7 +17,10 @@
 func (l *lead) load() {
 	began := l.c.env.Now()
 	left := 4
-	var live, log, machines []statesvc.Pair
+	var live, log, machines, moves []statesvc.Pair
+	if l.mover != nil {
+		left++
+	}
 	done := func() {
 		if left--; left > 0 {
 			return
@@ -35,6 +39,9 @@
 			l.c.elect.Resign(restAfter, "unreadable record")
 			return
 		}
+		for _, p := range moves {
+			l.mover.history.Load(p.Path, p.Value, p.Stamp)
+		}
 		slog.Info("loaded", "term", uint64(l.term), "jobs", len(l.jobs.Jobs), "machines", len(l.workers.Workers),
 			"took_ms", l.c.env.Now().Sub(began).Milliseconds())
 		l.begin()
@@ -43,6 +50,9 @@
 	l.readAll(commit.LogPrefix, "", &log, done)
 	l.readAll(fleetPrefix, "", &machines, done)
 	l.readCatalog(done)
+	if l.mover != nil {
+		l.readAll(migration.Prefix, "", &moves, done)
+	}
 }
 
 func (l *lead) readAll(prefix, since string, into *[]statesvc.Pair, done func()) {
@@ -104,6 +114,9 @@
 		}
 		l.gangs.Adopt(j)
 	}
+	if l.mover != nil {
+		l.mover.adopt()
+	}
 	l.ready, l.dirty = true, true
 	if l.level < ident.NewestLevel {
 		l.raiser.Look()
--- a/internal/controller/load_view.go
+++ b/internal/controller/load_view.go
@@ -18,7 +18,8 @@
 	for _, t := range l.c.set.Cluster.Teams {
 		entitled[t.Name] = t.CPUs
 	}
-	l.moves.seen = map[proposal]bool{}
+	l.mover = newMover(l)
+	l.jobs.OnOver = l.mover.forget
 	l.loads = load.New(load.DefaultConfig(), entitled)
 	if mode == settings.RebalancePlace {
 		l.planner.Even = l.loads.AnyHot
@@ -50,5 +51,8 @@
 	}
 	for _, c := range l.loads.Evaluate(now) {
 		slog.Info("team heat", "team", c.Team, "from", c.From.String(), "to", c.To.String(), "demand_ratio", c.Ratio)
+		if c.From == load.Hot {
+			l.mover.cooled()
+		}
 	}
 }
--- /dev/null
+++ b/internal/controller/move_picture.go
@@ -0,0 +1,157 @@
+package controller
+
+import (
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/migration"
+	"opaldale/internal/rebalance"
+	"opaldale/internal/settings"
+	"opaldale/internal/workers"
+)
+
+// waiting lists the first waiting task of each job that has waited for long enough, in the
+// order of arrival.
+func (m *mover) waiting(now ident.Mono) []rebalance.Waiting {
+	l := m.lead
+	var list []rebalance.Waiting
+	for _, j := range l.jobs.Sorted() {
+		if j.Waits() == 0 || j.Gang() || j.Suspect || now < j.RetryAt || j.Spec.OneZone || j.Spec.Spread || !l.teams.Allows(j.Spec, 1) {
+			continue
+		}
+		t := firstWaiting(j)
+		if t == nil || now.Sub(t.Since) < m.config.Patience {
+			continue
+		}
+		list = append(list, rebalance.Waiting{
+			ID:       t.TaskID(),
+			Team:     j.Spec.Team,
+			Need:     jobs.NeedOf(j.Spec),
+			Level:    j.Spec.Priority.Level(),
+			Waited:   now.Sub(t.Since),
+			Arriving: m.arriving(j.Spec, now),
+			Allowed: func(k *rebalance.Machine) bool {
+				w := l.workers.Workers[k.Host]
+				return w.Allows(j.Spec) && !j.Shunned[k.Host]
+			},
+		})
+	}
+	return list
+}
+
+func firstWaiting(j *jobs.Job) *jobs.Task {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.State == jobs.Waiting {
+			return t
+		}
+	}
+	return nil
+}
+
+// arriving estimates when the next machine that boots and may take a job is there; 0: none is
+// on its way.
+func (m *mover) arriving(s *api.Spec, now ident.Mono) time.Duration {
+	soonest := time.Duration(0)
+	for _, w := range m.lead.workers.Sorted() {
+		if w.State != workers.Booting || !w.Allows(s) {
+			continue
+		}
+		left := max(time.Second, settings.Seconds(w.Kind.StartupS)-now.Sub(w.Born))
+		if soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	return soonest
+}
+
+// picture is the cluster as a plan of moves sees it.
+func (m *mover) picture(waiting []rebalance.Waiting, now ident.Mono) *rebalance.Picture {
+	l := m.lead
+	p := &rebalance.Picture{Waiting: waiting, Fits: m.fits}
+	for _, w := range l.workers.Sorted() {
+		if w.Kind != nil && m.usable(w) && l.zoneClear(w.Zone) && !l.planner.Withheld(w) {
+			p.Machines = append(p.Machines, m.machine(w, now))
+		}
+	}
+	for _, x := range m.table.Active() {
+		p.Active = append(p.Active, m.active(x))
+	}
+	return p
+}
+
+func (m *mover) active(x *migration.Move) rebalance.Active {
+	a := rebalance.Active{Job: x.Task.Job, Team: x.Team, From: x.From, To: x.To, For: x.For}
+	if w := m.lead.workers.Workers[x.From]; w != nil {
+		a.Zone = w.Zone
+	}
+	return a
+}
+
+func (m *mover) machine(w *workers.Worker, now ident.Mono) *rebalance.Machine {
+	k := &rebalance.Machine{Host: w.Host, Zone: w.Zone, Free: w.Free()}
+	for _, t := range m.lead.workers.TasksOf(w) {
+		if left := timeLeft(t, now); left > 0 {
+			k.Ends = append(k.Ends, rebalance.End{Left: left, Need: jobs.NeedOf(t.Job.Spec)})
+		}
+		if m.movable(t) {
+			k.Tasks = append(k.Tasks, m.running(t, now))
+		}
+	}
+	return k
+}
+
+// timeLeft estimates how long a task stays on its machine; 0: nobody knows.
+func timeLeft(t *jobs.Task, now ident.Mono) time.Duration {
+	runtime := settings.Seconds(t.Job.Spec.RuntimeS)
+	switch {
+	case t.State == jobs.Stopping:
+		return max(time.Second, t.WindDown)
+	case runtime <= 0:
+		return 0
+	case t.RunsAt > t.Since:
+		return max(time.Second, runtime-now.Sub(t.RunsAt))
+	}
+	return runtime
+}
+
+// movable says whether a task runs, and may be stopped by itself and started in any place that
+// its job allows.
+func (m *mover) movable(t *jobs.Task) bool {
+	s := t.Job.Spec
+	if t.State != jobs.Assigned || t.RunsAt <= t.Since || t.Job.Gang() || t.Job.Suspect || s.OneZone || s.Spread || m.history.Barred(s.ID) {
+		return false
+	}
+	return s.Shape != api.Service || t.Job.Runs > 1 // a lone replica would be missed
+}
+
+func (m *mover) running(t *jobs.Task, now ident.Mono) rebalance.Task {
+	s := t.Job.Spec
+	return rebalance.Task{
+		ID:      t.TaskID(),
+		Team:    s.Team,
+		Need:    jobs.NeedOf(s),
+		Level:   s.Priority.Level(),
+		Ran:     now.Sub(t.RunsAt),
+		Left:    timeLeft(t, now),
+		Saves:   settings.Seconds(s.SnapshotEveryS),
+		Save:    settings.Seconds(s.SnapshotS),
+		Replica: s.Shape == api.Service,
+		Moved:   m.history.Count(s.ID),
+	}
+}
+
+// fits says whether a running task may go to a machine, and how long the fetch of its image
+// takes there.
+func (m *mover) fits(t *rebalance.Task, k *rebalance.Machine) (time.Duration, bool) {
+	l := m.lead
+	j, w := l.jobs.Jobs[t.ID.Job], l.workers.Workers[k.Host]
+	if j == nil || w == nil || !w.Allows(j.Spec) || j.Shunned[w.Host] || w.Faulty() {
+		return 0, false
+	}
+	if w.Holds(j.Spec.Image) {
+		return 0, true
+	}
+	return w.FetchTime(j.Spec), true
+}
--- /dev/null
+++ b/internal/controller/move_report.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"log/slog"
+	"time"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/migration"
+	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
+)
+
+// MoveReport is what operators are shown of moves of running tasks.
+type MoveReport struct {
+	Node ident.NodeID       `json:"node"`
+	Mode settings.Rebalance `json:"mode"`
+	// Leads says that the node leads, and knows where each move stands. Another one shows
+	// what the state service has on record of the jobs that are not over.
+	Leads bool        `json:"leads"`
+	Moves []MoveEntry `json:"moves"`
+	// Truncated says that more is on record than is shown.
+	Truncated bool `json:"truncated,omitempty"`
+	// Error says why nothing is shown.
+	Error string `json:"error,omitempty"`
+}
+
+// MoveEntry is one move.
+type MoveEntry struct {
+	Task          string       `json:"task"`
+	Team          string       `json:"team,omitempty"`
+	From          ident.HostID `json:"from"`
+	To            ident.HostID `json:"to"`
+	For           string       `json:"for"`
+	State         string       `json:"state"`
+	Reason        string       `json:"reason,omitempty"`
+	AgeS          float64      `json:"age_s"`
+	ExpectedGainS float64      `json:"expected_gain_s"`
+	CostS         float64      `json:"cost_s"`
+	// RealisedGainS is the gain as it came about, for a move that has ended.
+	RealisedGainS *float64 `json:"realised_gain_s,omitempty"`
+}
+
+// recordedState stands for the state of a move that another node carries out.
+const recordedState = "recorded"
+
+// MoveReport tells what this node knows of moves; reply is called once.
+func (c *Controller) MoveReport(reply func(MoveReport)) {
+	r := MoveReport{Node: c.set.Node, Mode: c.set.Tuning.Rebalance, Moves: []MoveEntry{}}
+	if l := c.lead; l != nil && l.ready && l.mover != nil {
+		r.Leads = true
+		r.Moves = l.mover.entries(c.env.Now())
+		reply(r)
+		return
+	}
+	if !c.reads.take(c.env.Now(), 1) {
+		r.Error = "too many questions at present"
+		reply(r)
+		return
+	}
+	c.env.State(statesvc.Request{Op: statesvc.List, Starts: migration.Prefix, Timeout: commitTime}, func(a statesvc.Reply) {
+		if a.Outcome != statesvc.OK {
+			r.Error = errState.Error()
+		}
+		r.Truncated = a.Truncated
+		for _, p := range a.Pairs {
+			r.Moves = append(r.Moves, recorded(p, c.env.WallMS())...)
+		}
+		reply(r)
+	})
+}
+
+// recorded lists the moves of one key.
+func recorded(p statesvc.Pair, nowMS int64) []MoveEntry {
+	record, err := migration.ReadRecord(p.Value)
+	if err != nil {
+		slog.Error("unreadable record of moves", "path", p.Path, "err", err)
+		return nil
+	}
+	job := ident.JobID(p.Path[len(migration.Prefix):])
+	var out []MoveEntry
+	for _, e := range record.Moves {
+		age := time.Duration(max(0, nowMS-e.AtMS)) * time.Millisecond
+		out = append(out, MoveEntry{
+			Task:          ident.TaskID{Job: job, Index: e.Index}.String(),
+			From:          e.From,
+			To:            e.To,
+			For:           e.For,
+			State:         recordedState,
+			AgeS:          age.Seconds(),
+			ExpectedGainS: e.GainS,
+			CostS:         e.CostS,
+		})
+	}
+	return out
+}
+
+// entries lists the moves under way, and those that have ended of late.
+func (m *mover) entries(now ident.Mono) []MoveEntry {
+	out := []MoveEntry{}
+	for _, x := range append(m.table.Active()[:len(m.table.Active()):len(m.table.Active())], m.table.Recent()...) {
+		e := MoveEntry{
+			Task:          x.Task.String(),
+			Team:          x.Team,
+			From:          x.From,
+			To:            x.To,
+			For:           x.For.String(),
+			State:         x.State.String(),
+			Reason:        x.Reason.String(),
+			AgeS:          now.Sub(x.Began).Seconds(),
+			ExpectedGainS: x.Gain.Seconds(),
+			CostS:         x.Cost.Seconds(),
+		}
+		if x.State.Ended() {
+			gain := x.Realised().Seconds()
+			e.RealisedGainS = &gain
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// forget drops the record of a job that is over.
+func (m *mover) forget(id ident.JobID) { m.history.Forget(id) }
+
+// cooled notes that a hot team has cooled.
+func (m *mover) cooled() { m.cooledAt = m.lead.c.env.Now() }
+
+// counts fills in the counters of moves.
+func (m *mover) counts(s *Snapshot) {
+	s.MovesProposed, s.MoveGainSeconds = m.proposed, m.gain.Seconds()
+	s.MovesActive, s.MovesEnded = len(m.table.Active()), m.table.ByReason()
+	s.MoveRealisedSeconds = m.table.Gained.Seconds()
+	for _, x := range m.table.Active() {
+		if x.State == migration.Stopping || x.State == migration.Stopped {
+			s.MovesStopped++
+		}
+	}
+}
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -4,18 +4,50 @@
 	"log/slog"
 	"time"
 
-	"opaldale/internal/api"
+	"opaldale/internal/authority"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/links"
+	"opaldale/internal/migration"
 	"opaldale/internal/rebalance"
 	"opaldale/internal/settings"
+	"opaldale/internal/workers"
 )
 
-// moveReport is what a leader says of moves that would pay. None is carried out.
-type moveReport struct {
-	proposed uint64
-	gain     time.Duration
-	seen     map[proposal]bool // proposals of the present term, not to be counted twice
+const (
+	// settleTime is how long a leader leads before it moves anything: machines of the term
+	// before are still being heard of.
+	settleTime = 15 * time.Second
+	// calmTime is how long nothing is proposed after a hot team has cooled.
+	calmTime = 5 * time.Second
+	// planShare bounds the part of the time that plans of moves take: one in so many.
+	planShare = 50
+	// unsettledPart and unsettledLeast are how many machines may be silent, returned, or about
+	// to be taken while moves are proposed: one in so many, and a few in a small fleet.
+	unsettledPart  = 20
+	unsettledLeast = 2
+	// promiseTime is how long the room that a move makes is kept for the task that waits.
+	promiseTime = 10 * time.Second
+	// maxProposals bounds the proposals remembered.
+	maxProposals = 10_000
+)
+
+// mover is a leader's part in moving running tasks, for one term.
+type mover struct {
+	lead    *lead
+	carries bool // moves are carried out, not only reported
+	config  rebalance.Config
+	table   *migration.Table
+	history *migration.History
+	// held holds the machines on which room is kept, by move.
+	held map[*migration.Move]*workers.Worker
+
+	readyAt   ident.Mono
+	cooledAt  ident.Mono // when a hot team last cooled; 0: none did
+	notBefore ident.Mono // no plan earlier
+	proposed  uint64
+	gain      time.Duration
+	seen      map[proposal]bool // proposals of the present term, not to be counted twice
 }
 
 // proposal tells moves apart.
@@ -23,100 +55,247 @@
 	task, waiting ident.TaskID
 }
 
-// maxProposals bounds the proposals remembered.
-const maxProposals = 10_000
+func newMover(l *lead) *mover {
+	tuning := &l.c.set.Tuning
+	config := rebalance.DefaultConfig()
+	config.Margin = tuning.Moves.Margin
+	config.Budgets.Cluster, config.Budgets.Zone = tuning.Moves.Cluster, tuning.Moves.Zone
+	config.Budgets.Team = tuning.Moves.Team
+	return &mover{
+		lead:    l,
+		carries: tuning.Rebalance == settings.RebalanceMove,
+		config:  config,
+		table:   migration.NewTable(migration.DefaultConfig(settings.Seconds(l.c.set.Cluster.Workers.ReportS))),
+		history: migration.NewHistory(l.commits, l.c.env.WallMS),
+		held:    map[*migration.Move]*workers.Worker{},
+		seen:    map[proposal]bool{},
+	}
+}
+
+// adopt takes over from the term before. A move that was under way goes the ordinary way: its
+// task runs on where it is, or is placed anew once it is proven to have left.
+func (m *mover) adopt() {
+	l := m.lead
+	m.readyAt = l.c.env.Now()
+	m.history.Prune(func(id ident.JobID) bool { return l.jobs.Jobs[id] != nil })
+	for _, id := range m.history.Interrupted(func(id ident.TaskID) (ident.Attempt, bool) {
+		t := l.task(id)
+		if t == nil || t.State == jobs.Finished {
+			return 0, false
+		}
+		return t.Attempt, true
+	}) {
+		slog.Info("move of an earlier term goes the ordinary way", "task", id.String())
+	}
+}
+
+// task returns a task of a job that is not over, nil if there is none.
+func (l *lead) task(id ident.TaskID) *jobs.Task {
+	j := l.jobs.Jobs[id.Job]
+	if j == nil || id.Index >= len(j.Tasks) {
+		return nil
+	}
+	return &j.Tasks[id.Index]
+}
 
-// proposeMoves says which running tasks would be worth moving, so that others start.
-func (l *lead) proposeMoves() {
-	if l.loads == nil || len(l.jobs.Waiting) == 0 {
+// propose makes a plan, and takes up the moves that pay, or only tells of them.
+func (m *mover) propose() {
+	l := m.lead
+	now := l.c.env.Now()
+	if m.carries && !m.calm(now) || now < m.notBefore {
 		return
 	}
-	for _, m := range rebalance.Plan(rebalance.DefaultConfig(), l.picture()) {
-		key := proposal{m.Task, m.For}
-		if l.moves.seen[key] {
-			continue
-		}
-		if len(l.moves.seen) >= maxProposals {
-			clear(l.moves.seen)
+	waiting := m.waiting(now)
+	if len(waiting) == 0 {
+		return
+	}
+	moves := rebalance.Plan(m.config, m.picture(waiting, now))
+	done := l.c.env.Now()
+	m.notBefore = done.Add(planShare * done.Sub(now))
+	for _, p := range moves {
+		m.count(p)
+		if m.carries {
+			m.begin(p, done)
 		}
-		l.moves.seen[key] = true
-		l.moves.proposed++
-		l.moves.gain += m.Gain - m.Cost
-		slog.Info("a move would pay", "task", m.Task.String(), "team", m.Team, "from", string(m.From), "to", string(m.To),
-			"for", m.For.String(), "gain_s", m.Gain.Seconds(), "cost_s", m.Cost.Seconds())
 	}
 }
 
-// picture is the cluster as a plan of moves sees it.
-func (l *lead) picture() *rebalance.Picture {
-	now := l.c.env.Now()
-	p := &rebalance.Picture{Fits: l.fitsElsewhere}
+// count notes a proposal, once.
+func (m *mover) count(p rebalance.Move) {
+	key := proposal{p.Task, p.For}
+	if m.seen[key] {
+		return
+	}
+	if len(m.seen) >= maxProposals {
+		clear(m.seen)
+	}
+	m.seen[key] = true
+	m.proposed++
+	m.gain += p.Gain - p.Cost
+	slog.Info("a move would pay", "task", p.Task.String(), "team", p.Team, "from", string(p.From), "to", string(p.To),
+		"for", p.For.String(), "gain_s", p.Gain.Seconds(), "cost_s", p.Cost.Seconds())
+}
+
+// calm says whether this is a time to move work: no election of late, nothing in doubt, and no
+// machines leaving in numbers.
+func (m *mover) calm(now ident.Mono) bool {
+	l := m.lead
+	switch {
+	case !l.c.may(authority.Place), now.Sub(m.readyAt) < settleTime, !l.commits.Spare():
+		return false
+	case m.cooledAt > 0 && now.Sub(m.cooledAt) < calmTime:
+		return false
+	}
+	unsettled, all := 0, 0
 	for _, w := range l.workers.Sorted() {
-		if !w.Open(now) || w.Kind == nil {
-			continue
+		switch {
+		case w.State == workers.Silent, w.State == workers.Returning, w.State == workers.Up && (w.Doomed > 0 || w.Cordoned):
+			unsettled++
+			all++
+		case w.State == workers.Up:
+			all++
+		}
+	}
+	return unsettled <= max(unsettledLeast, all/unsettledPart)
+}
+
+// begin takes up a proposed move: its room is kept, and it is recorded. The task is stopped
+// once that is durable.
+func (m *mover) begin(p rebalance.Move, now ident.Mono) {
+	l := m.lead
+	t, to := l.task(p.Task), l.workers.Workers[p.To]
+	if t == nil || to == nil || !to.Reserve(workers.Reservation{Need: p.Need, Priority: t.Job.Spec.Priority}) {
+		return
+	}
+	x := m.table.Begin(p, t.Attempt, now)
+	m.held[x] = to
+	slog.Info("move begins", "task", p.Task.String(), "team", p.Team, "from", string(p.From), "to", string(p.To),
+		"for", p.For.String(), "gain_s", p.Gain.Seconds(), "cost_s", p.Cost.Seconds())
+	m.history.Write(x, func() {
+		if !l.dead {
+			m.table.Recorded(x)
 		}
-		m := &rebalance.Machine{Host: w.Host, Zone: w.Zone, Free: w.Kind.VCPUs - w.VCPUs}
-		for _, t := range l.workers.TasksOf(w) {
-			if movable(t) {
-				m.Tasks = append(m.Tasks, runningTask(t, now))
-			}
+	})
+}
+
+// advance brings all moves up to date and carries out what follows from that.
+func (m *mover) advance() {
+	for _, e := range m.table.Advance(m.lead.c.env.Now(), m.observe) {
+		switch e.Kind {
+		case migration.Stop:
+			m.stop(e.Move)
+		case migration.Place:
+			m.place(e.Move)
+		case migration.Release:
+			m.release(e.Move)
+		case migration.Report:
+			m.report(e.Move)
 		}
-		p.Machines = append(p.Machines, m)
 	}
-	for _, j := range l.jobs.Sorted() {
-		if j.Waits() > 0 && !j.Gang() && !j.Suspect && l.teams.Allows(j.Spec, 1) {
-			p.Waiting = append(p.Waiting, l.waitingTask(j))
+}
+
+// observe gathers what is so of a move's task and machines.
+func (m *mover) observe(x *migration.Move) migration.Observation {
+	l := m.lead
+	o := migration.Observation{
+		MayDecide:   l.c.may(authority.Place),
+		LinksClear:  m.linksClear(x),
+		Cooled:      m.cooledAt > x.Began,
+		Destination: m.destination(x),
+		Elsewhere:   l.workers.Orphan(x.Task),
+	}
+	if t := l.task(x.Task); t != nil {
+		o.JobOpen = t.Job.Phase == jobs.Open
+		o.Task, o.Attempt, o.Runs = t.State, t.Attempt, t.RunsAt > t.Since
+		if t.State.Held() {
+			o.Host = t.Host
 		}
+		o.TeamAllows = l.teams.Allows(t.Job.Spec, 1)
+	}
+	if t := l.task(x.For); t != nil {
+		o.Waits = t.Job.Phase == jobs.Open && t.State == jobs.Waiting
+		o.Beneficiary = t.State.Held() && t.Host == x.From
 	}
-	return p
+	return o
+}
+
+// linksClear says whether no link to the zone of either machine is in doubt.
+func (m *mover) linksClear(x *migration.Move) bool {
+	l := m.lead
+	from, to := l.workers.Workers[x.From], l.workers.Workers[x.To]
+	return from != nil && to != nil && l.zoneClear(from.Zone) && l.zoneClear(to.Zone)
 }
 
-// movable says whether a task runs, and may be stopped by itself.
-func movable(t *jobs.Task) bool {
-	return t.State == jobs.Assigned && t.RunsAt > 0 && !t.Job.Gang()
+// zoneClear says whether nothing speaks against the links to a zone's machines, as far as
+// links are watched.
+func (l *lead) zoneClear(zone string) bool {
+	if l.c.links == nil {
+		return true
+	}
+	for _, direction := range []links.Direction{links.Inbound, links.Outbound} {
+		v := l.c.links.monitor.Verdict(machinesLink(zone), direction)
+		if v.Damped || v.State == links.Suspect || v.State == links.Down {
+			return false
+		}
+	}
+	return true
 }
 
-func runningTask(t *jobs.Task, now ident.Mono) rebalance.Task {
-	s := t.Job.Spec
-	out := rebalance.Task{
-		ID:      t.TaskID(),
-		Team:    s.Team,
-		CPUs:    s.VCPUs,
-		Ran:     now.Sub(t.RunsAt),
-		Saves:   settings.Seconds(s.SnapshotEveryS),
-		Save:    settings.Seconds(s.SnapshotS),
-		Replica: s.Shape == api.Service,
+// destination says whether a move's destination still has the room that was kept on it.
+func (m *mover) destination(x *migration.Move) migration.Destination {
+	w := m.held[x]
+	if w == nil || !m.usable(w) {
+		return migration.DestinationShut
 	}
-	if s.RuntimeS > 0 {
-		out.Left = max(time.Second, settings.Seconds(s.RuntimeS)-out.Ran)
+	if _, holds := w.Reserved(); !holds {
+		return migration.DestinationFull
 	}
-	return out
+	return migration.DestinationReady
 }
 
-// waitingTask is the first task of a job that waits.
-func (l *lead) waitingTask(j *jobs.Job) rebalance.Waiting {
-	w := rebalance.Waiting{Team: j.Spec.Team, CPUs: j.Spec.VCPUs, Allowed: func(m *rebalance.Machine) bool {
-		k := l.workers.Workers[m.Host]
-		return k.Allows(j.Spec) && !j.Shunned[m.Host] && !j.Spec.OneZone && !j.Spec.Spread
-	}}
-	for i := range j.Tasks {
-		if j.Tasks[i].State == jobs.Waiting {
-			w.ID = j.Tasks[i].TaskID()
-			break
-		}
+// usable says whether a machine takes work, and was heard of late.
+func (m *mover) usable(w *workers.Worker) bool {
+	l := m.lead
+	heard := 2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) + time.Second
+	return w.Open(l.c.env.Now()) && l.workers.Hears(w.Host, heard)
+}
+
+// stop tells the task to stop, and keeps the room that it leaves for the one that waits.
+func (m *mover) stop(x *migration.Move) {
+	l := m.lead
+	t, from := l.task(x.Task), l.workers.Workers[x.From]
+	windDown := time.Duration(0)
+	if x.Save > 0 {
+		windDown = x.Save + time.Millisecond
+	}
+	if j := l.jobs.Jobs[x.For.Job]; j != nil {
+		l.planner.Promise(from, j, l.c.env.Now().Add(windDown+promiseTime))
 	}
-	return w
+	l.workers.StopTask(from, t, windDown)
+}
+
+// place places the task where room was kept for it.
+func (m *mover) place(x *migration.Move) {
+	w := m.held[x]
+	m.release(x)
+	m.lead.Place(m.lead.task(x.Task), w)
 }
 
-// fitsElsewhere says whether a running task may go to a machine, and how long the fetch of its
-// image takes there. Jobs that are bound to zones together are left where they are.
-func (l *lead) fitsElsewhere(t *rebalance.Task, m *rebalance.Machine) (time.Duration, bool) {
-	j, w := l.jobs.Jobs[t.ID.Job], l.workers.Workers[m.Host]
-	if j == nil || w == nil || m.Free < t.CPUs || j.Spec.OneZone || j.Spec.Spread || !w.Allows(j.Spec) || j.Shunned[w.Host] || !w.Fits(j.Spec) {
-		return 0, false
+// release gives up what is kept for a move.
+func (m *mover) release(x *migration.Move) {
+	l := m.lead
+	if w := m.held[x]; w != nil {
+		w.Unreserve()
+		delete(m.held, x)
 	}
-	if w.Holds(j.Spec.Image) {
-		return 0, true
+	if from, j := l.workers.Workers[x.From], l.jobs.Jobs[x.For.Job]; x.State == migration.Abandoned && x.StoppedAt == 0 && from != nil && j != nil {
+		l.planner.Withdraw(from, j)
 	}
-	return w.FetchTime(j.Spec), true
+	l.dirty = true
+}
+
+// report tells of the end of a move.
+func (m *mover) report(x *migration.Move) {
+	slog.Info("move ended", "task", x.Task.String(), "team", x.Team, "from", string(x.From), "to", string(x.To), "state", x.State.String(),
+		"reason", x.Reason.String(), "took_s", m.lead.c.env.Now().Sub(x.Began).Seconds())
 }
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -1,6 +1,9 @@
 package controller
 
-import "opaldale/internal/load"
+import (
+	"opaldale/internal/load"
+	"opaldale/internal/migration"
+)
 
 // Snapshot is what the metrics show of a node.
 type Snapshot struct {
@@ -25,6 +28,9 @@
 	TeamLoads                   []load.TeamReport
 	MovesProposed               uint64
 	MoveGainSeconds             float64
+	MovesActive, MovesStopped   int // under way, and of those the ones whose task runs nowhere
+	MovesEnded                  []migration.Outcome
+	MoveRealisedSeconds         float64
 }
 
 // Snapshot reads the node's counters.
@@ -52,7 +58,7 @@
 	s.Rejected = l.commits.Rejected
 	s.GangsStarted, s.GangsLost, s.GangsReplaced, s.GangsStopped = l.gangs.Started, l.gangs.Lost, l.gangs.Replaced, l.gangs.Stopped
 	if l.loads != nil {
-		s.MovesProposed, s.MoveGainSeconds = l.moves.proposed, l.moves.gain.Seconds()
+		l.mover.counts(&s)
 		s.Imbalance, s.TeamLoads = l.loads.Imbalance(), l.loads.Teams(c.env.Now())
 	}
 	s.Relocated, s.Fences, s.Stale = l.workers.Relocated, l.workers.Fences, l.workers.Stale
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -40,6 +40,8 @@
 	// OnMove is called before every change of a task's state, so that machines
 	// and teams are kept in step.
 	OnMove func(t *Task, from, to State)
+	// OnOver is called once the end of a job is durable, and it needs no machine any more.
+	OnOver func(ident.JobID)
 }
 
 // Team is what a team has open.
@@ -56,7 +58,7 @@
 	return &Table{Jobs: map[ident.JobID]*Job{}, Waiting: map[*Job]struct{}{}, Teams: map[string]*Team{}, doubted: map[*Job]bool{},
 		ended: NewRecent[Ended](maxEnded), commits: commits, now: now, wall: wall,
 		most: valueBytes, perSeg: max(1, (valueBytes-64)/recordBytes), inline: max(0, (valueBytes-HeaderBytes)/recordBytes),
-		OnMove: func(*Task, State, State) {}, OnWaiting: func(*Task) {}}
+		OnMove: func(*Task, State, State) {}, OnWaiting: func(*Task) {}, OnOver: func(ident.JobID) {}}
 }
 
 // Expect tells how long values may be at the most, at any later time.
--- a/internal/jobs/moves.go
+++ b/internal/jobs/moves.go
@@ -219,6 +219,7 @@
 	tb.commits.Mark(j.head, func() {
 		tb.Remember(j.Spec.ID, end)
 		delete(tb.Jobs, j.Spec.ID)
+		tb.OnOver(j.Spec.ID)
 		j.durable()
 		for _, f := range append(wants, j.moved...) {
 			f()
--- a/internal/jobs/need.go
+++ b/internal/jobs/need.go
@@ -31,5 +31,20 @@
 	return k
 }
 
+// Minus returns the amounts less others.
+func (n Need) Minus(o Need) Need {
+	return Need{n.VCPUs - o.VCPUs, n.Cards - o.Cards, n.MemoryGB - o.MemoryGB}
+}
+
+// Plus returns the amounts and others together.
+func (n Need) Plus(o Need) Need {
+	return Need{n.VCPUs + o.VCPUs, n.Cards + o.Cards, n.MemoryGB + o.MemoryGB}
+}
+
+// Covers says whether something finds room in as much.
+func (n Need) Covers(o Need) bool {
+	return o.VCPUs <= n.VCPUs+slack && o.Cards <= n.Cards+slack && o.MemoryGB <= n.MemoryGB+slack
+}
+
 // slack forgives rounding in sums of amounts.
 const slack = 1e-6
--- /dev/null
+++ b/internal/migration/history.go
@@ -0,0 +1,167 @@
+package migration
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+)
+
+// Prefix is where the moves of jobs are recorded, a key for each job that has any. Versions
+// without moves never read it, and treat a task that is being moved as one that was stopped.
+const Prefix = "moves/"
+
+// Key is the key of a job's moves.
+func Key(id ident.JobID) string { return Prefix + string(id) }
+
+// Entry is one recorded move.
+type Entry struct {
+	Index   int           `json:"task"`
+	Attempt ident.Attempt `json:"attempt"`
+	From    ident.HostID  `json:"from"`
+	To      ident.HostID  `json:"to"`
+	For     string        `json:"for"`
+	AtMS    int64         `json:"at_ms"`
+	GainS   float64       `json:"gain_s"`
+	CostS   float64       `json:"cost_s"`
+}
+
+// Record is the value of a job's key: all of its moves, the oldest first.
+type Record struct {
+	Moves []Entry `json:"moves"`
+}
+
+// ReadRecord reads the value of a job's key.
+func ReadRecord(value json.RawMessage) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, err
+	}
+	if len(r.Moves) == 0 {
+		return Record{}, fmt.Errorf("no moves")
+	}
+	return r, nil
+}
+
+// jobHistory is the record of one job.
+type jobHistory struct {
+	record    Record
+	doc       *commit.Doc
+	unread    bool // what is stored can't be read, and stays as it is
+	forgotten bool
+}
+
+// History keeps how often each job was moved, in the state service: a move is recorded before
+// its task is stopped, so that no change of leader forgets it.
+type History struct {
+	commits *commit.Committer
+	wall    func() int64 // time of day in milliseconds
+	jobs    map[ident.JobID]*jobHistory
+}
+
+// NewHistory makes an empty history for a term.
+func NewHistory(commits *commit.Committer, wall func() int64) *History {
+	return &History{commits: commits, wall: wall, jobs: map[ident.JobID]*jobHistory{}}
+}
+
+// Load takes in what an earlier term recorded. A record that can't be read bars its job from
+// being moved, and ends no term: nothing but moves depends on it.
+func (h *History) Load(path string, value json.RawMessage, stamp ident.Stamp) {
+	id := ident.JobID(strings.TrimPrefix(path, Prefix))
+	j := h.add(id)
+	j.doc.Stamp = stamp
+	r, err := ReadRecord(value)
+	if err != nil {
+		slog.Error("unreadable record of moves: the job is not moved", "path", path, "err", err)
+		j.unread = true
+		return
+	}
+	j.record = r
+}
+
+func (h *History) add(id ident.JobID) *jobHistory {
+	j := &jobHistory{doc: &commit.Doc{Path: Key(id)}}
+	j.doc.Render = func() json.RawMessage {
+		if j.forgotten {
+			return nil
+		}
+		return api.JSON(j.record)
+	}
+	h.jobs[id] = j
+	return j
+}
+
+// Count returns how often a job's tasks were moved, or were about to be.
+func (h *History) Count(id ident.JobID) int {
+	if j := h.jobs[id]; j != nil {
+		return len(j.record.Moves)
+	}
+	return 0
+}
+
+// Barred says whether a job may not be moved as its record can't be read.
+func (h *History) Barred(id ident.JobID) bool {
+	j := h.jobs[id]
+	return j != nil && j.unread
+}
+
+// Write records a move; then is called once that is durable.
+func (h *History) Write(m *Move, then func()) {
+	j := h.jobs[m.Task.Job]
+	if j == nil {
+		j = h.add(m.Task.Job)
+	}
+	j.record.Moves = append(j.record.Moves, Entry{
+		Index:   m.Task.Index,
+		Attempt: m.Attempt,
+		From:    m.From,
+		To:      m.To,
+		For:     m.For.String(),
+		AtMS:    h.wall(),
+		GainS:   m.Gain.Round(time.Millisecond).Seconds(),
+		CostS:   m.Cost.Round(time.Millisecond).Seconds(),
+	})
+	h.commits.Mark(j.doc, then)
+}
+
+// Forget deletes the record of a job that is over, when there is room to spare.
+func (h *History) Forget(id ident.JobID) {
+	j := h.jobs[id]
+	if j == nil {
+		return
+	}
+	j.forgotten = true
+	delete(h.jobs, id)
+	h.commits.MarkLazy(j.doc, nil)
+}
+
+// Prune forgets the jobs that are over, as an earlier term, or a version without moves, has
+// left them.
+func (h *History) Prune(live func(ident.JobID) bool) {
+	for id := range h.jobs {
+		if !live(id) {
+			h.Forget(id)
+		}
+	}
+}
+
+// Interrupted lists the tasks whose last recorded move may not have ended, by the attempt that
+// each was in.
+func (h *History) Interrupted(attempt func(ident.TaskID) (ident.Attempt, bool)) []ident.TaskID {
+	var out []ident.TaskID
+	for id, j := range h.jobs {
+		if n := len(j.record.Moves); n > 0 {
+			last := j.record.Moves[n-1]
+			task := ident.TaskID{Job: id, Index: last.Index}
+			if now, ok := attempt(task); ok && now == last.Attempt {
+				out = append(out, task)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/migration/migration_test.go
@@ -0,0 +1,255 @@
+package migration
+
+import (
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
+	"opaldale/internal/propertytest"
+	"opaldale/internal/rebalance"
+)
+
+func TestMain(m *testing.M) { os.Exit(propertytest.Main(m)) }
+
+const (
+	source      = ident.HostID("host-1")
+	destination = ident.HostID("host-2")
+)
+
+// proposal is a move of a task in its third attempt.
+func proposal() rebalance.Move {
+	return rebalance.Move{Task: ident.TaskID{Job: "j-1"}, From: source, To: destination, For: ident.TaskID{Job: "j-9"},
+		Wait: time.Minute, Gain: 50 * time.Second, Cost: 4 * time.Second, Save: time.Second, Fetch: 2 * time.Second}
+}
+
+// at returns what is so of the task in its usual course.
+func at(task jobs.State, attempt ident.Attempt, host ident.HostID) Observation {
+	return Observation{JobOpen: true, Task: task, Attempt: attempt, Host: host, Waits: true, MayDecide: true, LinksClear: true, TeamAllows: true}
+}
+
+// walk is a move on its way through the states.
+type walk struct {
+	table *Table
+	move  *Move
+	now   ident.Mono
+}
+
+func newWalk() *walk {
+	w := &walk{table: NewTable(DefaultConfig(time.Second)), now: ident.Mono(time.Hour)}
+	w.move = w.table.Begin(proposal(), 3, w.now)
+	return w
+}
+
+// pass lets time go by and the table see something.
+func (w *walk) pass(d time.Duration, o Observation) []EffectKind {
+	w.now = w.now.Add(d)
+	var kinds []EffectKind
+	for _, e := range w.table.Advance(w.now, func(*Move) Observation { return o }) {
+		kinds = append(kinds, e.Kind)
+	}
+	return kinds
+}
+
+// to brings the move into a state by its usual course.
+func (w *walk) to(s State) *walk {
+	if s >= Stopping {
+		w.table.Recorded(w.move)
+		w.pass(time.Millisecond, at(jobs.Assigned, 3, source))
+	}
+	if s >= Stopped {
+		o := at(jobs.Waiting, 3, "")
+		o.MayDecide = s > Stopped
+		w.pass(time.Second, o)
+	}
+	return w
+}
+
+// TestUsualCourse: recorded, stopped, placed once the source is proven free, and running.
+func TestUsualCourse(t *testing.T) {
+	w := newWalk()
+	for i, step := range []struct {
+		record bool
+		see    Observation
+		want   []EffectKind
+		state  State
+	}{
+		{false, at(jobs.Assigned, 3, source), nil, Proposed},
+		{true, at(jobs.Assigned, 3, source), []EffectKind{Stop}, Stopping},
+		{false, at(jobs.Stopping, 3, source), nil, Stopping},
+		{false, at(jobs.Waiting, 3, ""), []EffectKind{Place}, Placing},
+		{false, at(jobs.Placing, 4, destination), nil, Placing},
+		{false, at(jobs.Assigned, 4, destination), nil, Placing},
+	} {
+		if step.record {
+			w.table.Recorded(w.move)
+		}
+		if got := w.pass(100*time.Millisecond, step.see); !slices.Equal(got, step.want) || w.move.State != step.state {
+			t.Fatalf("step %d: %v in %s", i, got, w.move.State)
+		}
+	}
+	o := at(jobs.Assigned, 4, destination)
+	o.Runs = true
+	if got := w.pass(time.Second, o); !slices.Equal(got, []EffectKind{Release, Report}) || w.move.Reason != Arrived || len(w.table.Active()) > 0 {
+		t.Fatalf("%v in %s, %d active", got, w.move.State, len(w.table.Active()))
+	}
+	o.Beneficiary = true
+	w.pass(time.Second, o)
+	if got := w.table.Gained; got != w.move.Realised() || got < 45*time.Second || got > time.Minute {
+		t.Errorf("gained %v, realised %v", got, w.move.Realised())
+	}
+}
+
+// TestAbandoned: in each state, whatever ends a move ends it for its reason, and what was
+// reserved is released.
+func TestAbandoned(t *testing.T) {
+	with := func(o Observation, change func(*Observation)) Observation {
+		change(&o)
+		return o
+	}
+	here, leaving, gone := at(jobs.Assigned, 3, source), at(jobs.Stopping, 3, source), at(jobs.Waiting, 3, "")
+	there := at(jobs.Assigned, 4, destination)
+	for _, c := range []struct {
+		name  string
+		state State
+		after time.Duration
+		see   Observation
+		want  Reason
+	}{
+		{"it completes", Proposed, 0, at(jobs.Finished, 3, ""), TaskCompleted},
+		{"its job is cancelled", Proposed, 0, with(here, func(o *Observation) { o.JobOpen = false }), JobClosed},
+		{"it is stopped by something else", Proposed, 0, leaving, TaskChanged},
+		{"it was placed anew", Proposed, 0, at(jobs.Assigned, 4, source), TaskChanged},
+		{"nothing can be recorded", Proposed, 0, with(here, func(o *Observation) { o.MayDecide = false }), AuthorityLost},
+		{"a link is in doubt", Proposed, 0, with(here, func(o *Observation) { o.LinksClear = false }), LinkSuspected},
+		{"the destination shuts", Proposed, 0, with(here, func(o *Observation) { o.Destination = DestinationShut }), DestinationClosed},
+		{"the room is taken", Proposed, 0, with(here, func(o *Observation) { o.Destination = DestinationFull }), DestinationTaken},
+		{"a hot team cools", Proposed, 0, with(here, func(o *Observation) { o.Cooled = true }), TeamCooled},
+		{"nobody waits for it", Proposed, 0, with(here, func(o *Observation) { o.Waits = false }), NotNeeded},
+		{"the record is late", Proposed, 3 * time.Second, here, RecordOverdue},
+		{"it completes as it is stopped", Stopping, 0, at(jobs.Finished, 3, ""), TaskCompleted},
+		{"its job is cancelled meanwhile", Stopping, 0, with(leaving, func(o *Observation) { o.JobOpen = false }), JobClosed},
+		{"the destination is lost meanwhile", Stopping, 0, with(leaving, func(o *Observation) { o.Destination = DestinationShut }), DestinationClosed},
+		{"the proof is late", Stopping, 5 * time.Second, leaving, StopOverdue},
+		{"something else placed it", Stopping, 0, at(jobs.Placing, 4, "host-3"), TaskChanged},
+		{"its job is cancelled after the stop", Stopped, 0, with(gone, func(o *Observation) { o.JobOpen = false }), JobClosed},
+		{"the destination is lost after the stop", Stopped, 0, with(gone, func(o *Observation) { o.Destination = DestinationShut }), DestinationClosed},
+		{"the room is taken after the stop", Stopped, 0, with(gone, func(o *Observation) { o.Destination = DestinationFull }), DestinationTaken},
+		{"its team is at its limit", Stopped, 0, with(gone, func(o *Observation) { o.TeamAllows = false }), TeamAtLimit},
+		{"it can't be placed in time", Stopped, 6 * time.Second, with(gone, func(o *Observation) { o.MayDecide = false }), PlacementOverdue},
+		{"a machine goes on reporting it", Stopped, 6 * time.Second, with(gone, func(o *Observation) { o.Elsewhere = true }), PlacementOverdue},
+		{"it is placed by something else", Stopped, 0, at(jobs.Placing, 4, "host-3"), TaskChanged},
+		{"it is lost at the destination", Placing, 0, at(jobs.Waiting, 4, ""), LostAtDestination},
+		{"it is placed elsewhere", Placing, 0, at(jobs.Assigned, 5, "host-3"), LostAtDestination},
+		{"its job is cancelled as it starts", Placing, 0, with(there, func(o *Observation) { o.JobOpen = false }), JobClosed},
+		{"it doesn't start", Placing, 8 * time.Second, there, StartOverdue},
+	} {
+		w := newWalk().to(c.state)
+		if w.move.State != c.state {
+			t.Fatalf("%s: brought to %s", c.name, w.move.State)
+		}
+		got := w.pass(c.after, c.see)
+		if w.move.State != Abandoned || w.move.Reason != c.want || !slices.Equal(got, []EffectKind{Release, Report}) || w.table.Ended[c.want] != 1 {
+			t.Errorf("%s: %s, %s, %v", c.name, w.move.State, w.move.Reason, got)
+		}
+	}
+}
+
+// TestNothingEndsIt: what doesn't speak against a move in a state doesn't end it.
+func TestNothingEndsIt(t *testing.T) {
+	leaving := at(jobs.Stopping, 3, source)
+	leaving.MayDecide, leaving.LinksClear, leaving.Waits, leaving.Cooled, leaving.TeamAllows = false, false, false, true, false
+	if w := newWalk().to(Stopping); w.pass(time.Second, leaving) != nil || w.move.State != Stopping {
+		t.Errorf("stopping: %s, %s", w.move.State, w.move.Reason)
+	}
+	gone := at(jobs.Waiting, 3, "")
+	gone.Elsewhere = true
+	w := newWalk().to(Stopped)
+	if w.pass(time.Second, gone) != nil || w.move.State != Stopped {
+		t.Errorf("stopped: %s, %s", w.move.State, w.move.Reason)
+	}
+	gone.Elsewhere = false
+	if got := w.pass(time.Second, gone); !slices.Equal(got, []EffectKind{Place}) {
+		t.Errorf("once it may be placed: %v in %s", got, w.move.State)
+	}
+}
+
+// drawObservation draws what may be seen of a move in a state: mostly what is usual, with some
+// of it changed, and now and then anything.
+func drawObservation(t *rapid.T, s State) Observation {
+	usual := map[State][]Observation{
+		Proposed: {at(jobs.Assigned, 3, source)},
+		Stopping: {at(jobs.Stopping, 3, source), at(jobs.Waiting, 3, "")},
+		Stopped:  {at(jobs.Waiting, 3, "")},
+		Placing:  {at(jobs.Placing, 4, destination), at(jobs.Assigned, 4, destination)},
+	}[s]
+	if s.Ended() {
+		usual = []Observation{at(jobs.Waiting, 3, ""), at(jobs.Assigned, 3, source)}
+	}
+	o := rapid.SampledFrom(usual).Draw(t, "usual")
+	if rapid.IntRange(0, 19).Draw(t, "odd") == 0 {
+		o.Task = rapid.SampledFrom([]jobs.State{jobs.Assigned, jobs.Stopping, jobs.Waiting, jobs.Placing, jobs.Finished}).Draw(t, "task")
+		o.Attempt = rapid.SampledFrom([]ident.Attempt{3, 3, 4}).Draw(t, "attempt")
+		o.Host = rapid.SampledFrom([]ident.HostID{source, source, destination, ""}).Draw(t, "host")
+	}
+	unless := func(name string) bool { return rapid.IntRange(0, 59).Draw(t, name) > 0 }
+	o.Runs = rapid.Bool().Draw(t, "runs")
+	o.JobOpen, o.Waits, o.MayDecide = unless("open"), unless("waits"), unless("may decide")
+	o.LinksClear, o.TeamAllows, o.Elsewhere = unless("links clear"), unless("team allows"), !unless("elsewhere")
+	if !unless("destination") {
+		o.Destination = DestinationFull
+	}
+	return o
+}
+
+// TestSafeInAnyOrder: whatever is seen in whatever order, the task is stopped once at the most
+// and only after the record, placed only while it waits in the attempt that was stopped, and
+// what is reserved is released exactly once, in any end.
+func TestSafeInAnyOrder(t *testing.T) {
+	ends := map[Reason]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWalk()
+		stopped, placed, released := 0, 0, 0
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "record") {
+				w.table.Recorded(w.move)
+			}
+			o := drawObservation(t, w.move.State)
+			was := w.move.State
+			for _, k := range w.pass(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms"))*time.Millisecond, o) {
+				switch k {
+				case Stop:
+					stopped++
+					if !w.move.recorded || o.Task != jobs.Assigned || o.Host != source || !o.JobOpen {
+						t.Fatalf("stopped in %+v", o)
+					}
+				case Place:
+					placed++
+					if o.Task != jobs.Waiting || o.Attempt != 3 || o.Elsewhere || !o.JobOpen || !o.MayDecide || !o.TeamAllows || o.Destination != DestinationReady {
+						t.Fatalf("placed in %+v", o)
+					}
+				case Release:
+					released++
+				}
+			}
+			if was.Ended() && w.move.State != was {
+				t.Fatalf("from %s to %s", was, w.move.State)
+			}
+		}
+		ended := 0
+		if w.move.State.Ended() {
+			ended = 1
+			ends[w.move.Reason]++
+		}
+		if stopped > 1 || placed > stopped || released != ended {
+			t.Fatalf("stopped %d times, placed %d, released %d, in %s", stopped, placed, released, w.move.State)
+		}
+	})
+	if len(ends) < 10 {
+		t.Errorf("only these ends came about: %v", ends)
+	}
+}
--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -150,7 +150,7 @@
 // local chooses an array task for a machine without a fetch: what is planned for it,
 // then what it holds the image of.
 func (p *Planner) local(w *workers.Worker) (*jobs.Task, *uint64) {
-	if j := p.reserved[w]; j != nil {
+	if j := p.keptFor(w); j != nil {
 		// Kept for a gang: that is placed as a whole. (Its first task was taken alone.)
 		if t := p.next(j); t != nil && !j.Gang() && p.ready(t, w) {
 			return t, &p.Stats.Local
@@ -191,7 +191,7 @@
 // pick chooses an array task for a machine: a local one, then the oldest whose image
 // nobody holds, then one from the fullest plan.
 func (p *Planner) pick(w *workers.Worker) (*jobs.Task, *uint64) {
-	if t, rule := p.local(w); t != nil || p.reserved[w] != nil {
+	if t, rule := p.local(w); t != nil || p.keptFor(w) != nil {
 		return t, rule
 	}
 	for _, j := range p.unheld {
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -68,6 +68,7 @@
 	plans    []*stock           // fullest first
 	free     map[string]float64 // free CPUs of ordinary machines, by zone
 	reserved map[*workers.Worker]*jobs.Job
+	promises map[*workers.Worker]promise
 	begun    map[string]ident.Mono // when a team's job was last begun for having waited
 	blocked  map[string]*jobs.Job  // jobs that wait too long for their team's limit
 	searches map[searchKey]*offers
@@ -101,7 +102,7 @@
 // NewPlanner makes a planner without a plan.
 func NewPlanner(teams *Teams, j *jobs.Table, w *workers.Table, act Actions, now func() ident.Mono, asm1 bool, aims []settings.Objective) *Planner {
 	p := &Planner{teams: teams, jobs: j, fleet: w, act: act, now: now, asm1: asm1, Reserve: map[string]float64{}, MaxWait: time.Hour, GangWait: time.Hour, Even: func() bool { return false },
-		reserved: map[*workers.Worker]*jobs.Job{}, begun: map[string]ident.Mono{}, aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
+		reserved: map[*workers.Worker]*jobs.Job{}, promises: map[*workers.Worker]promise{}, begun: map[string]ident.Mono{}, aims: map[string][]time.Duration{}, waits: map[string]time.Duration{}}
 	for _, o := range aims {
 		switch o.Kind {
 		case "finished":
@@ -203,7 +204,7 @@
 
 // may checks everything but room.
 func (p *Planner) may(j *jobs.Job, w *workers.Worker) bool {
-	if o := p.reserved[w]; o != nil && o != j {
+	if o := p.keptFor(w); o != nil && o != j {
 		return false
 	}
 	if o := p.blocked[j.Spec.Team]; o != nil && o != j && arrays(j) {
@@ -237,6 +238,7 @@
 	if p.reserved[w] == t.Job {
 		delete(p.reserved, w)
 	}
+	p.Withdraw(w, t.Job)
 	p.placed++
 }
 
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -245,14 +245,12 @@
 // way of late is left alone; gangs are stopped only with gangs set, and never again
 // soon.
 func (p *Planner) choose(w *workers.Worker, j *jobs.Job, need jobs.Need, now ident.Mono, spare, gangs bool) ([]*jobs.Task, float64, bool) {
-	vcpus, cards, mem := w.Kind.VCPUs-w.VCPUs, w.Kind.Cards-w.Cards, w.Kind.MemoryGB-w.MemoryGB
+	free := w.FreeFor(j.Spec.Priority)
 	var cand []victim
 	add := func(v *jobs.Task) { cand = append(cand, victim{v, lostBy(v, now)}) }
 	for _, v := range w.Tasks {
 		if v.State == jobs.Stopping && v.WindDown == 0 {
-			vcpus += v.Job.Spec.VCPUs
-			cards += v.Job.Spec.Cards
-			mem += v.Job.Spec.MemoryGB
+			free = free.Plus(jobs.NeedOf(v.Job.Spec))
 		} else if v.Job.Gang() {
 			// Never a part of a gang: the whole of it, if all can be told in time.
 			if gangs && !spared(v, now) && p.givesWay(v, j) && p.act.Stoppable(v.Job) {
@@ -265,23 +263,17 @@
 	slices.SortFunc(cand, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(b.task.Job.Seq, a.task.Job.Seq), cmp.Compare(b.task.Index, a.task.Index))
 	})
-	enough := func() bool {
-		return vcpus >= need.VCPUs-slack && cards >= need.Cards-slack && mem >= need.MemoryGB-slack
-	}
 	var stop []*jobs.Task
 	sum := 0.0
 	for _, v := range cand {
-		if enough() {
+		if free.Covers(need) {
 			break
 		}
 		stop = append(stop, v.task)
 		sum += v.cost
-		s := v.task.Job.Spec
-		vcpus += s.VCPUs
-		cards += s.Cards
-		mem += s.MemoryGB
+		free = free.Plus(jobs.NeedOf(v.task.Job.Spec))
 	}
-	return stop, sum, enough()
+	return stop, sum, free.Covers(need)
 }
 
 // Guaranteed work waits this long for room before others' borrowed room is
--- a/internal/placement/prepare.go
+++ b/internal/placement/prepare.go
@@ -68,6 +68,7 @@
 			delete(p.reserved, w)
 		}
 	}
+	p.expirePromises(now)
 	if len(p.jobs.Waiting) == 0 {
 		return nil, nil
 	}
@@ -80,7 +81,7 @@
 			p.roomy = append(p.roomy, w)
 		}
 		if !w.Spot {
-			p.free[w.Zone] += w.Kind.VCPUs - w.VCPUs
+			p.free[w.Zone] += w.Free().VCPUs
 		}
 	}
 	return services, gangs
--- a/internal/rebalance/plan.go
+++ b/internal/rebalance/plan.go
@@ -1,7 +1,3 @@
-// Package rebalance decides which running tasks are worth moving: a task that waits for room
-// on one machine, where no machine has enough, may start at once if a smaller one goes
-// elsewhere. It is pure: a picture of the cluster comes in, proposals come out, and nothing is
-// stopped by it.
 package rebalance
 
 import (
@@ -10,82 +6,18 @@
 	"time"
 
 	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
 )
 
-// Task is a running task that may be moved.
-type Task struct {
-	ID    ident.TaskID
-	Team  string
-	CPUs  float64
-	Ran   time.Duration // since its last start
-	Left  time.Duration // by its owner's estimate; 0: nothing is known, or it runs until it is cancelled
-	Saves time.Duration // interval of its checkpoints, 0: it never saves
-	Save  time.Duration // time to save when it is stopped
-	// Replica says that it serves as long as it runs, so that a move costs its absence.
-	Replica bool
-	Moved   int // how often its job's tasks have been moved
-}
-
-// Machine is a machine that takes work.
-type Machine struct {
-	Host  ident.HostID
-	Zone  string
-	Free  float64 // CPUs
-	Tasks []Task  // those on it that may be moved
-}
-
-// Waiting is a task that finds no room.
-type Waiting struct {
-	ID      ident.TaskID
-	Team    string
-	CPUs    float64
-	Allowed func(*Machine) bool          // whether it may run there
-	Fetch   func(*Machine) time.Duration // how long its image takes to come there
-}
-
-// Picture is what a plan is made from.
-type Picture struct {
-	Machines []*Machine
-	Waiting  []Waiting // in the order of their right
-	// Fits says whether a running task may go to a machine, and how long its image would
-	// take to come there.
-	Fits func(*Task, *Machine) (fetch time.Duration, ok bool)
-}
-
-// Budgets bound the moves of a plan.
-type Budgets struct {
-	Cluster, Zone, Team, Machine int
-	Job                          int // moves of a job in its life
-}
-
-// Config holds what is needed to judge a move.
-type Config struct {
-	Budgets Budgets
-	// Margin is how many times its cost a move must gain: estimates are often wrong by half.
-	Margin float64
-	// Start is how long a command and its confirmation take beside fetch and saving.
-	Start time.Duration
-}
-
-// DefaultConfig returns what is used where the operators name nothing.
-func DefaultConfig() Config {
-	return Config{Budgets: Budgets{Cluster: 4, Zone: 2, Team: 2, Machine: 1, Job: 2}, Margin: 2, Start: 2 * time.Second}
-}
-
-// Move is a proposal.
-type Move struct {
-	Task     ident.TaskID
-	Team     string
-	From, To ident.HostID
-	For      ident.TaskID  // which can start then
-	Gain     time.Duration // by which that starts sooner
-	Cost     time.Duration // work lost and time spent
-}
-
 const (
-	// maxWaiting and maxMachines bound what a plan looks at for one round.
-	maxWaiting  = 32
-	maxMachines = 512
+	// maxWaiting bounds the waiting tasks that one plan looks at: the next plan has the next.
+	maxWaiting = 32
+	// maxSources bounds the cheapest moves off a machine for which a destination is looked
+	// for, and maxDestinations the machines with room that are looked at for each.
+	maxSources      = 32
+	maxDestinations = 64
+	// foreverWait stands for a wait whose end nobody knows.
+	foreverWait = 5 * time.Minute
 )
 
 // planner makes one plan.
@@ -94,140 +26,258 @@
 	picture *Picture
 	byFree  []*Machine // most room first
 	moves   []Move
-	used    map[ident.HostID]int // moves from and to a machine
-	zones   map[string]int
-	teams   map[string]int
-	jobs    map[ident.JobID]int
+	used    budgetUse
+	served  map[ident.TaskID]bool // waiting tasks that a move is for
+}
+
+// budgetUse is what of the budgets is in use.
+type budgetUse struct {
+	cluster  int
+	machines map[ident.HostID]int // moves from and to a machine
+	zones    map[string]int
+	teams    map[string]int
+	jobs     map[ident.JobID]int
 }
 
 // Plan proposes the moves that pay, in the order of the tasks that wait. The same picture has
-// the same plan; it is used up by that.
+// the same plan; it is used up by that. Its cost grows with the machines and their tasks, for
+// each task that waits.
 func Plan(c Config, p *Picture) []Move {
-	x := &planner{config: c, picture: p, byFree: slices.Clone(p.Machines), used: map[ident.HostID]int{},
-		zones: map[string]int{}, teams: map[string]int{}, jobs: map[ident.JobID]int{}}
-	x.sort()
-	x.byFree = x.byFree[:min(len(x.byFree), maxMachines)]
+	x := newPlanner(c, p)
 	for i := range p.Waiting[:min(len(p.Waiting), maxWaiting)] {
-		if len(x.moves) >= c.Budgets.Cluster {
+		if x.used.cluster >= c.Budgets.Cluster {
 			break
 		}
-		if best, ok := x.best(&p.Waiting[i]); ok {
+		w := &p.Waiting[i]
+		if w.Waited < c.Patience || x.served[w.ID] {
+			continue
+		}
+		if best, ok := x.best(w); ok {
 			x.take(best)
 		}
 	}
 	return x.moves
 }
 
+func newPlanner(c Config, p *Picture) *planner {
+	x := &planner{
+		config:  c,
+		picture: p,
+		byFree:  slices.Clone(p.Machines),
+		served:  map[ident.TaskID]bool{},
+		used:    newUse(),
+	}
+	for _, a := range p.Active {
+		x.used.count(a)
+		x.served[a.For] = true
+	}
+	x.sort()
+	return x
+}
+
+func newUse() budgetUse {
+	return budgetUse{machines: map[ident.HostID]int{}, zones: map[string]int{}, teams: map[string]int{}, jobs: map[ident.JobID]int{}}
+}
+
+// count takes a move under way, or one that is proposed, into account.
+func (u *budgetUse) count(a Active) {
+	u.cluster++
+	u.machines[a.From]++
+	u.machines[a.To]++
+	u.zones[a.Zone]++
+	u.teams[a.Team]++
+	u.jobs[a.Job]++
+}
+
 // sort brings the machines into the order of their room.
 func (x *planner) sort() {
 	slices.SortFunc(x.byFree, func(a, b *Machine) int {
-		return cmp.Or(cmp.Compare(b.Free, a.Free), cmp.Compare(a.Host, b.Host))
+		return cmp.Or(cmp.Compare(b.Free.VCPUs, a.Free.VCPUs), cmp.Compare(a.Host, b.Host))
 	})
 }
 
-// candidate is a move with the machines that it changes.
+// candidate is a task that would make room by leaving its machine.
 type candidate struct {
-	Move
-	from, to *Machine
-	cpus     float64
+	task *Task
+	from *Machine
+	wait time.Duration // of the waiting task, without the move
+	gain time.Duration
+	cost time.Duration // without the fetch at the destination
 }
 
-// best finds the move that lets a waiting task start for the least cost.
-func (x *planner) best(w *Waiting) (best candidate, found bool) {
+// best finds the move that lets a waiting task start for the least cost, if there is one that
+// pays and no machine has room without it.
+func (x *planner) best(w *Waiting) (Move, bool) {
 	for _, m := range x.byFree {
-		if !w.Allowed(m) {
-			continue
+		if m.Free.Covers(w.Need) && w.Allowed(m) {
+			return Move{}, false
 		}
-		if m.Free >= w.CPUs {
-			return candidate{}, false // it finds room without a move
+	}
+	var found Move
+	ok := false
+	for _, c := range x.sources(w) {
+		if ok && found.Cost <= c.cost {
+			break // a fetch only adds to the cost
 		}
-		if x.used[m.Host] >= x.config.Budgets.Machine || x.zones[m.Zone] >= x.config.Budgets.Zone {
+		if m, pays := x.destination(w, c); pays && (!ok || m.Cost < found.Cost) {
+			found, ok = m, true
+		}
+	}
+	return found, ok
+}
+
+// sources lists the tasks by whose leaving a waiting one would find room, the cheapest first.
+func (x *planner) sources(w *Waiting) []candidate {
+	var list []candidate
+	for _, m := range x.byFree {
+		if x.used.machines[m.Host] >= x.config.Budgets.Machine || x.used.zones[m.Zone] >= x.config.Budgets.Zone || !w.Allowed(m) {
 			continue
 		}
+		wait := time.Duration(-1) // not worked out yet
 		for i := range m.Tasks {
-			c, ok := x.consider(w, m, &m.Tasks[i])
-			if ok && (!found || c.Cost < best.Cost) {
-				best, found = c, true
+			t := &m.Tasks[i]
+			if !x.movable(w, m, t) {
+				continue
+			}
+			if wait < 0 {
+				wait = x.wait(w, m)
+			}
+			c := candidate{task: t, from: m, wait: wait, gain: wait - t.Save - x.config.Start, cost: x.cost(t)}
+			if x.pays(c.gain, c.cost) {
+				list = insert(list, c)
 			}
 		}
 	}
-	return best, found
+	return list
 }
 
-// consider judges the move of one task off a machine.
-func (x *planner) consider(w *Waiting, from *Machine, t *Task) (candidate, bool) {
+// insert keeps the cheapest candidates in their order.
+func insert(list []candidate, c candidate) []candidate {
+	at, _ := slices.BinarySearchFunc(list, c, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.from.Host, b.from.Host), cmp.Compare(a.task.ID.Job, b.task.ID.Job),
+			cmp.Compare(a.task.ID.Index, b.task.ID.Index))
+	})
+	if at >= maxSources {
+		return list
+	}
+	list = slices.Insert(list, at, c)
+	return list[:min(len(list), maxSources)]
+}
+
+// movable says whether a task may be moved for a waiting one, and makes enough room by it.
+func (x *planner) movable(w *Waiting, from *Machine, t *Task) bool {
 	budgets := x.config.Budgets
-	if t.CPUs <= 0 || from.Free+t.CPUs < w.CPUs || t.CPUs >= w.CPUs || t.ID.Job == w.ID.Job ||
-		x.teams[t.Team] >= budgets.Team || t.Moved+x.jobs[t.ID.Job] >= budgets.Job {
-		return candidate{}, false
+	switch {
+	case t.Need.VCPUs <= 0 || !from.Free.Plus(t.Need).Covers(w.Need):
+		return false
+	case t.Need.Covers(w.Need):
+		return false // it would need no less room elsewhere
+	case t.ID.Job == w.ID.Job || t.Level < w.Level || t.Ran < x.config.MinRan:
+		return false
 	}
-	gain := x.wait(w, from) - t.Save - x.config.Start
+	return x.used.teams[t.Team] < budgets.Team && t.Moved+x.used.jobs[t.ID.Job] < budgets.Job
+}
+
+func (x *planner) pays(gain, cost time.Duration) bool {
+	return float64(gain) >= x.config.Margin*float64(cost)
+}
+
+// destination finds the machine to which a task goes for the least cost.
+func (x *planner) destination(w *Waiting, c candidate) (best Move, found bool) {
+	looked := 0
 	for _, to := range x.byFree {
-		if to.Free < t.CPUs {
+		if to.Free.VCPUs < c.task.Need.VCPUs || looked >= maxDestinations {
 			break // none after it has more
 		}
-		if to == from || x.used[to.Host] >= budgets.Machine {
+		if to == c.from || x.used.machines[to.Host] >= x.config.Budgets.Machine || !to.Free.Covers(c.task.Need) {
 			continue
 		}
-		fetch, ok := x.picture.Fits(t, to)
-		if !ok {
+		looked++
+		fetch, ok := x.picture.Fits(c.task, to)
+		if !ok || found && fetch >= best.Fetch || !x.pays(c.gain, c.cost+fetch) {
 			continue
 		}
-		cost := x.cost(t, fetch)
-		if t.Left > 0 && t.Left <= t.Save+fetch+x.config.Start {
-			return candidate{}, false // it ends before the move does
+		if c.task.Left > 0 && c.task.Left <= c.task.Save+fetch+x.config.Start {
+			continue // it ends before the move does
 		}
-		if float64(gain) < x.config.Margin*float64(cost) {
-			continue
+		best, found = x.move(w, c, to, fetch), true
+		if fetch == 0 {
+			break
 		}
-		return candidate{Move: Move{Task: t.ID, Team: t.Team, From: from.Host, To: to.Host, For: w.ID, Gain: gain, Cost: cost},
-			from: from, to: to, cpus: t.CPUs}, true
 	}
-	return candidate{}, false
+	return best, found
+}
+
+func (x *planner) move(w *Waiting, c candidate, to *Machine, fetch time.Duration) Move {
+	save := time.Duration(0)
+	if c.task.Saves > 0 {
+		save = c.task.Save
+	}
+	return Move{
+		Task:  c.task.ID,
+		Team:  c.task.Team,
+		Need:  c.task.Need,
+		From:  c.from.Host,
+		To:    to.Host,
+		For:   w.ID,
+		Wait:  c.wait,
+		Gain:  c.gain,
+		Cost:  c.cost + fetch,
+		Save:  save,
+		Fetch: fetch,
+	}
 }
 
 // wait estimates for how long a task goes on waiting for a machine without a move: until
-// enough of what runs there has ended by itself.
+// enough of what runs there has ended by itself, or a machine that boots is there.
 func (x *planner) wait(w *Waiting, m *Machine) time.Duration {
-	left := make([]Task, 0, len(m.Tasks))
-	for _, t := range m.Tasks {
-		if t.Left > 0 {
-			left = append(left, t)
-		}
-	}
-	slices.SortFunc(left, func(a, b Task) int { return cmp.Compare(a.Left, b.Left) })
+	wait := foreverWait
 	free := m.Free
-	for _, t := range left {
-		if free += t.CPUs; free >= w.CPUs {
-			return t.Left
+	for _, e := range m.byEnd() {
+		if free = free.Plus(e.Need); free.Covers(w.Need) {
+			wait = e.Left
+			break
 		}
 	}
-	return foreverWait
+	if w.Arriving > 0 {
+		wait = min(wait, w.Arriving)
+	}
+	return wait
 }
 
-// foreverWait stands for a wait whose end nobody knows.
-const foreverWait = 5 * time.Minute
+// byEnd lists what will leave a machine, the next to end first.
+func (m *Machine) byEnd() []End {
+	if !m.sorted {
+		slices.SortFunc(m.Ends, func(a, b End) int { return cmp.Compare(a.Left, b.Left) })
+		m.sorted = true
+	}
+	return m.Ends
+}
 
-// cost is what a move loses: work since the last checkpoint, or all of it, the time to save,
-// to fetch and to start. A replica loses no work, and is missed for as long as it is away.
-func (x *planner) cost(t *Task, fetch time.Duration) time.Duration {
+// cost is what a move loses beside the fetch: work since the last checkpoint, or all of it,
+// the time to save and to start. A replica loses no work, and is missed for as long as it is
+// away.
+func (x *planner) cost(t *Task) time.Duration {
 	lost := t.Ran
 	if t.Replica || t.Saves > 0 {
 		lost = 0 // it has no progress, or saves it when it is stopped
 	}
-	return lost + t.Save + fetch + x.config.Start
+	return lost + t.Save + x.config.Start
 }
 
 // take carries a move over into the picture, so that the next one sees it.
-func (x *planner) take(c candidate) {
-	x.moves = append(x.moves, c.Move)
-	x.used[c.from.Host]++
-	x.used[c.to.Host]++
-	x.zones[c.from.Zone]++
-	x.teams[c.Team]++
-	x.jobs[c.Task.Job]++
-	c.to.Free -= c.cpus
-	c.from.Free = 0 // kept for the task that waits
-	c.from.Tasks = nil
+func (x *planner) take(m Move) {
+	x.moves = append(x.moves, m)
+	from, to := x.machine(m.From), x.machine(m.To)
+	x.used.count(Active{Job: m.Task.Job, Team: m.Team, From: m.From, To: m.To, Zone: from.Zone})
+	x.served[m.For] = true
+	to.Free = to.Free.Minus(m.Need)
+	from.Free = jobs.Need{} // kept for the task that waits
+	from.Tasks = nil
 	x.sort()
 }
+
+func (x *planner) machine(h ident.HostID) *Machine {
+	i := slices.IndexFunc(x.byFree, func(m *Machine) bool { return m.Host == h })
+	return x.byFree[i]
+}
--- a/internal/rebalance/plan_test.go
+++ b/internal/rebalance/plan_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"opaldale/internal/ident"
+	"opaldale/internal/jobs"
 	"opaldale/internal/propertytest"
 )
 
@@ -17,35 +18,49 @@
 
 // drawPicture makes a cluster of small machines with running and waiting tasks.
 func drawPicture(t *rapid.T) *Picture {
-	p := &Picture{Fits: func(x *Task, m *Machine) (time.Duration, bool) { return time.Second, m.Free >= x.CPUs }}
+	p := &Picture{Fits: func(*Task, *Machine) (time.Duration, bool) { return time.Second, true }}
 	for i := range rapid.IntRange(1, 12).Draw(t, "machines") {
-		m := &Machine{Host: ident.HostID(fmt.Sprintf("host-%02d", i)), Zone: []string{"east", "west"}[i%2], Free: float64(rapid.IntRange(0, 6).Draw(t, "free"))}
+		m := &Machine{Host: ident.HostID(fmt.Sprintf("host-%02d", i)), Zone: []string{"east", "west"}[i%2], Free: drawNeed(t, 0, 6)}
 		for k := range rapid.IntRange(0, 4).Draw(t, "tasks") {
 			m.Tasks = append(m.Tasks, Task{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", rapid.IntRange(1, 5).Draw(t, "job"))), Index: 10*i + k},
-				Team: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"), CPUs: float64(rapid.IntRange(1, 4).Draw(t, "cpus")),
-				Ran: seconds(t, "ran", 60), Left: seconds(t, "left", 120), Saves: seconds(t, "saves", 1), Save: seconds(t, "save", 4),
+				Team: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"), Need: drawNeed(t, 1, 4), Level: rapid.IntRange(0, 3).Draw(t, "level"),
+				Ran: seconds(t, "ran", 90), Left: seconds(t, "left", 120), Saves: seconds(t, "saves", 1), Save: seconds(t, "save", 4),
 				Replica: rapid.Bool().Draw(t, "replica"), Moved: rapid.IntRange(0, 2).Draw(t, "moved")})
 		}
+		for _, x := range m.Tasks {
+			if x.Left > 0 {
+				m.Ends = append(m.Ends, End{Left: x.Left, Need: x.Need})
+			}
+		}
 		p.Machines = append(p.Machines, m)
 	}
+	for i := range rapid.IntRange(0, 2).Draw(t, "active") {
+		p.Active = append(p.Active, Active{Job: ident.JobID(fmt.Sprintf("j-%d", 1+i)), Team: "red", From: "host-00", To: "host-01", Zone: "east",
+			For: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", 100+i))}})
+	}
 	for i := range rapid.IntRange(0, 8).Draw(t, "waiting") {
 		zone := rapid.SampledFrom([]string{"", "east"}).Draw(t, "zone")
 		p.Waiting = append(p.Waiting, Waiting{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", 100+i))}, Team: "red",
-			CPUs: float64(rapid.IntRange(2, 8).Draw(t, "needs")), Allowed: func(m *Machine) bool { return zone == "" || m.Zone == zone }})
+			Need: drawNeed(t, 2, 8), Level: rapid.IntRange(0, 3).Draw(t, "level"), Waited: seconds(t, "waited", 20), Arriving: seconds(t, "arriving", 60), Allowed: func(m *Machine) bool { return zone == "" || m.Zone == zone }})
 	}
 	return p
 }
 
+func drawNeed(t *rapid.T, least, most int) jobs.Need {
+	return jobs.Need{VCPUs: float64(rapid.IntRange(least, most).Draw(t, "cpus")), MemoryGB: float64(rapid.IntRange(least, most).Draw(t, "memory"))}
+}
+
 func seconds(t *rapid.T, name string, most int) time.Duration {
 	return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Second
 }
 
 // copied returns a picture of its own, since a plan uses it up.
 func copied(p *Picture) *Picture {
-	out := &Picture{Fits: p.Fits, Waiting: p.Waiting}
+	out := &Picture{Fits: p.Fits, Waiting: p.Waiting, Active: p.Active}
 	for _, m := range p.Machines {
 		k := *m
 		k.Tasks = append([]Task(nil), m.Tasks...)
+		k.Ends = append([]End(nil), m.Ends...)
 		out.Machines = append(out.Machines, &k)
 	}
 	return out
@@ -54,6 +69,7 @@
 // TestPlan: whatever the picture, each move pays with its margin, has room to go to and makes
 // enough for the task it is for; budgets are kept; and the same picture has the same plan.
 func TestPlan(t *testing.T) {
+	planned := 0
 	rapid.Check(t, func(t *rapid.T) {
 		p, c := drawPicture(t), DefaultConfig()
 		machines, tasks := map[ident.HostID]*Machine{}, map[ident.TaskID]Task{}
@@ -67,43 +83,62 @@
 		if again := Plan(c, copied(p)); !reflect.DeepEqual(moves, again) {
 			t.Fatalf("%+v, then %+v", moves, again)
 		}
-		zones, teams, hosts, jobs := map[string]int{}, map[string]int{}, map[ident.HostID]int{}, map[ident.JobID]int{}
+		planned += len(moves)
+		used := newUse()
+		served := map[ident.TaskID]bool{}
+		for _, a := range p.Active {
+			used.count(a)
+			served[a.For] = true
+		}
 		for _, m := range moves {
 			x, from, to := tasks[m.Task], machines[m.From], machines[m.To]
-			zones[from.Zone]++
-			teams[x.Team]++
-			hosts[m.From]++
-			hosts[m.To]++
-			jobs[m.Task.Job]++
-			needs := 0.0
-			for _, w := range p.Waiting {
-				if w.ID == m.For {
-					needs = w.CPUs
-				}
-			}
+			w := waiting(p, m.For)
+			used.count(Active{Job: m.Task.Job, Team: x.Team, From: m.From, To: m.To, Zone: from.Zone})
 			switch {
 			case float64(m.Gain) < c.Margin*float64(m.Cost):
 				t.Fatalf("%+v doesn't pay", m)
-			case to.Free < x.CPUs || from.Free+x.CPUs < needs || from.Free >= needs:
-				t.Fatalf("%+v: %v free there, %v here, %v needed", m, to.Free, from.Free, needs)
+			case !to.Free.Covers(x.Need) || !from.Free.Plus(x.Need).Covers(w.Need) || from.Free.Covers(w.Need):
+				t.Fatalf("%+v: %v free there, %v here, %v needed", m, to.Free, from.Free, w.Need)
 			case x.Left > 0 && x.Left <= x.Save+c.Start:
 				t.Fatalf("%+v ends before its move", m)
-			case x.Moved+jobs[m.Task.Job] > c.Budgets.Job || zones[from.Zone] > c.Budgets.Zone || teams[x.Team] > c.Budgets.Team ||
-				hosts[m.From] > c.Budgets.Machine || hosts[m.To] > c.Budgets.Machine || len(moves) > c.Budgets.Cluster:
-				t.Fatalf("over a budget: %+v", moves)
+			case x.Level < w.Level || x.Ran < c.MinRan || w.Waited < c.Patience || served[m.For]:
+				t.Fatalf("%+v: moved %+v for %+v", m, x, w)
+			case w.Arriving > 0 && m.Wait > w.Arriving:
+				t.Fatalf("%+v: a machine comes in %v", m, w.Arriving)
+			case x.Moved+used.jobs[m.Task.Job] > c.Budgets.Job || used.zones[from.Zone] > c.Budgets.Zone || used.teams[x.Team] > c.Budgets.Team ||
+				used.machines[m.From] > c.Budgets.Machine || used.machines[m.To] > c.Budgets.Machine || used.cluster > c.Budgets.Cluster:
+				t.Fatalf("over a budget: %+v beside %+v", moves, p.Active)
 			}
+			served[m.For] = true
+			to.Free, from.Free = to.Free.Minus(x.Need), jobs.Need{}
 		}
 	})
+	if planned == 0 {
+		t.Error("no move in any picture: the test shows nothing")
+	}
 }
 
+func waiting(p *Picture, id ident.TaskID) *Waiting {
+	for i := range p.Waiting {
+		if p.Waiting[i].ID == id {
+			return &p.Waiting[i]
+		}
+	}
+	return nil
+}
+
+// cpus is a need of CPUs alone.
+func cpus(n float64) jobs.Need { return jobs.Need{VCPUs: n} }
+
 // small is a picture in which one task waits for 4 CPUs and two machines have 3 and 2 free.
 func small(change func(*Picture)) *Picture {
-	p := &Picture{Fits: func(x *Task, m *Machine) (time.Duration, bool) { return time.Second, m.Free >= x.CPUs }}
+	p := &Picture{Fits: func(*Task, *Machine) (time.Duration, bool) { return time.Second, true }}
 	p.Machines = []*Machine{
-		{Host: "host-1", Zone: "east", Free: 3, Tasks: []Task{{ID: ident.TaskID{Job: "j-1"}, Team: "red", CPUs: 1, Ran: 5 * time.Second, Left: time.Minute}}},
-		{Host: "host-2", Zone: "east", Free: 2},
+		{Host: "host-1", Zone: "east", Free: cpus(3), Ends: []End{{Left: 2 * time.Minute, Need: cpus(1)}},
+			Tasks: []Task{{ID: ident.TaskID{Job: "j-1"}, Team: "red", Need: cpus(1), Ran: 40 * time.Second, Left: 2 * time.Minute, Saves: 10 * time.Second, Save: time.Second}}},
+		{Host: "host-2", Zone: "east", Free: cpus(2)},
 	}
-	p.Waiting = []Waiting{{ID: ident.TaskID{Job: "j-9"}, Team: "blue", CPUs: 4, Allowed: func(*Machine) bool { return true }}}
+	p.Waiting = []Waiting{{ID: ident.TaskID{Job: "j-9"}, Team: "blue", Need: cpus(4), Waited: time.Minute, Allowed: func(*Machine) bool { return true }}}
 	if change != nil {
 		change(p)
 	}
@@ -118,22 +153,31 @@
 		moves  int
 	}{
 		{"worth it", nil, 1},
-		{"there is room without it", func(p *Picture) { p.Machines[1].Free = 4 }, 0},
-		{"all machines are full", func(p *Picture) { p.Machines[0].Free, p.Machines[1].Free = 3, 0 }, 0},
-		{"it has run for long and never saves", func(p *Picture) { p.Machines[0].Tasks[0].Ran = 40 * time.Second }, 0},
-		{"it has run for long and saves", func(p *Picture) {
-			p.Machines[0].Tasks[0].Ran, p.Machines[0].Tasks[0].Saves, p.Machines[0].Tasks[0].Save = 40*time.Second, 10*time.Second, time.Second
-		}, 1},
-		{"it ends soon", func(p *Picture) { p.Machines[0].Tasks[0].Left = 3 * time.Second }, 0},
+		{"there is room without it", func(p *Picture) { p.Machines[1].Free = cpus(4) }, 0},
+		{"all machines are full", func(p *Picture) { p.Machines[1].Free = cpus(0) }, 0},
+		{"it has run for long and never saves", func(p *Picture) { p.Machines[0].Tasks[0].Ran, p.Machines[0].Tasks[0].Saves = time.Minute, 0 }, 0},
+		{"it never saves and has not run for long", func(p *Picture) { p.Machines[0].Tasks[0].Saves = 0 }, 1},
+		{"it has just started", func(p *Picture) { p.Machines[0].Tasks[0].Ran = 20 * time.Second }, 0},
+		{"it ends soon", func(p *Picture) { p.Machines[0].Ends[0].Left = 6 * time.Second }, 0},
+		{"it ends before it could move", func(p *Picture) { p.Machines[0].Tasks[0].Left = 3 * time.Second }, 0},
+		{"a machine comes soon", func(p *Picture) { p.Waiting[0].Arriving = 5 * time.Second }, 0},
+		{"a machine comes late", func(p *Picture) { p.Waiting[0].Arriving = time.Minute }, 1},
 		{"it was moved twice", func(p *Picture) { p.Machines[0].Tasks[0].Moved = 2 }, 0},
+		{"it was moved once", func(p *Picture) { p.Machines[0].Tasks[0].Moved = 1 }, 1},
+		{"it has a higher priority", func(p *Picture) { p.Waiting[0].Level = 1 }, 0},
+		{"what waits has just begun to", func(p *Picture) { p.Waiting[0].Waited = time.Second }, 0},
 		{"its image is far", func(p *Picture) {
-			p.Fits = func(*Task, *Machine) (time.Duration, bool) { return time.Minute, true }
+			p.Fits = func(*Task, *Machine) (time.Duration, bool) { return 2 * time.Minute, true }
 		}, 0},
 		{"it may not go there", func(p *Picture) {
 			p.Fits = func(*Task, *Machine) (time.Duration, bool) { return 0, false }
 		}, 0},
-		{"it is as large as what waits", func(p *Picture) { p.Machines[0].Free, p.Machines[0].Tasks[0].CPUs = 0, 4 }, 0},
+		{"it is as large as what waits", func(p *Picture) { p.Machines[0].Free, p.Machines[0].Tasks[0].Need = cpus(0), cpus(4) }, 0},
+		{"memory is short there", func(p *Picture) { p.Machines[0].Tasks[0].Need.MemoryGB = 1 }, 0},
 		{"what waits may not run there", func(p *Picture) { p.Waiting[0].Allowed = func(m *Machine) bool { return m.Host == "host-2" } }, 0},
+		{"a move is under way for it", func(p *Picture) { p.Active = []Active{{For: p.Waiting[0].ID}} }, 0},
+		{"a move uses its machine", func(p *Picture) { p.Active = []Active{{From: "host-3", To: "host-1"}} }, 0},
+		{"the cluster has its moves", func(p *Picture) { p.Active = make([]Active, 4) }, 0},
 	} {
 		if moves := Plan(DefaultConfig(), small(c.change)); len(moves) != c.moves {
 			t.Errorf("%s: %+v", c.name, moves)
@@ -145,16 +189,17 @@
 func BenchmarkPlan(b *testing.B) {
 	for _, machines := range []int{500, 1000, 2000, 4500} {
 		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
-			p := &Picture{Fits: func(x *Task, m *Machine) (time.Duration, bool) { return time.Second, m.Free >= x.CPUs }}
+			p := &Picture{Fits: func(*Task, *Machine) (time.Duration, bool) { return time.Second, true }}
 			for i := range machines {
-				m := &Machine{Host: ident.HostID(fmt.Sprintf("host-%06d", i)), Zone: "east", Free: float64(i % 4)}
+				m := &Machine{Host: ident.HostID(fmt.Sprintf("host-%06d", i)), Zone: "east", Free: cpus(float64(i % 4))}
 				for k := range 4 {
-					m.Tasks = append(m.Tasks, Task{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", i)), Index: k}, CPUs: 3, Ran: time.Minute, Left: time.Minute})
+					m.Tasks = append(m.Tasks, Task{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", i)), Index: k}, Need: cpus(3), Ran: time.Minute, Left: 5 * time.Minute, Saves: time.Second})
+					m.Ends = append(m.Ends, End{Left: 5 * time.Minute, Need: cpus(3)})
 				}
 				p.Machines = append(p.Machines, m)
 			}
 			for i := range 100 {
-				p.Waiting = append(p.Waiting, Waiting{ID: ident.TaskID{Job: "j-w", Index: i}, CPUs: 6, Allowed: func(*Machine) bool { return true }})
+				p.Waiting = append(p.Waiting, Waiting{ID: ident.TaskID{Job: "j-w", Index: i}, Need: cpus(6), Waited: time.Minute, Allowed: func(*Machine) bool { return true }})
 			}
 			for b.Loop() {
 				Plan(DefaultConfig(), copied(p))
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -32,6 +32,7 @@
 	mux.HandleFunc("POST /checkin", f.admit(mesh.Checkin, f.withBody(mesh.Checkin)))
 	mux.HandleFunc("GET /up", f.health)
 	mux.HandleFunc("GET /links", f.links)
+	mux.HandleFunc("GET /moves", f.moves)
 	mux.Handle("GET /metrics", f.metrics.handler())
 	return mux
 }
@@ -139,6 +140,16 @@
 	writeJSON(w, http.StatusOK, f.server.linkReport())
 }
 
+// moves shows operators the moves of running tasks.
+func (f *frontend) moves(w http.ResponseWriter, r *http.Request) {
+	report, ok := f.server.moveReport(r.Context())
+	if !ok {
+		writeJSON(w, http.StatusServiceUnavailable, api.Problem{Error: "no answer in time"})
+		return
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
 // writeReply writes an answer of the controller.
 func writeReply(w http.ResponseWriter, a controller.Reply) {
 	h := w.Header()
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -108,7 +108,10 @@
 // Descriptions of the metrics about load.
 var (
 	loadImbalance = prometheus.NewDesc("opaldale_load_imbalance", "Coefficient of variation of the machines' use.", nil, nil)
-	movesProposed = prometheus.NewDesc("opaldale_moves_proposed_total", "Moves of running tasks that would pay; none is carried out.", nil, nil)
+	movesProposed = prometheus.NewDesc("opaldale_moves_proposed_total", "Moves of running tasks that would pay, by the estimates.", nil, nil)
+	movesActive   = prometheus.NewDesc("opaldale_moves_active", "Moves of running tasks under way.", nil, nil)
+	movesEnded    = prometheus.NewDesc("opaldale_moves_ended_total", "Moves of running tasks that have ended, by how.", []string{"reason"}, nil)
+	moveRealised  = prometheus.NewDesc("opaldale_move_realised_seconds", "Seconds that moves which arrived have gained, less their cost.", nil, nil)
 	moveGain      = prometheus.NewDesc("opaldale_move_gain_seconds_total", "Seconds that they would gain, less what they cost.", nil, nil)
 	teamDemand    = prometheus.NewDesc("opaldale_team_demand_ratio", "Demand of a team as a multiple of what it is entitled to.", []string{"team"}, nil)
 	teamHeat      = prometheus.NewDesc("opaldale_team_heat", "State of a team: 0 cool, 1 warming, 2 hot, 3 cooling.", []string{"team"}, nil)
@@ -122,6 +125,11 @@
 	ch <- prometheus.MustNewConstMetric(loadImbalance, prometheus.GaugeValue, n.Imbalance)
 	ch <- prometheus.MustNewConstMetric(movesProposed, prometheus.CounterValue, float64(n.MovesProposed))
 	ch <- prometheus.MustNewConstMetric(moveGain, prometheus.CounterValue, n.MoveGainSeconds)
+	ch <- prometheus.MustNewConstMetric(movesActive, prometheus.GaugeValue, float64(n.MovesActive))
+	ch <- prometheus.MustNewConstMetric(moveRealised, prometheus.GaugeValue, n.MoveRealisedSeconds)
+	for _, o := range n.MovesEnded {
+		ch <- prometheus.MustNewConstMetric(movesEnded, prometheus.CounterValue, float64(o.Count), o.Reason.String())
+	}
 	for _, t := range n.TeamLoads {
 		ch <- prometheus.MustNewConstMetric(teamDemand, prometheus.GaugeValue, t.Ratio, t.Team)
 		ch <- prometheus.MustNewConstMetric(teamHeat, prometheus.GaugeValue, float64(t.Heat), t.Team)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -231,6 +231,24 @@
 	return ask(s.loop, s.loop.post, s.ctl.LinkReport)
 }
 
+// moveReport asks the loop what is known of moves, for a while: a node that doesn't lead asks
+// the state service.
+func (s *Server) moveReport(ctx context.Context) (controller.MoveReport, bool) {
+	ctx, cancel := context.WithTimeout(ctx, moveReportTime)
+	defer cancel()
+	answer := make(chan controller.MoveReport, 1)
+	s.loop.post(func() { s.ctl.MoveReport(func(r controller.MoveReport) { answer <- r }) })
+	select {
+	case r := <-answer:
+		return r, true
+	case <-ctx.Done():
+		return controller.MoveReport{}, false
+	}
+}
+
+// moveReportTime bounds the wait for it.
+const moveReportTime = 2 * time.Second
+
 // writeJSON answers with a message of the API.
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -23,16 +24,33 @@
 	Plan        string        // "asm1", or "none": only local work and stealing
 	Links       Links
 	Rebalance   Rebalance
+	Moves       Moves
 }
 
 // Rebalance says what is done about uneven load.
 type Rebalance string
 
-// The modes of rebalancing, each with what the one before does.
+// The modes of rebalancing. Each but the first shows the load.
 const (
 	RebalanceOff    Rebalance = "off"
 	RebalanceReport Rebalance = "report" // load, imbalance and hot teams are shown
 	RebalancePlace  Rebalance = "place"  // while a team is hot, work is spread over equal holders
+	RebalanceMove   Rebalance = "move"   // running tasks are moved when that pays
+)
+
+// Moves holds the operators' settings for moves of running tasks.
+type Moves struct {
+	Cluster, Zone, Team int     // moves at once
+	Margin              float64 // how many times its cost a move must gain
+}
+
+// rebalanceModes are all of them.
+var rebalanceModes = []Rebalance{RebalanceOff, RebalanceReport, RebalancePlace, RebalanceMove}
+
+const (
+	// maxMoves bounds the moves at once.
+	maxMoves  = 1000
+	maxMargin = 100
 )
 
 // Links holds the operators' settings for the view of half-broken links.
@@ -63,6 +81,7 @@
 			Persist:  3 * time.Second,
 		},
 		Rebalance: RebalanceOff,
+		Moves:     Moves{Cluster: 4, Zone: 2, Team: 2, Margin: 2},
 	}
 }
 
@@ -82,7 +101,11 @@
 		{"max-wait: must be at least 1s", t.MaxWait < time.Second},
 		{"gang-wait: negative", t.GangWait < 0},
 		{"plan: must be asm1 or none", t.Plan != "asm1" && t.Plan != "none"},
-		{"rebalance: must be off, report or place", t.Rebalance != RebalanceOff && t.Rebalance != RebalanceReport && t.Rebalance != RebalancePlace},
+		{"rebalance: must be off, report, place or move", !slices.Contains(rebalanceModes, t.Rebalance)},
+		{"moves-cluster: must be from 1 to 1000", t.Moves.Cluster < 1 || t.Moves.Cluster > maxMoves},
+		{"moves-zone: must be from 1 to moves-cluster", t.Moves.Zone < 1 || t.Moves.Zone > t.Moves.Cluster},
+		{"moves-team: must be from 1 to moves-cluster", t.Moves.Team < 1 || t.Moves.Team > t.Moves.Cluster},
+		{"moves-margin: must be from 1 to 100", !(t.Moves.Margin >= 1 && t.Moves.Margin <= maxMargin)}, // nor NaN
 		{"links-suspect: must be from 100ms to leader-lease", t.Links.Suspect < 100*time.Millisecond || t.Links.Suspect > t.LeaderLease},
 		{"links-half-life: must be from 1s to 10m", t.Links.HalfLife < time.Second || t.Links.HalfLife > 10*time.Minute},
 		{"links-hold: must be at least links-persist, and at most 10m", t.Links.Hold < t.Links.Persist || t.Links.Hold > 10*time.Minute},
@@ -135,6 +158,14 @@
 			t.Plan = value
 		case "rebalance":
 			t.Rebalance = Rebalance(value)
+		case "moves-cluster":
+			t.Moves.Cluster, err = strconv.Atoi(value)
+		case "moves-zone":
+			t.Moves.Zone, err = strconv.Atoi(value)
+		case "moves-team":
+			t.Moves.Team, err = strconv.Atoi(value)
+		case "moves-margin":
+			t.Moves.Margin, err = strconv.ParseFloat(value, 64)
 		case "links":
 			t.Links.Enabled, err = onOff(value)
 		case "links-suspect":
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -57,7 +57,7 @@
 	n.cache = map[string]cached{}
 	set := &settings.Settings{Node: ident.NodeID(n.name), Zone: n.zone, Cluster: n.w.set, Tuning: settings.DefaultTuning()}
 	set.Tuning.Links.Enabled = n.w.cfg.Links
-	if n.w.cfg.Rebalance != "" {
+	if n.w.cfg.Rebalance != "" && !n.old {
 		set.Tuning.Rebalance = n.w.cfg.Rebalance
 	}
 	if n.w.cfg.Mutation == NoDamping {
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -83,6 +83,7 @@
 	s.ledger++
 	for _, c := range changes {
 		n := statesvc.News{Put: c.Put, Value: c.Value, Delete: c.Delete, Stamp: ident.Stamp(s.ledger)}
+		s.w.checkMoves(c)
 		if c.Put != "" {
 			s.keys[c.Put] = &entry{c.Value, ident.Stamp(s.ledger), c.Grant}
 		} else {
@@ -254,6 +255,9 @@
 // capacity returns how many machines of a zone and kind there are.
 func (p *provider) capacity() int {
 	const small = 6
+	if p.w.cfg.Capacity > 0 {
+		return p.w.cfg.Capacity
+	}
 	return max(small, p.w.cfg.Fleet/(2*len(p.w.set.Zones)))
 }
 
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -15,11 +15,13 @@
 type userJob struct {
 	spec       api.Spec
 	runs       time.Duration
-	mistaken   bool          // its tasks fail on every machine
-	tries      int           // that failed for it
-	step       time.Duration // by which each task runs longer than the one before
-	beside     ident.Mono    // since when it waits beside room for it, 0: it doesn't
-	saved      float64       // progress of a gang that is safe, in seconds
+	mistaken   bool                                    // its tasks fail on every machine
+	tries      int                                     // that failed for it
+	step       time.Duration                           // by which each task runs longer than the one before
+	beside     ident.Mono                              // since when it waits beside room for it, 0: it doesn't
+	saved      float64                                 // progress of a gang that is safe, in seconds
+	kept       map[int]time.Duration                   // progress of an array's tasks that is safe
+	stops      map[ident.TaskID]map[ident.Attempt]bool // attempts that a command has stopped before the job was called off
 	done       []bool
 	sent       bool
 	accepted   bool
@@ -100,8 +102,34 @@
 	}
 }
 
+// noteStop notes that a command stops an attempt.
+func (j *userJob) noteStop(p *piece) {
+	if j.cancelSent > 0 {
+		return
+	}
+	if j.stops == nil {
+		j.stops = map[ident.TaskID]map[ident.Attempt]bool{}
+	}
+	if j.stops[p.id] == nil {
+		j.stops[p.id] = map[ident.Attempt]bool{}
+	}
+	j.stops[p.id][p.try] = true
+}
+
+// stopCount returns how many attempts of a job's tasks were stopped by commands.
+func (j *userJob) stopCount() int {
+	n := 0
+	for _, attempts := range j.stops {
+		n += len(attempts)
+	}
+	return n
+}
+
 // add submits a job.
 func (w *World) add(j *userJob) {
+	if j.kept == nil {
+		j.kept = map[int]time.Duration{}
+	}
 	j.sentAt = w.now
 	w.jobs[j.spec.ID] = j
 	w.order = append(w.order, j.spec.ID)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -45,6 +45,7 @@
 	stored bool
 	alike  bool // of the mutation OneTry
 	gen    int
+	began  ident.Mono // when it started to run
 }
 
 func newWorker(w *World, m *rented) *worker {
@@ -253,14 +254,14 @@
 // kill stops a task; one that saves is ended by a second kill without time for it.
 func (k *worker) kill(p *piece, windDown *float64) {
 	j := k.w.jobs[p.id.Job]
-	if j == nil || j.spec.Shape != api.Gang {
-		k.end(p, api.CauseStopped)
-		return
-	}
 	d := 0.0
 	if windDown != nil {
 		d = *windDown
 	}
+	if j == nil || j.spec.Shape != api.Gang {
+		k.stop(p, j, d)
+		return
+	}
 	if p.status == api.Flushing && d > 0 {
 		return // it saves already
 	}
@@ -270,6 +271,30 @@
 	k.w.gang(j, p.try).kill(k, p, d)
 }
 
+// stop ends a task of an array or a service; one of an array that has the time for it saves
+// its progress first.
+func (k *worker) stop(p *piece, j *userJob, windDown float64) {
+	if j != nil {
+		j.noteStop(p)
+	}
+	if j == nil || j.spec.Shape != api.Batch || !j.spec.Saves() || windDown < j.spec.SnapshotS || p.status == api.Pulling {
+		k.end(p, api.CauseStopped)
+		return
+	}
+	if p.status == api.Flushing {
+		return // it saves already
+	}
+	ran := k.w.now.Sub(p.began)
+	p.status = api.Flushing
+	p.gen++
+	k.changed()
+	k.step(p, seconds(j.spec.SnapshotS), func() {
+		j.kept[p.id.Index] += ran
+		p.stored = true
+		k.end(p, api.CauseStopped)
+	})
+}
+
 func (k *worker) end(p *piece, c api.Cause) {
 	p.status, p.cause = api.Ended, c
 	p.gen++
@@ -323,7 +348,7 @@
 				k.w.gang(j, try).join(k, p)
 				return
 			}
-			p.status = api.Running
+			p.status, p.began = api.Running, k.w.now
 			k.changed()
 			k.w.started(k, p)
 			if j.done[id.Index] {
@@ -336,7 +361,7 @@
 				return
 			}
 			if j.spec.Shape == api.Batch {
-				k.step(p, j.runOf(id.Index), func() {
+				k.step(p, max(time.Millisecond, j.runOf(id.Index)-j.kept[id.Index]), func() {
 					j.done[id.Index] = true
 					k.end(p, api.CauseDone)
 					k.w.ended(j)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -31,6 +31,8 @@
 	// Rebalance is what the nodes do about uneven load.
 	Rebalance settings.Rebalance
 	Nodes     int // controllers; 0: three
+	OldNodes  int // so many of them are of the version in production, until they are replaced
+	Capacity  int // machines of each zone and kind that the cloud has; 0: by Fleet
 	Fleet     int // machines that the cloud has in all, with limits of teams to match; 0: a small one
 	// Teams are those of the cluster; nil: four of different kinds.
 	Teams []settings.Team
@@ -83,6 +85,8 @@
 	// LeasesLost counts the tasks that ended with their machines' leases.
 	LeasesLost int
 	study      study
+	// Moves counts the moves of running tasks that were recorded.
+	Moves int
 	// TooLarge counts the transactions that the state service refused for its limits.
 	TooLarge int
 }
@@ -133,7 +137,7 @@
 	w.store = newStore(w)
 	w.cloud = newProvider(w)
 	for i := range w.set.Nodes {
-		n := &node{w: w, old: cfg.Old, name: fmt.Sprintf("agent-%d", i), zone: w.set.Zones[i%2]}
+		n := &node{w: w, old: cfg.Old || i >= w.set.Nodes-cfg.OldNodes, name: fmt.Sprintf("agent-%d", i), zone: w.set.Zones[i%2]}
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
--- a/internal/workers/worker.go
+++ b/internal/workers/worker.go
@@ -82,6 +82,7 @@
 	VCPUs, Cards, MemoryGB float64 // taken by Tasks
 	Arrays, Replicas       float64 // CPUs of them, by the shape of their jobs; gangs count as replicas
 	ranks                  [ranks]int
+	reservation            *Reservation
 
 	Group    *Group // that it is on record with
 	Recorded bool   // its record is durable
@@ -106,15 +107,11 @@
 	if w.Kind == nil {
 		return 0
 	}
-	free := jobs.Need{VCPUs: w.Kind.VCPUs - w.VCPUs, Cards: w.Kind.Cards - w.Cards, MemoryGB: w.Kind.MemoryGB - w.MemoryGB}
-	return max(0, min(s.Tasks, free.Places(s)))
+	return max(0, min(s.Tasks, w.Free().Places(s)))
 }
 
-// Room says whether as much is free.
-func (w *Worker) Room(n jobs.Need) bool {
-	return w.Kind != nil && w.VCPUs+n.VCPUs <= w.Kind.VCPUs+slack && w.Cards+n.Cards <= w.Kind.Cards+slack &&
-		w.MemoryGB+n.MemoryGB <= w.Kind.MemoryGB+slack
-}
+// Room says whether as much is free, beside what is reserved.
+func (w *Worker) Room(n jobs.Need) bool { return w.Kind != nil && w.Free().Covers(n) }
 
 // Images returns what the machine surely or probably has cached.
 func (w *Worker) Images() []Image { return w.images }
