--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// settleTime is how long a leader leads before it moves anything: machines of the term
-	// before are still being heard of.
-	settleTime = 15 * time.Second
 	// calmTime is how long nothing is proposed after a hot team has cooled.
 	calmTime = 5 * time.Second
 	// planShare bounds the part of the time that plans of moves take: one in so many.
@@ -61,6 +58,7 @@
 	config.Margin = tuning.Moves.Margin
 	config.Budgets.Cluster, config.Budgets.Zone = tuning.Moves.Cluster, tuning.Moves.Zone
 	config.Budgets.Team = tuning.Moves.Team
+	config.Patience, config.MinRan = tuning.Moves.Patience, tuning.Moves.MinRun
 	return &mover{
 		lead:    l,
 		carries: tuning.Rebalance == settings.RebalanceMove,
@@ -141,8 +139,8 @@
 func (m *mover) calm(now ident.Mono) bool {
 	l := m.lead
 	switch {
-	case !l.c.may(authority.Place), now.Sub(m.readyAt) < settleTime, !l.commits.Spare():
-		return false
+	case !l.c.may(authority.Place), now.Sub(m.readyAt) < l.c.set.Tuning.Moves.Settle, !l.commits.Spare():
+		return false // machines of the term before are still being heard of, or writes lag
 	case m.cooledAt > 0 && now.Sub(m.cooledAt) < calmTime:
 		return false
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -85,9 +85,19 @@
 	if want := (Links{Enabled: true, Suspect: 800 * time.Millisecond, HalfLife: 20 * time.Second, Hold: 30 * time.Second, Persist: 5 * time.Second}); tu.Links != want || tu.check() != nil {
 		t.Errorf("%+v, %v", tu.Links, tu.check())
 	}
+	if err := tu.Read([]byte("(tuning (rebalance move) (moves-cluster 6) (moves-zone 3) (moves-team 1) (moves-margin 1.5) (moves-settle 5s) (moves-patience 2s) (moves-min-run 0s))")); err != nil {
+		t.Fatal(err)
+	}
+	if want := (Moves{Cluster: 6, Zone: 3, Team: 1, Margin: 1.5, Settle: 5 * time.Second, Patience: 2 * time.Second}); tu.Moves != want || tu.Rebalance != RebalanceMove || tu.check() != nil {
+		t.Errorf("%+v, %v", tu.Moves, tu.check())
+	}
 	for _, bad := range []struct{ text, name string }{
 		{"(links-suspect 1h)", "links-suspect"}, {"(links-half-life 0s)", "links-half-life"}, {"(links-hold 1s)", "links-hold"},
 		{"(links-persist 0s)", "links-persist"}, {"(links maybe)", "links"}, {"(rebalance sometimes)", "rebalance"},
+		{"(moves-cluster 0)", "moves-cluster"}, {"(moves-cluster many)", "moves-cluster"}, {"(moves-zone 0)", "moves-zone"},
+		{"(moves-zone 5)", "moves-zone"}, {"(moves-team 0)", "moves-team"}, {"(moves-margin 0.5)", "moves-margin"},
+		{"(moves-margin NaN)", "moves-margin"}, {"(moves-settle -1s)", "moves-settle"}, {"(moves-patience soon)", "moves-patience"},
+		{"(moves-min-run 2h)", "moves-min-run"},
 	} {
 		tu := DefaultTuning()
 		err := errors.Join(tu.Read([]byte("(tuning "+bad.text+")")), tu.check())
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -40,8 +40,11 @@
 
 // Moves holds the operators' settings for moves of running tasks.
 type Moves struct {
-	Cluster, Zone, Team int     // moves at once
-	Margin              float64 // how many times its cost a move must gain
+	Cluster, Zone, Team int           // moves at once
+	Margin              float64       // how many times its cost a move must gain
+	Settle              time.Duration // a leader leads for so long before it moves anything
+	Patience            time.Duration // a task waits for so long before others are moved for it
+	MinRun              time.Duration // a task has run for so long before it is moved
 }
 
 // rebalanceModes are all of them.
@@ -81,7 +84,15 @@
 			Persist:  3 * time.Second,
 		},
 		Rebalance: RebalanceOff,
-		Moves:     Moves{Cluster: 4, Zone: 2, Team: 2, Margin: 2},
+		Moves: Moves{
+			Cluster:  4,
+			Zone:     2,
+			Team:     2,
+			Margin:   2,
+			Settle:   15 * time.Second,
+			Patience: 5 * time.Second,
+			MinRun:   30 * time.Second,
+		},
 	}
 }
 
@@ -106,6 +117,9 @@
 		{"moves-zone: must be from 1 to moves-cluster", t.Moves.Zone < 1 || t.Moves.Zone > t.Moves.Cluster},
 		{"moves-team: must be from 1 to moves-cluster", t.Moves.Team < 1 || t.Moves.Team > t.Moves.Cluster},
 		{"moves-margin: must be from 1 to 100", !(t.Moves.Margin >= 1 && t.Moves.Margin <= maxMargin)}, // nor NaN
+		{"moves-settle: must be from 0 to 1h", t.Moves.Settle < 0 || t.Moves.Settle > time.Hour},
+		{"moves-patience: must be from 0 to 1h", t.Moves.Patience < 0 || t.Moves.Patience > time.Hour},
+		{"moves-min-run: must be from 0 to 1h", t.Moves.MinRun < 0 || t.Moves.MinRun > time.Hour},
 		{"links-suspect: must be from 100ms to leader-lease", t.Links.Suspect < 100*time.Millisecond || t.Links.Suspect > t.LeaderLease},
 		{"links-half-life: must be from 1s to 10m", t.Links.HalfLife < time.Second || t.Links.HalfLife > 10*time.Minute},
 		{"links-hold: must be at least links-persist, and at most 10m", t.Links.Hold < t.Links.Persist || t.Links.Hold > 10*time.Minute},
@@ -166,6 +180,12 @@
 			t.Moves.Team, err = strconv.Atoi(value)
 		case "moves-margin":
 			t.Moves.Margin, err = strconv.ParseFloat(value, 64)
+		case "moves-settle":
+			t.Moves.Settle, err = time.ParseDuration(value)
+		case "moves-patience":
+			t.Moves.Patience, err = time.ParseDuration(value)
+		case "moves-min-run":
+			t.Moves.MinRun, err = time.ParseDuration(value)
 		case "links":
 			t.Links.Enabled, err = onOff(value)
 		case "links-suspect":
--- a/internal/standin/moves.go
+++ b/internal/standin/moves.go
@@ -18,7 +18,7 @@
 // checkMoves checks what is written about moves: a job's record only grows, to two moves at
 // the most, until the job is over.
 func (w *World) checkMoves(c statesvc.Change) {
-	id, ok := strings.CutPrefix(c.Put+c.Delete, migration.Prefix)
+	id, ok := movesKey(c.Put + c.Delete)
 	if !ok {
 		return
 	}
@@ -150,3 +150,6 @@
 
 // machine returns the worker of a name, nil if it is gone.
 func (w *World) machine(h ident.HostID) *worker { return w.workers[h] }
+
+// movesKey returns the job of a key of moves.
+func movesKey(path string) (id string, ok bool) { return strings.CutPrefix(path, migration.Prefix) }
--- /dev/null
+++ b/internal/standin/moves_load_test.go
@@ -0,0 +1,248 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/controller"
+	"opaldale/internal/ident"
+	"opaldale/internal/migration"
+	"opaldale/internal/settings"
+)
+
+// TestMovesInDaysOfTrouble plays days on which moves pay amid faults of all kinds, several at
+// once, with jobs that come and are cancelled: every rule holds, no job is moved a third time,
+// and all work ends.
+func TestMovesInDaysOfTrouble(t *testing.T) {
+	t.Parallel()
+	moves := 0
+	for seed := range uint64(24) {
+		cfg := movingConfig(seed)
+		cfg.Faults, cfg.Meet, cfg.Links, cfg.Quiet = true, seed%2 == 1, seed%4 > 1, false
+		cfg.Length, cfg.Calm = 200*time.Second, 450*time.Second // the long tasks may begin anew late
+		w := New(cfg)
+		w.fragment(4)
+		w.Run()
+		whole(t, seed, w)
+		moves += w.Moves
+	}
+	if moves < 10 {
+		t.Errorf("only %d moves in all: the test shows little", moves)
+	}
+}
+
+const (
+	// evenWithin is within what time of a flood's beginning the load must have evened out, and
+	// evenBound what imbalance counts as even then, on average over half a minute.
+	evenWithin = time.Minute
+	evenBound  = 0.45
+)
+
+// TestLoadEvensOut: fifty machines, one team that floods while the others submit small and
+// large work, with the settings of deploy/moves.sexp: within a minute the load has evened out,
+// though a controller dies meanwhile, and no job is moved more than twice.
+func TestLoadEvensOut(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		cfg := floodConfig(seed, settings.RebalanceMove)
+		cfg.Links = true
+		w := New(cfg)
+		w.steadyTeams()
+		w.at(floodFrom, func() { w.flood(w.now.Add(floodFor)) })
+		w.at(floodFrom+10*time.Second, func() { w.depose(4 * time.Second) })
+		sum, n := 0.0, 0
+		for d := evenWithin; d < evenWithin+30*time.Second; d += time.Second {
+			w.at(floodFrom+d, func() {
+				sum += w.imbalance()
+				n++
+			})
+		}
+		w.Run()
+		whole(t, seed, w)
+		if mean := sum / float64(n); mean > evenBound {
+			t.Errorf("seed %d: imbalance %.2f a minute after the flood began", seed, mean)
+		}
+	}
+}
+
+// TestHotTeamCoolsAsMovesBegin: the flood ends at the moment in which the first move begins.
+// Whatever was not stopped yet stays where it is, and nothing swings back.
+func TestHotTeamCoolsAsMovesBegin(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		w := New(movingConfig(seed))
+		w.fragment(0)
+		var wide []*userJob
+		w.when(wideAt, func() {
+			for range 6 {
+				wide = append(wide, w.job(func(s *api.Spec) {
+					w.narrow(s)
+					s.Team, s.Tasks, s.VCPUs, s.SnapshotEveryS, s.RuntimeS = "red", 2, 4, 0, wideRuns.Seconds()
+				}, wideRuns))
+			}
+			w.onMove(migration.Proposed, func(*node, controller.MoveEntry) {
+				for _, j := range wide {
+					w.callOff(j, nil)
+				}
+				w.took("cooled")
+			})
+		})
+		recorded := 0
+		w.when(wideAt+20, func() { recorded = w.Moves })
+		w.Run()
+		whole(t, seed, w)
+		movesKept(t, seed, w)
+		if w.seen["cooled"] == 0 || w.Moves > recorded {
+			t.Errorf("seed %d: %d moves, %d of them later, %v", seed, w.Moves, w.Moves-recorded, w.seen)
+		}
+	}
+}
+
+// TestNothingMoves: where no move can pay, nothing is moved.
+func TestNothingMoves(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		play func(w *World)
+	}{
+		{"all machines are hot", func(w *World) {
+			w.when(2, func() {
+				for range 4 * w.cfg.Capacity {
+					w.job(w.narrow, 150*time.Second)
+				}
+			})
+			w.when(wideAt, func() {
+				for range 4 {
+					w.job(func(s *api.Spec) { w.narrow(s); s.Tasks, s.VCPUs = 1, 4 }, wideRuns)
+				}
+			})
+		}},
+		{"tasks that never save have run for long", func(w *World) {
+			w.when(2, func() {
+				for range 4 * w.cfg.Capacity {
+					j := w.job(func(s *api.Spec) { w.narrow(s); s.SnapshotEveryS, s.RuntimeS = 0, 150 }, firstEnds)
+					j.step = nextEnds
+				}
+			})
+			w.when(100, func() { w.job(func(s *api.Spec) { w.narrow(s); s.Tasks, s.VCPUs = 1, 6 }, wideRuns) })
+		}},
+		{"the wide job fails everywhere", func(w *World) {
+			w.fragment(0)
+			w.when(wideAt, func() {
+				j := w.job(func(s *api.Spec) { w.narrow(s); s.Tasks, s.VCPUs, s.SnapshotEveryS = 1, 2, 0 }, wideRuns)
+				j.mistaken = true
+				w.at(60*time.Second, func() { w.callOff(j, nil) })
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(2) {
+				w := New(movingConfig(seed))
+				c.play(w)
+				w.Run()
+				whole(t, seed, w)
+				if w.Moves > 0 {
+					t.Errorf("seed %d: %d moves", seed, w.Moves)
+				}
+			}
+		})
+	}
+}
+
+// TestPulsingLoad: wide work comes and goes at the period of the planner, with estimates that
+// are wrong by half in either direction. No job is moved more than twice, and no task comes
+// back to a machine that a move took it from.
+func TestPulsingLoad(t *testing.T) {
+	t.Parallel()
+	moves := 0
+	for seed := range uint64(6) {
+		w := New(movingConfig(seed))
+		w.when(2, func() {
+			for i := range 4 * w.cfg.Capacity {
+				factor := []float64{0.5, 1, 1.5}[(i+int(seed))%3]
+				j := w.job(func(s *api.Spec) { w.narrow(s); s.RuntimeS *= factor }, firstEnds)
+				j.step = nextEnds
+			}
+		})
+		for s := wideAt; s < 130; s += settings.DefaultTuning().Round.Seconds() {
+			w.when(s, func() {
+				w.job(func(s *api.Spec) { w.narrow(s); s.Tasks, s.VCPUs, s.RuntimeS = 1, 4, 3 }, 6*time.Second)
+			})
+		}
+		left := map[string]map[ident.HostID]bool{}
+		w.when(wideAt, func() {
+			w.watchMoves(200*time.Millisecond, func(_ *node, m controller.MoveEntry) bool {
+				if left[m.Task] == nil {
+					left[m.Task] = map[ident.HostID]bool{}
+				}
+				left[m.Task][m.From] = true
+				if m.To != "" && left[m.Task][m.To] {
+					w.broken("%s goes back to %s", m.Task, m.To)
+				}
+				return false
+			})
+		})
+		w.Run()
+		whole(t, seed, w)
+		movesKept(t, seed, w)
+		moves += w.Moves
+	}
+	if moves == 0 {
+		t.Error("no move at all: the test shows nothing")
+	}
+}
+
+// TestUnreadableMoves: a record of moves that can't be read keeps its job from being moved, and
+// the leader leads on.
+func TestUnreadableMoves(t *testing.T) {
+	t.Parallel()
+	w := New(movingConfig(1))
+	w.fragment(4)
+	w.when(40, func() {
+		for _, id := range w.order {
+			w.store.keys[migration.Key(id)] = &entry{value: []byte(`{"moves":"many"}`), stamp: ident.Stamp(w.store.ledger)}
+		}
+		l := w.leader()
+		l.kill(time.Second)
+	})
+	w.when(wideAt+30, func() {
+		if w.leader() != nil {
+			w.took("leads on")
+		}
+	})
+	w.Run()
+	whole(t, 1, w)
+	if w.Moves > 0 || w.seen["leads on"] == 0 {
+		t.Errorf("%d moves, %v", w.Moves, w.seen)
+	}
+	for path := range w.store.keys {
+		if id, ok := movesKey(path); ok && w.store.keys["live/"+id] == nil {
+			t.Errorf("%s is left", path)
+		}
+	}
+}
+
+// TestMovesAreForgotten: the records of jobs that are over are deleted, by later terms as well,
+// and by none before.
+func TestMovesAreForgotten(t *testing.T) {
+	t.Parallel()
+	moves := 0
+	for seed := range uint64(3) {
+		w := New(movingConfig(seed))
+		w.fragment(4)
+		w.when(wideAt+25, func() { w.depose(2 * time.Second) })
+		w.Run()
+		whole(t, seed, w)
+		moves += w.Moves
+		for path := range w.store.keys {
+			if id, ok := movesKey(path); ok {
+				t.Errorf("seed %d: the moves of %s are left", seed, id)
+			}
+		}
+	}
+	if moves == 0 {
+		t.Error("no move at all: the test shows nothing")
+	}
+}
