Fifty workers and three controllers on sockets: moves while controllers end and links break

Need: moves were shown in simulated time only.

Change: TestFleetEvensOut in internal/loopback. Fifty machines are filled, a team floods with wide tasks that fit on none, controllers are ended in turn and links broken. All wide tasks complete, no task is in two places, no job is moved a third time, the imbalance falls below 0.35. The provider's capacity and the tasks' work are options.

A check was wrong: who sent a command was told by the local address of its connection alone. A local port may be in use for connections to several addresses at once, so with fifty workers commands of a controller were taken for a zone's ("agent-0 and west both acted in term 2", where no zone sends commands). It is told by both addresses now: as strict, and right.

--- a/internal/loopback/cloud.go
+++ b/internal/loopback/cloud.go
@@ -17,14 +17,15 @@
 const (
 	machineType = "m8"
 	machineCPUs = 8
-	// zoneCapacity is how many machines of a zone and kind there are.
+	// zoneCapacity is how many machines of a zone and kind there are where nothing is said.
 	zoneCapacity = 8
 	bootTime     = 100 * time.Millisecond
 )
 
 // provider is a cloud by its protocol, whose machines are workers in this process.
 type provider struct {
-	cluster *Cluster
+	cluster  *Cluster
+	capacity int // of a zone and kind
 
 	mu       sync.Mutex
 	last     int
@@ -39,8 +40,11 @@
 	worker *worker // nil while it boots
 }
 
-func newProvider(c *Cluster) *provider {
-	return &provider{cluster: c, requests: map[string][]ident.HostID{}, machines: map[ident.HostID]*machine{}}
+func newProvider(c *Cluster, capacity int) *provider {
+	if capacity == 0 {
+		capacity = zoneCapacity
+	}
+	return &provider{cluster: c, capacity: capacity, requests: map[string][]ident.HostID{}, machines: map[ident.HostID]*machine{}}
 }
 
 func (p *provider) handler() http.Handler {
@@ -73,7 +77,7 @@
 				have++
 			}
 		}
-		for range min(q.Number, zoneCapacity-have) {
+		for range min(q.Number, p.capacity-have) {
 			hosts = append(hosts, p.boot(q.Zone, q.Spot))
 		}
 		if len(hosts) == 0 {
@@ -148,6 +152,19 @@
 	answer(w, http.StatusOK, map[string]any{"hosts": hosts, "truncated": false})
 }
 
+// hosts lists the machines that are up, with nothing in use.
+func (p *provider) hosts() map[ident.HostID]float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	up := map[ident.HostID]float64{}
+	for h, m := range p.machines {
+		if m.worker != nil {
+			up[h] = 0
+		}
+	}
+	return up
+}
+
 // worker returns a machine's worker, nil if it has none.
 func (p *provider) worker(h ident.HostID) *worker {
 	p.mu.Lock()
--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -40,10 +41,26 @@
 	mu    sync.Mutex
 	nodes []*node
 	names map[string]string // who is at an address
-	jobs  map[ident.JobID]time.Duration
+	jobs  map[ident.JobID]Work
 	over  bool
 }
 
+// Options say what a cluster is like.
+type Options struct {
+	Nodes int
+	// ZoneCapacity is how many machines of each zone and kind there are; 0: a few.
+	ZoneCapacity int
+	// Tune changes the settings of each node.
+	Tune func(*settings.Settings)
+}
+
+// Work is what the tasks of a job do.
+type Work struct {
+	First time.Duration // how long the first task runs; 0: a replica
+	Step  time.Duration // by which each task runs longer than the one before
+	CPUs  float64       // of each
+}
+
 // node is one controller; its process, a server, comes and goes.
 type node struct {
 	name     string
@@ -51,12 +68,14 @@
 	server   *server.Server
 }
 
-// Start brings a cluster of so many nodes up; tune changes the settings of each.
-func Start(nodes int, tune func(*settings.Settings)) (*Cluster, error) {
-	c := &Cluster{Switches: NewSwitches(), Record: newRecord(), names: map[string]string{}, jobs: map[ident.JobID]time.Duration{},
+// Start brings a cluster up.
+func Start(o Options) (*Cluster, error) {
+	c := &Cluster{Switches: NewSwitches(), Record: newRecord(), names: map[string]string{}, jobs: map[ident.JobID]Work{},
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
-	c.provider = newProvider(c)
-	stateAddr, err := c.serve(State, newStateService().handler())
+	c.provider = newProvider(c, o.ZoneCapacity)
+	state := newStateService()
+	state.onChange = c.Record.changed
+	stateAddr, err := c.serve(State, state.handler())
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.plan(nodes, stateAddr, cloudAddr, tune); err != nil {
+	if err := c.plan(o.Nodes, stateAddr, cloudAddr, o.Tune); err != nil {
 		return nil, err
 	}
 	for i := range c.nodes {
@@ -227,12 +246,12 @@
 	return w != nil && w.holds()
 }
 
-// runTime tells how long a job's tasks run, 0 for replicas.
-func (c *Cluster) runTime(id ident.JobID) (time.Duration, bool) {
+// work tells what a job's tasks do.
+func (c *Cluster) work(id ident.JobID) (Work, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d, ok := c.jobs[id]
-	return d, ok
+	w, ok := c.jobs[id]
+	return w, ok
 }
 
 // Answer is what a node told a user.
@@ -241,10 +260,11 @@
 	Job    api.View
 }
 
-// Submit asks a node to run a job whose tasks run for so long.
-func (c *Cluster) Submit(i int, s api.Spec, runs time.Duration) Answer {
+// Submit asks a node to run a job whose tasks do that work.
+func (c *Cluster) Submit(i int, s api.Spec, w Work) Answer {
+	w.CPUs = s.VCPUs
 	c.mu.Lock()
-	c.jobs[s.ID] = runs
+	c.jobs[s.ID] = w
 	c.mu.Unlock()
 	body, err := json.Marshal(s)
 	if err != nil {
@@ -287,6 +307,42 @@
 	return slices.Clone(c.Record.broken)
 }
 
+// Moves counts the moves of running tasks that were recorded.
+func (c *Cluster) Moves() int {
+	c.Record.mu.Lock()
+	defer c.Record.mu.Unlock()
+	total := 0
+	for _, n := range c.Record.moves {
+		total += n
+	}
+	return total
+}
+
+// Load returns how many machines run tasks, how many tasks those are, and the imbalance: the
+// coefficient of variation of the CPUs in use on all machines that are up.
+func (c *Cluster) Load() (machines, tasks int, imbalance float64) {
+	used := c.provider.hosts()
+	for host, list := range c.Record.running() {
+		machines++
+		for _, task := range list {
+			w, _ := c.work(task.Job)
+			used[host] += w.CPUs
+			tasks++
+		}
+	}
+	sum, square := 0.0, 0.0
+	for _, cpus := range used {
+		sum += cpus
+		square += cpus * cpus
+	}
+	if sum == 0 {
+		return machines, tasks, 0
+	}
+	n := float64(len(used))
+	mean := sum / n
+	return machines, tasks, math.Sqrt(max(0, square/n-mean*mean)) / mean
+}
+
 // Started counts the starts of tasks.
 func (c *Cluster) Started() int {
 	c.Record.mu.Lock()
--- /dev/null
+++ b/internal/loopback/fleet_test.go
@@ -0,0 +1,179 @@
+package loopback
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/ident"
+	"opaldale/internal/settings"
+)
+
+const (
+	fleetNodes   = 3
+	fleetWorkers = 50
+	// narrowCPUs and wideCPUs are what the tasks take that fill the machines, and those that
+	// then find no room; narrowTasks of the former fill a machine.
+	narrowCPUs  = 2
+	narrowTasks = 4
+	wideCPUs    = 4
+	wideJobs    = 30
+	// evenBound is the imbalance that the fleet must fall below.
+	evenBound = 0.35
+)
+
+// tuneFleet has moves begin soon, as everything here is short.
+func tuneFleet(s *settings.Settings) {
+	s.Tuning.Links.Enabled = true
+	s.Tuning.Rebalance = settings.RebalanceMove
+	s.Tuning.Round = time.Second
+	s.Tuning.IdleKeep = time.Minute
+	s.Tuning.Moves.Settle, s.Tuning.Moves.Patience, s.Tuning.Moves.MinRun = time.Second, time.Second, 2*time.Second
+	for i := range s.Cluster.Teams {
+		s.Cluster.Teams[i].CPUs, s.Cluster.Teams[i].CPUsMax = 400, 500
+	}
+}
+
+// fleet is a cluster of fifty workers whose machines are filled.
+type fleet struct {
+	*Cluster
+	rng  *rand.Rand
+	next int
+}
+
+func (f *fleet) spec(team string, tasks int, cpus, runtime float64) api.Spec {
+	f.next++
+	return api.Spec{ID: ident.JobID(fmt.Sprintf("j-%06d", f.next)), Class: "render", Team: team, Shape: api.Batch, Priority: api.Standard,
+		Tasks: tasks, VCPUs: cpus, MemoryGB: 1, Image: "img-0", ImageGB: 0.1, Spot: true, RuntimeS: runtime, SnapshotEveryS: 1, SnapshotS: 0.1}
+}
+
+// insist asks nodes in turn until one gives an answer that counts.
+func (f *fleet) insist(t *testing.T, ask func(node int) Answer, counts func(Answer) bool) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for node := range fleetNodes {
+			if a := ask(node); counts(a) {
+				return true
+			}
+		}
+	}
+	t.Error("no answer that counts")
+	return false
+}
+
+func (f *fleet) submit(t *testing.T, s api.Spec, w Work) {
+	f.insist(t, func(n int) Answer { return f.Submit(n, s, w) }, func(a Answer) bool { return a.Status == 200 || a.Status == 201 })
+}
+
+// fill fills all machines with jobs whose first tasks end soon: each machine then has room for
+// half of a wide task.
+func (f *fleet) fill(t *testing.T) []ident.JobID {
+	const runtime = 200
+	var jobs []ident.JobID
+	for range fleetWorkers {
+		s := f.spec("blue", narrowTasks, narrowCPUs, runtime)
+		jobs = append(jobs, s.ID)
+		f.submit(t, s, Work{First: 8 * time.Second, Step: 4 * time.Minute})
+	}
+	f.until(t, func() bool {
+		machines, tasks, _ := f.Load()
+		return machines >= fleetWorkers && tasks >= fleetWorkers*(narrowTasks-1)
+	})
+	return jobs
+}
+
+// until waits for something; how long that takes is no verdict.
+func (f *fleet) until(t *testing.T, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !so(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			machines, tasks, imbalance := f.Load()
+			t.Fatalf("%d machines with %d tasks, imbalance %.2f, %d moves", machines, tasks, imbalance, f.Moves())
+		}
+	}
+}
+
+// leastDisturbed is how many controllers are ended, and how many links broken, at the least.
+const leastDisturbed = 3
+
+// disturb ends controllers one after the other, each back in half a second, and breaks links
+// in between, until it is told to stop and has done enough of either.
+func (f *fleet) disturb(t *testing.T, stop <-chan struct{}) (killed, broken int) {
+	names := f.Names()
+	for {
+		select {
+		case <-stop:
+			if killed >= leastDisturbed && broken >= leastDisturbed {
+				f.Switches.HealAll()
+				return killed, broken
+			}
+		default:
+		}
+		time.Sleep(time.Duration(1000+f.rng.IntN(2500)) * time.Millisecond)
+		if killed <= broken {
+			n := killed % fleetNodes
+			f.Kill(n)
+			time.Sleep(500 * time.Millisecond)
+			if err := f.Restart(n); err != nil {
+				t.Errorf("restart: %v", err)
+			}
+			killed++
+			continue
+		}
+		from, to := names[f.rng.IntN(fleetNodes)], append([]string{State}, zones...)[f.rng.IntN(1+len(zones))]
+		if f.rng.IntN(2) == 0 {
+			from, to = to, from
+		}
+		f.Switches.Break(from, to)
+		time.Sleep(time.Duration(200+f.rng.IntN(1500)) * time.Millisecond)
+		f.Switches.Heal(from, to)
+		broken++
+	}
+}
+
+// TestFleetEvensOut: three real controllers and fifty workers on sockets. One team floods with
+// wide tasks that find no room on any machine, while controllers end and links break: running
+// tasks are moved for them, all of them complete, no job is moved more than twice, no task is
+// in two places by the workers' own record, and the load evens out.
+func TestFleetEvensOut(t *testing.T) {
+	t.Parallel()
+	const seed = 1
+	c, err := Start(Options{Nodes: fleetNodes, ZoneCapacity: 13, Tune: tuneFleet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	f := &fleet{Cluster: c, rng: rand.New(rand.NewPCG(seed, 1))}
+	narrow := f.fill(t)
+	stop, disturbed := make(chan struct{}), sync.WaitGroup{}
+	killed, broken := 0, 0
+	disturbed.Go(func() { killed, broken = f.disturb(t, stop) })
+	var wide []ident.JobID
+	for range wideJobs {
+		s := f.spec("red", 1, wideCPUs, 4)
+		wide = append(wide, s.ID)
+		f.submit(t, s, Work{First: 4 * time.Second})
+	}
+	f.until(t, func() bool { return f.Moves() > 0 })
+	for _, id := range wide {
+		f.insist(t, func(n int) Answer { return f.Get(n, id) }, func(a Answer) bool { return a.Job.Status == "done" })
+		if !f.Record.complete(id, 1) {
+			t.Errorf("%s is called done, and is not", id)
+		}
+	}
+	close(stop)
+	disturbed.Wait()
+	f.until(t, func() bool {
+		_, tasks, imbalance := f.Load()
+		return tasks >= fleetWorkers*(narrowTasks-1) && imbalance < evenBound
+	})
+	for _, id := range narrow {
+		f.insist(t, func(n int) Answer { return f.Cancel(n, id) }, func(a Answer) bool { return a.Job.Status == "cancelled" })
+	}
+	if rules := c.Broken(); len(rules) > 0 {
+		t.Errorf("rules broken: %v", rules)
+	}
+	t.Logf("%d moves, %d controllers ended, %d links broken", c.Moves(), killed, broken)
+}
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -42,7 +42,7 @@
 	runs := time.Duration(300+rng.IntN(1500)) * time.Millisecond
 	end := time.Now().Add(patience)
 	for !u.accepted && time.Now().Before(end) {
-		switch a := c.Submit(rng.IntN(nodes), spec, runs); a.Status {
+		switch a := c.Submit(rng.IntN(nodes), spec, Work{First: runs}); a.Status {
 		case 200, 201:
 			u.accepted = true
 		case 400, 422:
@@ -147,7 +147,7 @@
 }
 
 func dropLinks(t *testing.T, nodes int, seed uint64) {
-	c, err := Start(nodes, func(s *settings.Settings) { s.Tuning.Links.Enabled = true })
+	c, err := Start(Options{Nodes: nodes, Tune: func(s *settings.Settings) { s.Tuning.Links.Enabled = true }})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loopback/record.go
+++ b/internal/loopback/record.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"opaldale/internal/ident"
+	"opaldale/internal/migration"
+	"opaldale/internal/statesvc"
 )
 
 // run is one time that a task was on a machine.
@@ -25,10 +28,11 @@
 	broken   []string
 	started  int
 	commands int
+	moves    map[ident.JobID]int // of running tasks, as the state service has them on record
 }
 
 func newRecord() *Record {
-	return &Record{leaders: map[ident.Term]string{}, results: map[ident.TaskID]bool{}}
+	return &Record{leaders: map[ident.Term]string{}, results: map[ident.TaskID]bool{}, moves: map[ident.JobID]int{}}
 }
 
 func (r *Record) breakRule(format string, args ...any) {
@@ -77,6 +81,38 @@
 	}
 }
 
+// maxMoves is how often the tasks of a job may be moved in its life.
+const maxMoves = 2
+
+// changed notes a change in the state service: the moves of a job only become more, to two.
+func (r *Record) changed(c statesvc.Change) {
+	id, ok := strings.CutPrefix(c.Put, migration.Prefix)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, err := migration.ReadRecord(c.Value)
+	job := ident.JobID(id)
+	if err != nil || len(record.Moves) > maxMoves || len(record.Moves) < r.moves[job] {
+		r.breakRule("%s: %d moves after %d, %v", c.Put, len(record.Moves), r.moves[job], err)
+	}
+	r.moves[job] = len(record.Moves)
+}
+
+// running lists the tasks on each machine.
+func (r *Record) running() map[ident.HostID][]ident.TaskID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	on := map[ident.HostID][]ident.TaskID{}
+	for _, x := range r.runs {
+		if x.end.IsZero() {
+			on[x.host] = append(on[x.host], x.task)
+		}
+	}
+	return on
+}
+
 // startedAfter returns the starts of a job later than a time.
 func (r *Record) startedAfter(id ident.JobID, at time.Time) int {
 	r.mu.Lock()
--- a/internal/loopback/record_test.go
+++ b/internal/loopback/record_test.go
@@ -107,7 +107,7 @@
 	if _, err := io.ReadFull(conn, make([]byte, 1)); err != nil {
 		t.Errorf("after it healed: %v", err)
 	}
-	if s.Held() < 2 || s.owner(conn.LocalAddr().String()) != "a" {
-		t.Errorf("%d were held up, the connection is of %q", s.Held(), s.owner(conn.LocalAddr().String()))
+	if s.Held() < 2 || s.owner(conn.LocalAddr().String(), conn.RemoteAddr().String()) != "a" {
+		t.Errorf("%d were held up, the connection is of %q", s.Held(), s.owner(conn.LocalAddr().String(), conn.RemoteAddr().String()))
 	}
 }
--- a/internal/loopback/state.go
+++ b/internal/loopback/state.go
@@ -23,6 +23,7 @@
 	lastLease uint64
 	changes   []statesvc.News
 	changed   chan struct{} // closed at the next change
+	onChange  func(statesvc.Change)
 }
 
 type stateEntry struct {
@@ -88,6 +89,7 @@
 func (s *stateService) apply(changes []statesvc.Change) {
 	s.revision++
 	for _, c := range changes {
+		s.onChange(c)
 		if c.Put != "" {
 			s.entries[c.Put] = stateEntry{Path: c.Put, Value: c.Value, Stamp: ident.Stamp(s.revision), Grant: c.Grant}
 		} else {
--- a/internal/loopback/switch.go
+++ b/internal/loopback/switch.go
@@ -18,13 +18,19 @@
 	mu    sync.Mutex
 	gates map[[2]string]chan struct{} // of a broken link, closed when it heals
 	held  int
-	// owners tells which party opened the connection from a local address.
-	owners map[string]string
+	// owners tells which party opened a connection.
+	owners map[connection]string
+}
+
+// connection names a connection by both addresses: a local port may be in use for several, to
+// different addresses.
+type connection struct {
+	from, to string
 }
 
 // NewSwitches makes links that all work.
 func NewSwitches() *Switches {
-	return &Switches{gates: map[[2]string]chan struct{}{}, owners: map[string]string{}}
+	return &Switches{gates: map[[2]string]chan struct{}{}, owners: map[connection]string{}}
 }
 
 // Break holds up all that is sent from one party to another until the link heals.
@@ -63,11 +69,12 @@
 	return s.held
 }
 
-// owner tells which party opened a connection, empty if none of these did.
-func (s *Switches) owner(addr string) string {
+// owner tells which party opened a connection from an address to another, empty if none of
+// these did.
+func (s *Switches) owner(from, to string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.owners[addr]
+	return s.owners[connection{from, to}]
 }
 
 func (s *Switches) gate(from, to string) chan struct{} {
@@ -89,7 +96,7 @@
 			return nil, err
 		}
 		s.mu.Lock()
-		s.owners[conn.LocalAddr().String()] = self
+		s.owners[connection{conn.LocalAddr().String(), conn.RemoteAddr().String()}] = self
 		s.mu.Unlock()
 		return &gatedConn{Conn: conn, switches: s, self: self, peer: names(addr), done: make(chan struct{})}, nil
 	}
--- a/internal/loopback/worker.go
+++ b/internal/loopback/worker.go
@@ -151,7 +151,7 @@
 		answer(rw, http.StatusConflict, w.message())
 		return
 	}
-	w.cluster.Record.acted(w.cluster.Switches.owner(r.RemoteAddr), c.Epoch)
+	w.cluster.Record.acted(w.cluster.Switches.owner(r.RemoteAddr, w.addr), c.Epoch)
 	w.token = c.Epoch
 	w.obey(c.Orders)
 	answer(rw, http.StatusOK, w.message())
@@ -194,15 +194,16 @@
 			return
 		}
 	}
-	runs, known := w.cluster.runTime(k.piece.Job)
+	work, known := w.cluster.work(k.piece.Job)
 	if !known {
 		t.status, t.cause = api.Ended, api.CauseUnknown
 		return
 	}
 	t.run = w.cluster.Record.begin(k.piece, w.host, w.cluster.holds)
-	if runs == 0 {
+	if work.First == 0 {
 		return // a replica
 	}
+	runs := work.First + time.Duration(k.piece.Index)*work.Step
 	session := w.session
 	t.timer = time.AfterFunc(runs, func() {
 		w.mu.Lock()
