--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -30,6 +30,7 @@
 	MoveGainSeconds             float64
 	MovesActive, MovesStopped   int // under way, and of those the ones whose task runs nowhere
 	MovesEnded                  []migration.Outcome
+	Reservations                int // machines on which room is kept for a move
 	MoveRealisedSeconds         float64
 }
 
--- /dev/null
+++ b/internal/migration/history_test.go
@@ -0,0 +1,119 @@
+package migration
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"opaldale/internal/commit"
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+	"opaldale/internal/statetest"
+)
+
+// state is a state service that carries everything out in order.
+type state struct {
+	*statetest.Store
+	queue []func()
+	now   ident.Mono
+}
+
+func (s *state) Now() ident.Mono { return s.now }
+
+func (s *state) After(d time.Duration, f func()) {
+	s.queue = append(s.queue, func() {
+		s.now = s.now.Add(d)
+		f()
+	})
+}
+
+func (s *state) State(r statesvc.Request, f func(statesvc.Reply)) {
+	answer := s.Apply(r.Then)
+	s.queue = append(s.queue, func() { f(answer) })
+}
+
+func (s *state) run() {
+	for len(s.queue) > 0 {
+		f := s.queue[0]
+		s.queue = s.queue[1:]
+		f()
+	}
+}
+
+// term makes the history of a term, with what is stored.
+func (s *state) term(t *testing.T) (*History, *commit.Committer) {
+	c := commit.New(s, commit.Limits{Ops: 5, PerSecond: 1e9, ValueBytes: 2048}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
+	h := NewHistory(c, func() int64 { return 1000 })
+	for path, p := range s.Keys {
+		if strings.HasPrefix(path, Prefix) {
+			h.Load(path, p.Value, p.Stamp)
+		}
+	}
+	return h, c
+}
+
+// TestHistory: moves are counted by every later term, and forgotten once their job is over.
+func TestHistory(t *testing.T) {
+	s := &state{Store: statetest.New()}
+	h, c := s.term(t)
+	move := &Move{Move: proposal(), Attempt: 3}
+	for n := range 2 {
+		durable := false
+		h.Write(move, func() { durable = true })
+		if durable {
+			t.Error("durable before it is written")
+		}
+		c.Flush()
+		s.run()
+		if !durable || h.Count("j-1") != n+1 || h.Count("j-2") != 0 {
+			t.Errorf("durable %v, %d moves on record, %d of another job", durable, h.Count("j-1"), h.Count("j-2"))
+		}
+		if h, c = s.term(t); h.Count("j-1") != n+1 {
+			t.Errorf("the next term knows of %d moves, want %d", h.Count("j-1"), n+1)
+		}
+	}
+	if n := len(s.Keys[Key("j-1")].Value); n > 1024 {
+		t.Errorf("two moves take %d bytes", n)
+	}
+	attempt := ident.Attempt(3)
+	find := func(ident.TaskID) (ident.Attempt, bool) { return attempt, true }
+	if got := h.Interrupted(find); len(got) != 1 || got[0] != move.Task {
+		t.Errorf("interrupted: %v", got)
+	}
+	if attempt = 4; len(h.Interrupted(find)) != 0 {
+		t.Error("a task in a later attempt counts as interrupted")
+	}
+	h.Prune(func(ident.JobID) bool { return true })
+	c.Flush()
+	if s.run(); h.Count("j-1") != 2 {
+		t.Error("a job that is not over is forgotten")
+	}
+	h.Prune(func(ident.JobID) bool { return false })
+	c.Flush()
+	if s.run(); len(s.Keys) != 0 || h.Count("j-1") != 0 {
+		t.Errorf("left: %v", s.Keys)
+	}
+}
+
+// TestUnreadable: a record that can't be read bars its job and no other, and stays until that
+// is over.
+func TestUnreadable(t *testing.T) {
+	for _, value := range []string{`7`, `{"moves":"many"}`, `{}`, `{"moves":[]}`} {
+		s := &state{Store: statetest.New()}
+		s.Keys[Key("j-1")] = statesvc.Pair{Path: Key("j-1"), Value: json.RawMessage(value), Stamp: 5}
+		h, c := s.term(t)
+		if !h.Barred("j-1") || h.Barred("j-2") {
+			t.Errorf("%s: barred %v, another %v", value, h.Barred("j-1"), h.Barred("j-2"))
+		}
+		c.Flush()
+		if s.run(); string(s.Keys[Key("j-1")].Value) != value {
+			t.Errorf("%s has become %s", value, s.Keys[Key("j-1")].Value)
+		}
+		h.Forget("j-1")
+		c.Flush()
+		if s.run(); len(s.Keys) != 0 {
+			t.Errorf("%s is left", value)
+		}
+	}
+}
--- a/internal/rebalance/plan_test.go
+++ b/internal/rebalance/plan_test.go
@@ -185,6 +185,54 @@
 	}
 }
 
+// many is a picture in which eight tasks wait for room that a move each would make: sources in
+// the zone and of the team that they are given, and a destination for each.
+func many(zone, team func(i int) string) *Picture {
+	p := &Picture{Fits: func(_ *Task, m *Machine) (time.Duration, bool) { return 0, m.Zone == "far" }}
+	for i := range 8 {
+		p.Machines = append(p.Machines,
+			&Machine{Host: ident.HostID(fmt.Sprintf("source-%d", i)), Zone: zone(i), Free: cpus(3), Tasks: []Task{{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", i))},
+				Team: team(i), Need: cpus(1), Ran: time.Minute, Saves: time.Second}}},
+			&Machine{Host: ident.HostID(fmt.Sprintf("target-%d", i)), Zone: "far", Free: cpus(1)})
+		p.Waiting = append(p.Waiting, Waiting{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", 100+i))}, Need: cpus(4), Waited: time.Minute,
+			Allowed: func(*Machine) bool { return true }})
+	}
+	return p
+}
+
+// TestBudgets: each budget by itself bounds the moves, where all others would allow more.
+func TestBudgets(t *testing.T) {
+	own := func(i int) string { return fmt.Sprint(i) }
+	same := func(int) string { return "same" }
+	wide := Budgets{Cluster: 100, Zone: 100, Team: 100, Machine: 1, Job: 2}
+	for _, c := range []struct {
+		name   string
+		p      *Picture
+		lower  func(*Budgets)
+		active []Active
+		want   int
+	}{
+		{"none", many(same, same), func(*Budgets) {}, nil, 8},
+		{"cluster", many(own, own), func(b *Budgets) { b.Cluster = 3 }, nil, 3},
+		{"cluster, with one under way", many(own, own), func(b *Budgets) { b.Cluster = 3 }, []Active{{}}, 2},
+		{"zone", many(same, own), func(b *Budgets) { b.Zone = 2 }, nil, 2},
+		{"zone, with one under way", many(same, own), func(b *Budgets) { b.Zone = 2 }, []Active{{Zone: "same"}}, 1},
+		{"team", many(own, same), func(b *Budgets) { b.Team = 2 }, nil, 2},
+		{"team, with one under way", many(own, same), func(b *Budgets) { b.Team = 2 }, []Active{{Team: "same"}}, 1},
+		{"source in use", many(own, own), func(*Budgets) {}, []Active{{From: "source-0"}, {To: "source-1"}}, 6},
+		{"destinations in use", many(own, own), func(*Budgets) {}, []Active{{To: "target-0"}, {From: "target-1"}}, 6},
+		{"job, with two under way", many(own, own), func(*Budgets) {}, []Active{{Job: "j-0"}, {Job: "j-0"}}, 7},
+	} {
+		config := DefaultConfig()
+		config.Budgets = wide
+		c.lower(&config.Budgets)
+		c.p.Active = c.active
+		if got := Plan(config, c.p); len(got) != c.want {
+			t.Errorf("%s: %d moves, want %d", c.name, len(got), c.want)
+		}
+	}
+}
+
 // BenchmarkPlan tells how the time of a plan grows with the fleet.
 func BenchmarkPlan(b *testing.B) {
 	for _, machines := range []int{500, 1000, 2000, 4500} {
--- a/internal/standin/moves.go
+++ b/internal/standin/moves.go
@@ -70,6 +70,7 @@
 // fragment fills the machines with jobs of four tasks, of which one ends early, and then asks
 // for room for wide tasks: each machine has room for half of one.
 func (w *World) fragment(wide int) {
+	w.checkReservations()
 	w.when(2, func() {
 		for range 4 * w.cfg.Capacity {
 			j := w.job(w.narrow, firstEnds)
@@ -93,6 +94,16 @@
 	s.RuntimeS = (firstEnds + 3*nextEnds).Seconds()
 }
 
+// checkReservations checks, now and then, that no room is kept for longer than for a move.
+func (w *World) checkReservations() {
+	if l := w.leader(); l != nil {
+		if s := l.ctl.Snapshot(); s.Reservations > s.MovesActive {
+			w.broken("room is kept on %d machines for %d moves", s.Reservations, s.MovesActive)
+		}
+	}
+	w.at(time.Second, w.checkReservations)
+}
+
 // movesOf lists the moves that a leader knows of.
 func movesOf(n *node) (out []controller.MoveEntry) {
 	if n == nil || !n.alive || !n.ctl.Election().Valid() {
--- a/internal/standin/moves_load_test.go
+++ b/internal/standin/moves_load_test.go
@@ -9,6 +9,7 @@
 	"opaldale/internal/ident"
 	"opaldale/internal/migration"
 	"opaldale/internal/settings"
+	"opaldale/internal/statesvc"
 )
 
 // TestMovesInDaysOfTrouble plays days on which moves pay amid faults of all kinds, several at
@@ -194,6 +195,37 @@
 	}
 }
 
+// TestNoThirdMove: jobs that were moved twice in earlier terms are not moved by the next leader,
+// and those that were moved once are moved once more.
+func TestNoThirdMove(t *testing.T) {
+	t.Parallel()
+	for before, moves := range map[int]bool{0: true, 1: true, 2: false} {
+		for seed := range uint64(3) {
+			w := New(movingConfig(seed))
+			w.fragment(4)
+			w.when(30, func() {
+				var r migration.Record
+				for n := range before {
+					r.Moves = append(r.Moves, migration.Entry{Index: n, Attempt: 1, From: "host-a", To: "host-b"})
+				}
+				for _, id := range w.order {
+					if before > 0 {
+						w.store.apply([]statesvc.Change{{Put: migration.Key(id), Value: api.JSON(r)}})
+					}
+				}
+				w.Moves = 0
+				w.depose(2 * time.Second)
+			})
+			w.Run()
+			whole(t, seed, w)
+			movesKept(t, seed, w)
+			if moves != (w.Moves > 0) || w.seen["new term"] == 0 {
+				t.Errorf("seed %d, %d moves before: %d moves, %v", seed, before, w.Moves, w.seen)
+			}
+		}
+	}
+}
+
 // TestUnreadableMoves: a record of moves that can't be read keeps its job from being moved, and
 // the leader leads on.
 func TestUnreadableMoves(t *testing.T) {
--- a/internal/workers/reservation.go
+++ b/internal/workers/reservation.go
@@ -24,6 +24,9 @@
 // Unreserve gives up what was reserved.
 func (w *Worker) Unreserve() { w.reservation = nil }
 
+// Keeps says whether the machine has a reservation.
+func (w *Worker) Keeps() bool { return w.reservation != nil }
+
 // Reserved returns what is kept, and whether the machine still has it: work of a higher
 // priority may have taken it.
 func (w *Worker) Reserved() (r Reservation, holds bool) {
