--- a/cmd/study/flood.go
+++ b/cmd/study/flood.go
@@ -28,7 +28,7 @@
 			out := cmd.OutOrStdout()
 			fmt.Fprintln(out, "| mode | imbalance (p50, p90, max) | hot team's arrays done after, s (p50, p90, max) | others' | fetched GB a day | machines a day | hot, of 81 s | moves that would pay |")
 			fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
-			for _, mode := range []settings.Rebalance{settings.RebalanceReport, settings.RebalancePlace} {
+			for _, mode := range []settings.Rebalance{settings.RebalanceReport, settings.RebalancePlace, settings.RebalanceMove} {
 				if err := flood(out, mode, seeds); err != nil {
 					return err
 				}
--- a/cmd/study/main.go
+++ b/cmd/study/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "study", Short: "Measure in simulated time, over many seeds", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(linksCommand(), floodCommand())
+	root.AddCommand(linksCommand(), floodCommand(), movesCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "study:", err)
 		os.Exit(2)
--- /dev/null
+++ b/cmd/study/moves.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"opaldale/internal/settings"
+	"opaldale/internal/standin"
+)
+
+//go:embed moves.schema.json
+var movesSchema []byte
+
+// movesStudy is what is played: modes, and estimates of run times as multiples of what is true.
+var movesStudy = []struct {
+	mode     settings.Rebalance
+	estimate float64
+}{
+	{settings.RebalanceReport, 1}, {settings.RebalancePlace, 1}, {settings.RebalanceMove, 1},
+	{settings.RebalanceMove, 0.5}, {settings.RebalanceMove, 1.5},
+}
+
+func movesCommand() *cobra.Command {
+	var seeds int
+	var record, picture string
+	cmd := &cobra.Command{Use: "moves", Short: "Have wide tasks come to a fragmented fleet, with moves off and on", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if seeds < 1 {
+				return fmt.Errorf("seeds: must be at least 1")
+			}
+			slog.SetDefault(slog.New(slog.DiscardHandler))
+			outcomes := playMoves(seeds)
+			if err := writeMoves(cmd.OutOrStdout(), outcomes); err != nil {
+				return err
+			}
+			if record != "" {
+				if err := recordMoves(record, outcomes); err != nil {
+					return err
+				}
+			}
+			if picture != "" {
+				return plotMoves(picture, outcomes)
+			}
+			return nil
+		}}
+	cmd.Flags().IntVar(&seeds, "seeds", 20, "how many days of each kind are played")
+	cmd.Flags().StringVar(&record, "record", "", "file for the outcomes, as JSON")
+	cmd.Flags().StringVar(&picture, "plot", "", "file for a plot of the waits of wide tasks, .png or .svg")
+	return cmd
+}
+
+// playMoves plays all days, as many at a time as there are cores.
+func playMoves(seeds int) []standin.MovesOutcome {
+	outcomes := make([]standin.MovesOutcome, seeds*len(movesStudy))
+	var all sync.WaitGroup
+	turns := make(chan struct{}, runtime.NumCPU())
+	for i := range outcomes {
+		all.Go(func() {
+			turns <- struct{}{}
+			kind := movesStudy[i/seeds]
+			outcomes[i] = standin.StudyMoves(uint64(i%seeds), kind.mode, kind.estimate)
+			<-turns
+		})
+	}
+	all.Wait()
+	return outcomes
+}
+
+// kindOf names the kind of a day.
+func kindOf(o standin.MovesOutcome) string {
+	if o.Estimate == 1 {
+		return string(o.Mode)
+	}
+	return fmt.Sprintf("%s, estimates times %.1f", o.Mode, o.Estimate)
+}
+
+// writeMoves prints a row for each kind of day.
+func writeMoves(out io.Writer, outcomes []standin.MovesOutcome) error {
+	fmt.Fprintln(out, "| mode | wide tasks wait, s (p50, p90, max) | other jobs done after, s (p50, p90, max) | CPU s thrown away a day | moves a day | arrived | gain of those, s, expected and realised (mean) | most stops of a job |")
+	fmt.Fprintln(out, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for len(outcomes) > 0 {
+		kind := kindOf(outcomes[0])
+		n := slices.IndexFunc(outcomes, func(o standin.MovesOutcome) bool { return kindOf(o) != kind })
+		if n < 0 {
+			n = len(outcomes)
+		}
+		if err := writeKind(out, kind, outcomes[:n]); err != nil {
+			return err
+		}
+		outcomes = outcomes[n:]
+	}
+	return nil
+}
+
+func writeKind(out io.Writer, kind string, days []standin.MovesOutcome) error {
+	wide, narrow := newMillis(), newMillis()
+	moves, arrived, most, faults := 0, 0, 0, 0
+	lost, expected, realised := 0.0, 0.0, 0.0
+	for _, o := range days {
+		if err := record(wide, o.WideWaitS); err != nil {
+			return err
+		}
+		if err := record(narrow, o.NarrowDoneS); err != nil {
+			return err
+		}
+		moves += o.Moves
+		arrived += len(o.ExpectedS)
+		most = max(most, o.MostMoved)
+		lost += o.LostCPUS
+		expected += sum(o.ExpectedS)
+		realised += sum(o.RealisedS)
+		faults += o.Broken + o.Undone
+	}
+	n := float64(len(days))
+	fmt.Fprintf(out, "| %s | %s | %s | %.0f | %.1f | %.1f | %.1f and %.1f | %d |\n", kind, seconds(wide), seconds(narrow), lost/n, float64(moves)/n,
+		float64(arrived)/n, expected/max(1, float64(arrived)), realised/max(1, float64(arrived)), most)
+	if faults > 0 {
+		fmt.Fprintf(out, "\nRULES BROKEN, or work left undone: %d\n\n", faults)
+	}
+	return nil
+}
+
+func newMillis() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMost, histogramDigits)
+}
+
+// record adds seconds to a histogram of milliseconds.
+func record(h *hdrhistogram.Histogram, list []float64) error {
+	for _, s := range list {
+		if err := h.RecordValue(int64(s * 1000)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sum(list []float64) float64 {
+	total := 0.0
+	for _, x := range list {
+		total += x
+	}
+	return total
+}
+
+// recordMoves writes the outcomes, once they are in the form of moves.schema.json.
+func recordMoves(path string, outcomes []standin.MovesOutcome) error {
+	body, err := json.MarshalIndent(outcomes, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := checkMoves(body); err != nil {
+		return err
+	}
+	return os.WriteFile(path, body, 0o644)
+}
+
+// checkMoves says what is wrong with recorded outcomes.
+func checkMoves(body []byte) error {
+	const name = "moves.schema.json"
+	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(movesSchema))
+	if err != nil {
+		return err
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, schema); err != nil {
+		return err
+	}
+	compiled, err := compiler.Compile(name)
+	if err != nil {
+		return err
+	}
+	recorded, err := jsonschema.UnmarshalJSON(bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return compiled.Validate(recorded)
+}
+
+// plotMoves draws which part of the wide tasks has started within which time.
+func plotMoves(path string, outcomes []standin.MovesOutcome) error {
+	p := plot.New()
+	p.Title.Text = "Wide tasks on a fragmented fleet (simulated)"
+	p.X.Label.Text, p.Y.Label.Text = "wait, s", "part of the tasks that have started"
+	waits := map[string][]float64{}
+	var kinds []string
+	for _, o := range outcomes {
+		kind := kindOf(o)
+		if waits[kind] == nil {
+			kinds = append(kinds, kind)
+		}
+		waits[kind] = append(waits[kind], o.WideWaitS...)
+	}
+	var lines []any
+	for _, kind := range kinds {
+		list := slices.Sorted(slices.Values(waits[kind]))
+		points := make(plotter.XYs, len(list))
+		for i, s := range list {
+			points[i] = plotter.XY{X: s, Y: float64(i+1) / float64(len(list))}
+		}
+		lines = append(lines, kind, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	p.Legend.Top = false
+	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, path)
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -21,6 +21,7 @@
 	beside     ident.Mono                              // since when it waits beside room for it, 0: it doesn't
 	saved      float64                                 // progress of a gang that is safe, in seconds
 	kept       map[int]time.Duration                   // progress of an array's tasks that is safe
+	lost       time.Duration                           // of its tasks' run time, by stops without saving
 	stops      map[ident.TaskID]map[ident.Attempt]bool // attempts that a command has stopped before the job was called off
 	done       []bool
 	sent       bool
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -278,6 +278,9 @@
 		j.noteStop(p)
 	}
 	if j == nil || j.spec.Shape != api.Batch || !j.spec.Saves() || windDown < j.spec.SnapshotS || p.status == api.Pulling {
+		if j != nil && p.status == api.Running {
+			j.lost += k.w.now.Sub(p.began)
+		}
 		k.end(p, api.CauseStopped)
 		return
 	}
