Moves: tests for the room that is kept, the pause after an election, and the end of records

Need: three mutations were noticed by chance or not at all: room not kept for the task that waits, the pause after an election, records deleted before their job is over.

Change: TestRoomGoesToWhomItIsMadeFor, TestNoMovesAfterElection (with a minimum run of 0: with the default of 30 s the pause is implied, since a new leader counts runs anew), TestCancelWaits looks at OnOver. Played again on a scratch copy: each is noticed.

--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -129,7 +129,13 @@
 	tb.Place(&j.Tasks[0], "h", 1, func() {})
 	c.Flush()
 	k.run()
-	told := ""
+	told, over := "", 0
+	tb.OnOver = func(id ident.JobID) {
+		over++
+		if id != "j-1" || k.Keys["over/j-1"].Stamp == 0 {
+			t.Errorf("%s is called over before that is durable", id)
+		}
+	}
 	tb.Cancel(j, func() { told = j.View().Status })
 	c.Flush()
 	k.run()
@@ -139,8 +145,8 @@
 	tb.Gone(&j.Tasks[0], nil)
 	c.Flush()
 	k.run()
-	if k.Keys["over/j-1"].Stamp == 0 || k.Keys["live/j-1"].Stamp != 0 {
-		t.Errorf("keys %v", k.Keys)
+	if k.Keys["over/j-1"].Stamp == 0 || k.Keys["live/j-1"].Stamp != 0 || over != 1 {
+		t.Errorf("keys %v, called over %d times", k.Keys, over)
 	}
 }
 
--- a/internal/standin/moves_load_test.go
+++ b/internal/standin/moves_load_test.go
@@ -226,6 +226,62 @@
 	}
 }
 
+// TestNoMovesAfterElection: a leader moves nothing until it has led for as long as the settings
+// say, and does so then.
+func TestNoMovesAfterElection(t *testing.T) {
+	t.Parallel()
+	moves := 0
+	for seed := range uint64(3) {
+		cfg := movingConfig(seed)
+		cfg.Tune = func(t *settings.Tuning) { t.Moves.MinRun, t.Moves.Settle = 0, 25*time.Second }
+		w := New(cfg)
+		w.fragment(4)
+		w.when(wideAt+3, func() { w.depose(2 * time.Second) })
+		early := 0
+		w.when(wideAt+3+25, func() { early = w.Moves })
+		w.Run()
+		whole(t, seed, w)
+		moves += w.Moves
+		if early > 0 || w.seen["new term"] == 0 {
+			t.Errorf("seed %d: %d moves, %d of them early, %v", seed, w.Moves, early, w.seen)
+		}
+	}
+	if moves == 0 {
+		t.Error("no move at all: the test shows nothing")
+	}
+}
+
+// TestRoomGoesToWhomItIsMadeFor: while small tasks that would fit into the room that a move
+// makes come all the time, the task that it was made for gets it.
+func TestRoomGoesToWhomItIsMadeFor(t *testing.T) {
+	t.Parallel()
+	arrived := 0
+	for seed := range uint64(4) {
+		w := New(movingConfig(seed))
+		w.fragment(4)
+		for s := wideAt; s < wideAt+40; s += 0.7 {
+			w.when(s, func() {
+				w.job(func(s *api.Spec) { w.narrow(s); s.Tasks, s.SnapshotEveryS, s.RuntimeS = 1, 0, 5 }, 5*time.Second)
+			})
+		}
+		gains := w.gatherGains()
+		w.Run()
+		whole(t, seed, w)
+		for _, m := range *gains {
+			if m.Reason != migration.Arrived.String() {
+				continue
+			}
+			arrived++
+			if *m.RealisedGainS < 0 {
+				t.Errorf("seed %d: %s was moved for %s, which did not get the room", seed, m.Task, m.For)
+			}
+		}
+	}
+	if arrived == 0 {
+		t.Error("no move arrived: the test shows nothing")
+	}
+}
+
 // TestUnreadableMoves: a record of moves that can't be read keeps its job from being moved, and
 // the leader leads on.
 func TestUnreadableMoves(t *testing.T) {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -60,6 +60,9 @@
 	if n.w.cfg.Rebalance != "" && !n.old {
 		set.Tuning.Rebalance = n.w.cfg.Rebalance
 	}
+	if n.w.cfg.Tune != nil {
+		n.w.cfg.Tune(&set.Tuning)
+	}
 	if n.w.cfg.Mutation == NoDamping {
 		set.Tuning.Links.HalfLife = time.Millisecond
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,10 +30,12 @@
 	Links    bool          // the nodes watch their links
 	// Rebalance is what the nodes do about uneven load.
 	Rebalance settings.Rebalance
-	Nodes     int // controllers; 0: three
-	OldNodes  int // so many of them are of the version in production, until they are replaced
-	Capacity  int // machines of each zone and kind that the cloud has; 0: by Fleet
-	Fleet     int // machines that the cloud has in all, with limits of teams to match; 0: a small one
+	// Tune changes the tuning of each node; nil: nothing more.
+	Tune     func(*settings.Tuning)
+	Nodes    int // controllers; 0: three
+	OldNodes int // so many of them are of the version in production, until they are replaced
+	Capacity int // machines of each zone and kind that the cloud has; 0: by Fleet
+	Fleet    int // machines that the cloud has in all, with limits of teams to match; 0: a small one
 	// Teams are those of the cluster; nil: four of different kinds.
 	Teams []settings.Team
 	Calm  time.Duration // after the faults; 0: calm
