--- /dev/null
+++ b/cmd/opaldale/moves_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"opaldale/internal/controller"
+)
+
+// TestMovesCommand prints what a node answers, as a table and as it is.
+func TestMovesCommand(t *testing.T) {
+	gain := 12.5
+	report := controller.MoveReport{Node: "agent-1", Mode: "move", Leads: true, Moves: []controller.MoveEntry{
+		{Task: "j-000012/3", Team: "vision", From: "host-000004", To: "host-000009", For: "j-000031/0", State: "running", Reason: "arrived",
+			AgeS: 7, ExpectedGainS: 20, CostS: 4, RealisedGainS: &gain},
+		{Task: "j-000013/0", From: "host-000005", To: "host-000006", For: "j-000032/0", State: "stopping"}}}
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/moves" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		json.NewEncoder(w).Encode(report)
+	}))
+	defer node.Close()
+	run := func(args ...string) (string, error) {
+		cmd := moves()
+		var out strings.Builder
+		cmd.SetOut(&out)
+		cmd.SetArgs(append(args, "--addr", strings.TrimPrefix(node.URL, "http://")))
+		err := cmd.Execute()
+		return out.String(), err
+	}
+	out, err := run()
+	for _, want := range []string{"agent-1: rebalance move, leads", "j-000012/3  vision", "arrived", "16.0 s", "12.5 s", "stopping"} {
+		if err != nil || !strings.Contains(out, want) {
+			t.Errorf("%q is not in the table, %v:\n%s", want, err, out)
+		}
+	}
+	out, err = run("--json")
+	var again controller.MoveReport
+	if err != nil || json.Unmarshal([]byte(out), &again) != nil || len(again.Moves) != 2 || *again.Moves[0].RealisedGainS != gain {
+		t.Errorf("as JSON: %v\n%s", err, out)
+	}
+	report = controller.MoveReport{Node: "agent-2", Mode: "off", Truncated: true, Error: "state service unavailable"}
+	out, err = run()
+	for _, want := range []string{"follows", "carries no moves out", "state service unavailable", "more is on record"} {
+		if err != nil || !strings.Contains(out, want) {
+			t.Errorf("%q is not in the answer, %v:\n%s", want, err, out)
+		}
+	}
+}
--- a/internal/controller/move_report.go
+++ b/internal/controller/move_report.go
@@ -130,14 +130,15 @@
 	s.MovesProposed, s.MoveGainSeconds = m.proposed, m.gain.Seconds()
 	s.MovesActive, s.MovesEnded = len(m.table.Active()), m.table.ByReason()
 	s.MoveRealisedSeconds = m.table.Gained.Seconds()
+	s.MovesHeldBack = map[string]uint64{}
+	for why, n := range m.heldBack {
+		if n > 0 {
+			s.MovesHeldBack[restraint(why).String()] = n
+		}
+	}
 	for _, w := range m.lead.workers.Sorted() {
 		if w.Keeps() {
 			s.Reservations++
 		}
 	}
-	for _, x := range m.table.Active() {
-		if x.State == migration.Stopping || x.State == migration.Stopped {
-			s.MovesStopped++
-		}
-	}
 }
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -44,7 +44,8 @@
 	notBefore ident.Mono // no plan earlier
 	proposed  uint64
 	gain      time.Duration
-	seen      map[proposal]bool // proposals of the present term, not to be counted twice
+	heldBack  [restraintCount]uint64 // how often no plan was made, by why
+	seen      map[proposal]bool      // proposals of the present term, not to be counted twice
 }
 
 // proposal tells moves apart.
@@ -100,16 +101,16 @@
 func (m *mover) propose() {
 	l := m.lead
 	now := l.c.env.Now()
-	if m.carries && !m.calm(now) || now < m.notBefore {
-		return
-	}
-	waiting := m.waiting(now)
-	if len(waiting) == 0 {
+	waiting, why := m.waitingNow(now)
+	if why != unrestrained {
+		m.heldBack[why]++
+		slog.Debug("no plan of moves", "why", why.String())
 		return
 	}
 	moves := rebalance.Plan(m.config, m.picture(waiting, now))
 	done := l.c.env.Now()
 	m.notBefore = done.Add(planShare * done.Sub(now))
+	slog.Debug("plan of moves", "waiting", len(waiting), "moves", len(moves), "took_ms", done.Sub(now).Seconds()*1000)
 	for _, p := range moves {
 		m.count(p)
 		if m.carries {
@@ -118,6 +119,18 @@
 	}
 }
 
+// waitingNow lists the tasks that others could be moved for, or says why none is.
+func (m *mover) waitingNow(now ident.Mono) ([]rebalance.Waiting, restraint) {
+	if why := m.restrained(now); why != unrestrained {
+		return nil, why
+	}
+	waiting := m.waiting(now)
+	if len(waiting) == 0 {
+		return nil, nobodyWaits
+	}
+	return waiting, unrestrained
+}
+
 // count notes a proposal, once.
 func (m *mover) count(p rebalance.Move) {
 	key := proposal{p.Task, p.For}
@@ -134,29 +147,6 @@
 		"for", p.For.String(), "gain_s", p.Gain.Seconds(), "cost_s", p.Cost.Seconds())
 }
 
-// calm says whether this is a time to move work: no election of late, nothing in doubt, and no
-// machines leaving in numbers.
-func (m *mover) calm(now ident.Mono) bool {
-	l := m.lead
-	switch {
-	case !l.c.may(authority.Place), now.Sub(m.readyAt) < l.c.set.Tuning.Moves.Settle, !l.commits.Spare():
-		return false // machines of the term before are still being heard of, or writes lag
-	case m.cooledAt > 0 && now.Sub(m.cooledAt) < calmTime:
-		return false
-	}
-	unsettled, all := 0, 0
-	for _, w := range l.workers.Sorted() {
-		switch {
-		case w.State == workers.Silent, w.State == workers.Returning, w.State == workers.Up && (w.Doomed > 0 || w.Cordoned):
-			unsettled++
-			all++
-		case w.State == workers.Up:
-			all++
-		}
-	}
-	return unsettled <= max(unsettledLeast, all/unsettledPart)
-}
-
 // begin takes up a proposed move: its room is kept, and it is recorded. The task is stopped
 // once that is durable.
 func (m *mover) begin(p rebalance.Move, now ident.Mono) {
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -28,7 +28,8 @@
 	TeamLoads                   []load.TeamReport
 	MovesProposed               uint64
 	MoveGainSeconds             float64
-	MovesActive, MovesStopped   int // under way, and of those the ones whose task runs nowhere
+	MovesActive                 int               // under way
+	MovesHeldBack               map[string]uint64 // rounds without a plan of moves, by why
 	MovesEnded                  []migration.Outcome
 	Reservations                int // machines on which room is kept for a move
 	MoveRealisedSeconds         float64
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -77,6 +77,7 @@
 		{"GET", "/metrics", "", 200, "opaldale_leading 0"},
 		{"GET", "/metrics", "", 200, `opaldale_authority{state="none"} 1`},
 		{"GET", "/links", "", 200, `"enabled":false`},
+		{"GET", "/moves", "", 200, `"error":"state service unavailable"`},
 	} {
 		began := time.Now()
 		req, _ := http.NewRequest(c.method, web.URL+c.path, strings.NewReader(c.body))
--- a/internal/standin/moves_load_test.go
+++ b/internal/standin/moves_load_test.go
@@ -226,6 +226,32 @@
 	}
 }
 
+// TestMovesAreShownAnywhere: the leader tells of a move under way, and each other node of what is
+// on record of it.
+func TestMovesAreShownAnywhere(t *testing.T) {
+	t.Parallel()
+	w := New(movingConfig(1))
+	w.fragment(4)
+	w.when(wideAt, func() {
+		w.onMove(migration.Stopping, func(l *node, m controller.MoveEntry) {
+			w.others(l, func(n *node) {
+				n.ctl.MoveReport(func(r controller.MoveReport) {
+					for _, e := range r.Moves {
+						if !r.Leads && e.Task == m.Task && e.From == m.From && e.To == m.To && e.For == m.For && e.State == "recorded" {
+							w.took("shown by another")
+						}
+					}
+				})
+			})
+		})
+	})
+	w.Run()
+	whole(t, 1, w)
+	if w.seen["shown by another"] != 2 {
+		t.Errorf("%v", w.seen)
+	}
+}
+
 // TestNoMovesAfterElection: a leader moves nothing until it has led for as long as the settings
 // say, and does so then.
 func TestNoMovesAfterElection(t *testing.T) {
