--- a/cmd/opaldale/links_test.go
+++ b/cmd/opaldale/links_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -16,20 +15,8 @@
 		Links:     []controller.LinkEntry{{Peer: "sibling agent-1", Direction: "outbound", State: "down", Evidence: "silence", Damped: true, Breaks: 4}},
 		Rows:      []controller.RowEntry{{Origin: "agent-2", Links: []controller.RowLink{{Peer: "state service", Inbound: "up", Outbound: "up", Refusing: true}}}},
 		Handovers: []controller.HandoverEntry{{Term: 7, To: "agent-2", Reason: "a sibling is better placed", Own: 70, Standing: 100}}}
-	status := http.StatusOK
-	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.WriteHeader(status)
-		json.NewEncoder(w).Encode(report)
-	}))
-	defer node.Close()
-	run := func(args ...string) (string, error) {
-		cmd := links()
-		var out strings.Builder
-		cmd.SetOut(&out)
-		cmd.SetArgs(append(args, "--addr", strings.TrimPrefix(node.URL, "http://")))
-		err := cmd.Execute()
-		return out.String(), err
-	}
+	node := &answering{path: "/links", status: http.StatusOK, report: &report}
+	run := runAgainst(t, node, links)
 	out, err := run()
 	for _, want := range []string{"agent-0: authority deciding, handover steady", "sibling agent-1  outbound   down", "damped", "refuses", "term 7", "a sibling is better placed"} {
 		if err != nil || !strings.Contains(out, want) {
@@ -45,7 +32,7 @@
 	if out, err = run(); err != nil || !strings.Contains(out, "is off") {
 		t.Errorf("with the view off: %v\n%s", err, out)
 	}
-	status = http.StatusServiceUnavailable
+	node.status = http.StatusServiceUnavailable
 	if _, err = run(); err == nil {
 		t.Error("a refusal is no error")
 	}
--- a/cmd/opaldale/moves_test.go
+++ b/cmd/opaldale/moves_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -17,22 +16,7 @@
 		{Task: "j-000012/3", Team: "vision", From: "host-000004", To: "host-000009", For: "j-000031/0", State: "running", Reason: "arrived",
 			AgeS: 7, ExpectedGainS: 20, CostS: 4, RealisedGainS: &gain},
 		{Task: "j-000013/0", From: "host-000005", To: "host-000006", For: "j-000032/0", State: "stopping"}}}
-	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/moves" {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		json.NewEncoder(w).Encode(report)
-	}))
-	defer node.Close()
-	run := func(args ...string) (string, error) {
-		cmd := moves()
-		var out strings.Builder
-		cmd.SetOut(&out)
-		cmd.SetArgs(append(args, "--addr", strings.TrimPrefix(node.URL, "http://")))
-		err := cmd.Execute()
-		return out.String(), err
-	}
+	run := runAgainst(t, &answering{path: "/moves", status: http.StatusOK, report: &report}, moves)
 	out, err := run()
 	for _, want := range []string{"agent-1: rebalance move, leads", "j-000012/3  vision", "arrived", "16.0 s", "12.5 s", "stopping"} {
 		if err != nil || !strings.Contains(out, want) {
--- /dev/null
+++ b/cmd/opaldale/report_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+)
+
+// answering is a node that answers one question of operators.
+type answering struct {
+	path   string
+	status int
+	report any
+}
+
+func (a *answering) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != a.path {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(a.status)
+	json.NewEncoder(w).Encode(a.report)
+}
+
+// runAgainst has a command ask a node, and returns what it prints.
+func runAgainst(t *testing.T, node *answering, command func() *cobra.Command) func(args ...string) (string, error) {
+	web := httptest.NewServer(node)
+	t.Cleanup(web.Close)
+	return func(args ...string) (string, error) {
+		cmd := command()
+		var out strings.Builder
+		cmd.SetOut(&out)
+		cmd.SetArgs(append(args, "--addr", strings.TrimPrefix(web.URL, "http://")))
+		err := cmd.Execute()
+		return out.String(), err
+	}
+}
--- a/internal/settings/tuning.go
+++ b/internal/settings/tuning.go
@@ -147,65 +147,67 @@
 			faults = append(faults, errors.New("want (name value)"))
 			continue
 		}
-		name, value := e.list[0].atom, e.list[1].atom
-		var err error
-		switch name {
-		case "leader-lease":
-			t.LeaderLease, err = time.ParseDuration(value)
-		case "round":
-			t.Round, err = time.ParseDuration(value)
-		case "silent":
-			t.Silent, err = time.ParseDuration(value)
-		case "idle-keep":
-			t.IdleKeep, err = time.ParseDuration(value)
-		case "boot-factor":
-			t.BootFactor, err = strconv.ParseFloat(value, 64)
-		case "headroom":
-			t.Headroom, err = strconv.ParseFloat(value, 64)
-		case "spare":
-			t.Spare, err = strconv.ParseFloat(value, 64)
-		case "max-wait":
-			t.MaxWait, err = time.ParseDuration(value)
-		case "gang-wait":
-			t.GangWait, err = time.ParseDuration(value)
-		case "plan":
-			t.Plan = value
-		case "rebalance":
-			t.Rebalance = Rebalance(value)
-		case "moves-cluster":
-			t.Moves.Cluster, err = strconv.Atoi(value)
-		case "moves-zone":
-			t.Moves.Zone, err = strconv.Atoi(value)
-		case "moves-team":
-			t.Moves.Team, err = strconv.Atoi(value)
-		case "moves-margin":
-			t.Moves.Margin, err = strconv.ParseFloat(value, 64)
-		case "moves-settle":
-			t.Moves.Settle, err = time.ParseDuration(value)
-		case "moves-patience":
-			t.Moves.Patience, err = time.ParseDuration(value)
-		case "moves-min-run":
-			t.Moves.MinRun, err = time.ParseDuration(value)
-		case "links":
-			t.Links.Enabled, err = onOff(value)
-		case "links-suspect":
-			t.Links.Suspect, err = time.ParseDuration(value)
-		case "links-half-life":
-			t.Links.HalfLife, err = time.ParseDuration(value)
-		case "links-hold":
-			t.Links.Hold, err = time.ParseDuration(value)
-		case "links-persist":
-			t.Links.Persist, err = time.ParseDuration(value)
-		default:
-			err = errors.New("unknown setting")
-		}
-		if err != nil {
+		name := e.list[0].atom
+		if err := t.set(name, e.list[1].atom); err != nil {
 			faults = append(faults, fmt.Errorf("%s: %w", name, err))
 		}
 	}
 	return errors.Join(faults...)
 }
 
+var errUnknownSetting = errors.New("unknown setting")
+
+// set takes over one setting.
+func (t *Tuning) set(name, value string) error {
+	var err error
+	switch field := t.field(name).(type) {
+	case *time.Duration:
+		*field, err = time.ParseDuration(value)
+	case *float64:
+		*field, err = strconv.ParseFloat(value, 64)
+	case *int:
+		*field, err = strconv.Atoi(value)
+	case *bool:
+		*field, err = onOff(value)
+	case *string:
+		*field = value
+	case *Rebalance:
+		*field = Rebalance(value)
+	default:
+		err = errUnknownSetting
+	}
+	return err
+}
+
+// field returns where a setting is kept, nil if there is none of that name.
+func (t *Tuning) field(name string) any {
+	return map[string]any{
+		"leader-lease":    &t.LeaderLease,
+		"round":           &t.Round,
+		"silent":          &t.Silent,
+		"idle-keep":       &t.IdleKeep,
+		"boot-factor":     &t.BootFactor,
+		"headroom":        &t.Headroom,
+		"spare":           &t.Spare,
+		"max-wait":        &t.MaxWait,
+		"gang-wait":       &t.GangWait,
+		"plan":            &t.Plan,
+		"rebalance":       &t.Rebalance,
+		"moves-cluster":   &t.Moves.Cluster,
+		"moves-zone":      &t.Moves.Zone,
+		"moves-team":      &t.Moves.Team,
+		"moves-margin":    &t.Moves.Margin,
+		"moves-settle":    &t.Moves.Settle,
+		"moves-patience":  &t.Moves.Patience,
+		"moves-min-run":   &t.Moves.MinRun,
+		"links":           &t.Links.Enabled,
+		"links-suspect":   &t.Links.Suspect,
+		"links-half-life": &t.Links.HalfLife,
+		"links-hold":      &t.Links.Hold,
+		"links-persist":   &t.Links.Persist,
+	}[name]
+}
+
 // onOff reads a setting that is on or off.
 func onOff(value string) (bool, error) {
 	switch value {
