Placement: begin, placeService, plan and prepare in steps of one duty each

The first machine for a late job, the machine held back for it, the search for holders, the demand of a plan, and the parts of a dispatch's preparation have names of their own.

--- a/internal/placement/begin.go
+++ b/internal/placement/begin.go
@@ -13,6 +13,30 @@
 // come first, since one task of each is all they take here; their others go in the
 // usual order.
 func (p *Planner) begin() {
+	for _, j := range p.unbegunJobs() {
+		if begun, ok := p.begun[j.Spec.Team]; ok && p.now().Sub(begun) < p.MaxWait/beginPart {
+			continue
+		}
+		if !p.teams.Allows(j.Spec, 1) {
+			if p.blocked[j.Spec.Team] == nil {
+				p.blocked[j.Spec.Team] = j
+			}
+			continue
+		}
+		if w := p.firstMachine(j); w != nil {
+			p.begun[j.Spec.Team] = p.now()
+			p.place(p.next(j), w)
+			continue
+		}
+		if len(p.reserved) < maxReserved && !p.holdsBack(j) {
+			p.holdBack(j)
+		}
+	}
+}
+
+// unbegunJobs lists the arrays that have waited too long for their first task, the largest
+// first.
+func (p *Planner) unbegunJobs() []*jobs.Job {
 	var late []*jobs.Job
 	for _, j := range p.arrays {
 		if p.unbegun(j) && p.next(j) != nil {
@@ -26,44 +50,39 @@
 		}
 		return late[i].Seq < late[k].Seq
 	})
-	for _, j := range late {
-		if begun, ok := p.begun[j.Spec.Team]; ok && p.now().Sub(begun) < p.MaxWait/beginPart {
-			continue
-		}
-		if !p.teams.Allows(j.Spec, 1) {
-			if p.blocked[j.Spec.Team] == nil {
-				p.blocked[j.Spec.Team] = j
-			}
-			continue
-		}
-		var fit, wait *workers.Worker
-		for _, w := range p.roomy {
-			if p.fits(j, w) && p.may(j, w) {
-				if fit == nil || w.Holds(j.Spec.Image) {
-					fit = w
-				}
-				if w.Holds(j.Spec.Image) {
-					break
-				}
-			}
-		}
-		if fit != nil {
-			p.begun[j.Spec.Team] = p.now()
-			p.place(p.next(j), fit)
+	return late
+}
+
+// firstMachine returns a machine with room for a job's first task, one that holds its image if
+// there is one; nil if none has room.
+func (p *Planner) firstMachine(j *jobs.Job) *workers.Worker {
+	var found *workers.Worker
+	for _, w := range p.roomy {
+		if !p.fits(j, w) || !p.may(j, w) {
 			continue
 		}
-		if len(p.reserved) >= maxReserved || p.holdsBack(j) {
-			continue
+		if w.Holds(j.Spec.Image) {
+			return w
 		}
-		for _, w := range p.order {
-			if p.reserved[w] == nil && p.may(j, w) && (wait == nil || w.Kind.VCPUs-w.VCPUs > wait.Kind.VCPUs-wait.VCPUs+slack) {
-				wait = w
-			}
+		if found == nil {
+			found = w
 		}
-		if wait != nil {
-			p.reserved[wait] = j
+	}
+	return found
+}
+
+// holdBack keeps the machine with the most room for a job.
+func (p *Planner) holdBack(j *jobs.Job) {
+	var most *workers.Worker
+	room := func(w *workers.Worker) float64 { return w.Kind.VCPUs - w.VCPUs }
+	for _, w := range p.order {
+		if p.reserved[w] == nil && p.may(j, w) && (most == nil || room(w) > room(most)+slack) {
+			most = w
 		}
 	}
+	if most != nil {
+		p.reserved[most] = j
+	}
 }
 
 // beginPart paces first tasks that come before all others: so many in each team
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -17,71 +17,90 @@
 // planLimit returns the number of tasks that a plan may cover.
 func planLimit(machines int) int { return max(minPlanned, plannedPerMachine*machines) }
 
+// demand is what a plan is made for: tasks of jobs, each group with the machines that hold its
+// image.
+type demand struct {
+	groups []Group
+	tasks  [][]*jobs.Task // of each group
+}
+
 // plan joins the waiting array tasks within their teams' limits to the machines
 // that hold their image and could fit them, and runs ASM1.
 func (p *Planner) plan() {
 	began := time.Now()
 	p.Stats.Rounds++
+	p.clearPlans()
+	if !p.asm1 {
+		return
+	}
+	d := p.demand()
+	for g, owners := range ASM1(len(p.order), d.groups) {
+		// Tasks come by priority, then arrival, and so does each plan.
+		at := 0
+		for _, o := range owners {
+			w := p.order[o.Machine]
+			for _, t := range d.tasks[g][at : at+o.Tasks] {
+				w.Plan = append(w.Plan, t)
+				t.Planned = w.Host
+			}
+			at += o.Tasks
+		}
+	}
+	p.Stats.Took += time.Since(began)
+}
+
+// clearPlans takes the plan before back.
+func (p *Planner) clearPlans() {
 	for _, w := range p.fleet.Workers {
 		for _, t := range w.Plan {
 			t.Planned = ""
 		}
 		w.Plan = nil
 	}
-	if !p.asm1 {
-		return
-	}
+}
+
+// demand gathers the waiting tasks, as many as a plan may cover and their teams' limits admit.
+func (p *Planner) demand() demand {
 	place := make(map[*workers.Worker]int32, len(p.order))
 	for i, w := range p.order {
 		place[w] = int32(i)
 	}
-	var groups []Group
-	var tasks [][]*jobs.Task
-	room := map[string]int{}
-	total, limit := 0, planLimit(len(p.order))
+	var d demand
+	room := map[string]int{} // by team
+	left := planLimit(len(p.order))
 	for _, j := range p.arrays {
-		left, ok := room[j.Spec.Team]
+		admitted, ok := room[j.Spec.Team]
 		if !ok {
-			left = p.teams.Room(j.Spec)
+			admitted = p.teams.Room(j.Spec)
 		}
-		var of []*jobs.Task
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
-			if left <= 0 || total >= limit {
-				break
-			}
-			if t.State != jobs.Waiting {
-				continue
-			}
-			left--
-			total++
-			of = append(of, t)
-		}
-		room[j.Spec.Team] = left
-		if len(of) == 0 {
+		tasks := waitingTasks(j, min(admitted, left))
+		room[j.Spec.Team] = admitted - len(tasks)
+		left -= len(tasks)
+		if len(tasks) == 0 {
 			continue
 		}
-		g := Group{Tasks: len(of)}
+		g := Group{Tasks: len(tasks)}
 		for _, w := range p.holding(j.Spec.Image) {
 			if w.Allows(j.Spec) && !j.Shunned[w.Host] {
 				g.Machines = append(g.Machines, place[w])
 			}
 		}
-		groups = append(groups, g)
-		tasks = append(tasks, of)
+		d.groups = append(d.groups, g)
+		d.tasks = append(d.tasks, tasks)
 	}
-	for g, owners := range ASM1(len(p.order), groups) {
-		// Tasks come by priority, then arrival, and so does each plan.
-		at := 0
-		for _, o := range owners {
-			w := p.order[o.Machine]
-			for range o.Tasks {
-				t := tasks[g][at]
-				at++
-				w.Plan = append(w.Plan, t)
-				t.Planned = w.Host
-			}
+	return d
+}
+
+// waitingTasks returns the first tasks of a job that wait, up to so many.
+func waitingTasks(j *jobs.Job, most int) []*jobs.Task {
+	var list []*jobs.Task
+	for i := range j.Tasks {
+		if len(list) >= most {
+			break
+		}
+		if t := &j.Tasks[i]; t.State == jobs.Waiting {
+			list = append(list, t)
 		}
 	}
-	p.Stats.Took += time.Since(began)
+	return list
 }
--- a/internal/placement/prepare.go
+++ b/internal/placement/prepare.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"opaldale/internal/api"
+	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/workers"
 )
@@ -12,50 +13,79 @@
 func (p *Planner) prepare() (services, gangs []*jobs.Job) {
 	now := p.now()
 	p.teams.Guarantee(p.jobs)
-	var arr, srv, gng []waiting
+	byShape, need := p.waitingByShape(now)
+	sortServices(byShape[api.Service])
+	sortByRight(byShape[api.Batch])
+	sortByRight(byShape[api.Gang])
+	p.indexArrays(byShape[api.Batch])
+	p.reset(now)
+	if len(p.jobs.Waiting) == 0 {
+		return nil, nil
+	}
+	p.sortMachines(need, now)
+	return jobsOf(byShape[api.Service]), jobsOf(byShape[api.Gang])
+}
+
+// waitingByShape lists the jobs that wait and may be placed now, and the least that any of their
+// tasks needs.
+func (p *Planner) waitingByShape(now ident.Mono) (map[api.Shape][]waiting, jobs.Need) {
+	list := map[api.Shape][]waiting{}
 	need := jobs.NoNeed()
 	for j := range p.jobs.Waiting {
 		if now < j.RetryAt {
 			continue
 		}
 		need.Least(j.Spec)
-		w := waiting{j: j, guest: p.teams.Guest(j.Spec.Team), level: j.Spec.Priority.Level(), urgency: p.urgency(j), work: work(j)}
-		switch j.Spec.Shape {
-		case api.Service:
-			srv = append(srv, w)
-		case api.Gang:
-			gng = append(gng, w)
-		default:
-			arr = append(arr, w)
+		shape := j.Spec.Shape
+		if shape != api.Service && shape != api.Gang {
+			shape = api.Batch
 		}
+		list[shape] = append(list[shape], waiting{j: j, guest: p.teams.Guest(j.Spec.Team), level: j.Spec.Priority.Level(), urgency: p.urgency(j), work: work(j)})
 	}
-	sort.Slice(srv, func(i, k int) bool {
-		a, b := &srv[i], &srv[k]
+	return list, need
+}
+
+// sortServices brings services into the order of their right: by priority, but for those that
+// are overdue.
+func sortServices(list []waiting) {
+	sort.Slice(list, func(i, k int) bool {
+		a, b := &list[i], &list[k]
 		if a.level != b.level && (a.urgency == overdue) == (b.urgency == overdue) {
 			return a.level < b.level
 		}
 		return a.before(b)
 	})
-	for _, list := range [][]waiting{arr, gng} {
-		sort.Slice(list, func(i, k int) bool { return list[i].before(&list[k]) })
-	}
-	for i := range gng {
-		gangs = append(gangs, gng[i].j)
-	}
-	for i := range srv {
-		services = append(services, srv[i].j)
+}
+
+func sortByRight(list []waiting) {
+	sort.Slice(list, func(i, k int) bool { return list[i].before(&list[k]) })
+}
+
+func jobsOf(list []waiting) []*jobs.Job {
+	var out []*jobs.Job
+	for i := range list {
+		out = append(out, list[i].j)
 	}
+	return out
+}
+
+// indexArrays notes the arrays in the order of their right, and by image.
+func (p *Planner) indexArrays(list []waiting) {
 	p.arrays = p.arrays[:0]
 	p.byImage, p.first = map[string][]int{}, map[string]int{}
-	p.guests = len(arr)
-	for i := range arr {
-		j := arr[i].j
-		if arr[i].guest {
+	p.guests = len(list)
+	for i := range list {
+		j := list[i].j
+		if list[i].guest {
 			p.guests = min(p.guests, i)
 		}
 		p.arrays = append(p.arrays, j)
 		p.byImage[j.Spec.Image] = append(p.byImage[j.Spec.Image], i)
 	}
+}
+
+// reset forgets what is of one dispatch only, and what is kept for jobs that need it no more.
+func (p *Planner) reset(now ident.Mono) {
 	p.order, p.roomy, p.plans, p.unheld = p.order[:0], p.roomy[:0], nil, nil
 	p.held, p.holders = map[*jobs.Job]bool{}, nil
 	p.free = map[string]float64{}
@@ -69,9 +99,10 @@
 		}
 	}
 	p.expirePromises(now)
-	if len(p.jobs.Waiting) == 0 {
-		return nil, nil
-	}
+}
+
+// sortMachines lists the open machines, and those where some waiting task fits.
+func (p *Planner) sortMachines(need jobs.Need, now ident.Mono) {
 	for _, w := range p.fleet.Sorted() {
 		if !w.Open(now) || w.Kind == nil {
 			continue
@@ -84,7 +115,6 @@
 			p.free[w.Zone] += w.Free().VCPUs
 		}
 	}
-	return services, gangs
 }
 
 // holding returns the open machines that hold an image.
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -8,49 +8,66 @@
 // placeService goes first-fit: over the machines that hold the image, then over
 // the others, then where work of less right can be stopped.
 func (p *Planner) placeService(j *jobs.Job) {
-	at := 0 // room only shrinks, so a holder that was passed over needs no second look
+	holders := &holderSearch{planner: p, job: j}
 	for p.placed < maxPlaced {
 		t := p.next(j)
 		if t == nil || !p.teams.Allows(j.Spec, 1) {
 			return
 		}
-		var found *workers.Worker
-		if p.Even() {
-			found = p.leastUsedHolder(j)
-			at = len(p.roomy)
-		}
-		for ; at < len(p.roomy); at++ {
-			if w := p.roomy[at]; w.Holds(j.Spec.Image) && p.may(j, w) && p.fits(j, w) {
-				found = w
-				break
-			}
-		}
+		found := holders.next()
 		if found == nil {
-			// Where the image must be fetched anyway, on the machine with the most
-			// room: the next ones then find it there.
-			for _, w := range p.roomy {
-				if (found == nil || w.Kind.VCPUs-w.VCPUs > found.Kind.VCPUs-found.VCPUs+slack) && p.may(j, w) && p.fits(j, w) {
-					found = w
-				}
-			}
+			found = p.roomiest(j)
 			// Unless fetching would take longer than its users want to wait.
 			if found != nil && p.impatient(j, found) && p.preempt(t, true) {
 				p.Stats.Services++
 				continue
 			}
 		}
-		if found == nil {
-			if !p.preempt(t, false) {
-				return
-			}
+		if found != nil {
 			p.Stats.Services++
+			p.place(t, found)
 			continue
 		}
+		if !p.preempt(t, false) {
+			return
+		}
 		p.Stats.Services++
-		p.place(t, found)
 	}
 }
 
+// holderSearch finds machines that hold a service's image, for one of its tasks after another.
+type holderSearch struct {
+	planner *Planner
+	job     *jobs.Job
+	at      int // room only shrinks, so a holder that was passed over needs no second look
+}
+
+// next returns a holder with room, nil if there is none.
+func (s *holderSearch) next() *workers.Worker {
+	p, j := s.planner, s.job
+	if p.Even() {
+		return p.leastUsedHolder(j)
+	}
+	for ; s.at < len(p.roomy); s.at++ {
+		if w := p.roomy[s.at]; w.Holds(j.Spec.Image) && p.may(j, w) && p.fits(j, w) {
+			return w
+		}
+	}
+	return nil
+}
+
+// roomiest returns the machine with the most room, nil if none has enough. Where the image must
+// be fetched anyway, the next tasks then find it there.
+func (p *Planner) roomiest(j *jobs.Job) *workers.Worker {
+	var found *workers.Worker
+	for _, w := range p.roomy {
+		if (found == nil || w.Kind.VCPUs-w.VCPUs > found.Kind.VCPUs-found.VCPUs+slack) && p.may(j, w) && p.fits(j, w) {
+			found = w
+		}
+	}
+	return found
+}
+
 // Movable says whether a replica would find room on another machine that holds
 // its image.
 func (p *Planner) Movable(t *jobs.Task, from *workers.Worker) bool {
