--- a/internal/fleet/layout.go
+++ b/internal/fleet/layout.go
@@ -149,97 +149,121 @@
 	return best
 }
 
+// alike says what machines of one bin have in common.
+type alike struct {
+	pool    pool
+	class   class
+	v, c, g float64 // free CPUs, cards, memory
+}
+
+// gathering puts machines that are alike into one bin.
+type gathering struct {
+	bins  map[alike]*bin
+	order []*bin
+	to    float64 // what free amounts of machines are rounded down to
+}
+
+// add counts a machine, or the place of a task that ends, and returns its bin.
+func (g *gathering) add(k *cloud.Model, p pool, cl class, free jobs.Need) *bin {
+	to := g.to
+	if cl == endingRoom {
+		// The place of a task that ends is as large as the task: rounded down, the next
+		// one like it would not fit.
+		to = exact
+	}
+	key := alike{p, cl, floor(free.VCPUs, to), floor(free.Cards, to), floor(free.MemoryGB, to)}
+	b := g.bins[key]
+	if b == nil {
+		b = &bin{kind: k, pool: p, class: cl, v: key.v, c: key.c, g: key.g}
+		g.bins[key] = b
+		g.order = append(g.order, b)
+	}
+	b.n++
+	return b
+}
+
+// exact rounds to what differs by no more than sums of amounts may.
+const exact = 1e-6
+
 // layout counts the machines that can take work now or soon.
 func (m *Manager) layout(catalog []cloud.Model, now ident.Mono) *layout {
 	l := newLayout()
 	for j := range m.jobs.Waiting {
 		l.least.Least(j.Spec)
 	}
-	type alike struct {
-		pool    pool
-		class   class
-		v, c, g float64
-	}
-	all := map[alike]*bin{}
-	var order []*bin
-	add := func(k *cloud.Model, p pool, cl class, v, c, g float64) *bin {
-		// The place of a task that ends is as large as the task: rounded down, the next
-		// one like it would not fit.
-		to := 1e-6
-		if cl != endingRoom && len(m.machine.Sorted()) > large {
-			to = quantum
-		}
-		key := alike{p, cl, floor(v, to), floor(c, to), floor(g, to)}
-		b := all[key]
-		if b == nil {
-			b = &bin{kind: k, pool: p, class: cl, v: key.v, c: key.c, g: key.g}
-			all[key] = b
-			order = append(order, b)
-		}
-		b.n++
-		return b
+	g := &gathering{bins: map[alike]*bin{}, to: exact}
+	if len(m.machine.Sorted()) > large {
+		g.to = quantum
 	}
 	guests := m.guests()
 	for _, w := range m.machine.Sorted() {
-		// A machine where a task failed is no room to count on: the job keeps off it.
-		// (A job waited for ever while the only idle machine was one that it shunned.)
-		// Nor is one in a zone that is cut off.
-		if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Doubtful() || m.cut[w.Zone] {
-			continue
-		}
-		p := pool{w.Model, w.Zone, w.Spot}
-		v, c, g := w.Kind.VCPUs, w.Kind.Cards, w.Kind.MemoryGB
-		switch w.State {
-		case workers.Booting:
-			if now.Sub(w.Born) > 2*m.startup(w) {
-				continue // late: don't count on it
-			}
-			l.later[p] += v
-		case workers.Up, workers.Silent:
-			v, c, g = v-w.VCPUs, c-w.Cards, g-w.MemoryGB
-		default:
-			continue
+		m.layMachine(l, g, w, guests[w.Host], now)
+	}
+	m.layPending(l, g, catalog)
+	m.running(now, func(t *jobs.Task, w *workers.Worker, left time.Duration) {
+		if !w.Cordoned && w.Kind != nil && left < m.startup(w) {
+			g.add(w.Kind, pool{w.Model, w.Zone, w.Spot}, endingRoom, jobs.NeedOf(t.Job.Spec))
 		}
-		l.count[p]++
-		l.held[p.site] += w.Replicas
-		if w.Cordoned {
-			b := add(w.Kind, p, cordonedRoom, v, c, g)
-			b.workers = append(b.workers, w)
-			continue
+	})
+	for _, b := range g.order {
+		if l.useful(b) {
+			l.bins[b.class] = append(l.bins[b.class], b)
 		}
-		l.free[p] += v
-		l.lent[p] += w.Arrays
-		if held, ok := guests[w.Host]; ok {
-			v, c, g = v+held.VCPUs, c+held.Cards, g+held.MemoryGB
+	}
+	return l
+}
+
+// layMachine counts a machine, if it can take work now or soon.
+func (m *Manager) layMachine(l *layout, g *gathering, w *workers.Worker, guests jobs.Need, now ident.Mono) {
+	// A machine where a task failed is no room to count on: the job keeps off it.
+	// (A job waited for ever while the only idle machine was one that it shunned.)
+	// Nor is one in a zone that is cut off.
+	if w.Kind == nil || w.Doomed > 0 || w.Shun > now || w.Doubtful() || m.cut[w.Zone] {
+		return
+	}
+	p := pool{w.Model, w.Zone, w.Spot}
+	free := jobs.Need{VCPUs: w.Kind.VCPUs, Cards: w.Kind.Cards, MemoryGB: w.Kind.MemoryGB}
+	switch w.State {
+	case workers.Booting:
+		if now.Sub(w.Born) > 2*m.startup(w) {
+			return // late: don't count on it
 		}
-		add(w.Kind, p, p.class(), v, c, g)
+		l.later[p] += free.VCPUs
+	case workers.Up, workers.Silent:
+		free = free.Minus(jobs.Need{VCPUs: w.VCPUs, Cards: w.Cards, MemoryGB: w.MemoryGB})
+	default:
+		return
 	}
+	l.count[p]++
+	l.held[p.site] += w.Replicas
+	if w.Cordoned {
+		b := g.add(w.Kind, p, cordonedRoom, free)
+		b.workers = append(b.workers, w)
+		return
+	}
+	l.free[p] += free.VCPUs
+	l.lent[p] += w.Arrays
+	g.add(w.Kind, p, p.class(), free.Plus(guests))
+}
+
+// layPending counts the machines that were asked for and are not on record yet.
+func (m *Manager) layPending(l *layout, g *gathering, catalog []cloud.Model) {
 	for i := range catalog {
 		k := &catalog[i]
 		for _, site := range k.Zones {
 			for _, standby := range []bool{true, false} {
 				p := pool{k.SKU, site, standby}
-				if mk := m.markets[p]; mk != nil && mk.pending > 0 {
-					add(k, p, p.class(), k.VCPUs, k.Cards, k.MemoryGB).n += mk.pending - 1
-					l.count[p] += mk.pending
-					l.free[p] += float64(mk.pending) * k.VCPUs
-					l.later[p] += float64(mk.pending) * k.VCPUs
+				mk := m.markets[p]
+				if mk == nil || mk.pending <= 0 {
+					continue
 				}
+				g.add(k, p, p.class(), jobs.Need{VCPUs: k.VCPUs, Cards: k.Cards, MemoryGB: k.MemoryGB}).n += mk.pending - 1
+				l.count[p] += mk.pending
+				l.free[p] += float64(mk.pending) * k.VCPUs
+				l.later[p] += float64(mk.pending) * k.VCPUs
 			}
 		}
 	}
-	m.running(now, func(t *jobs.Task, w *workers.Worker, left time.Duration) {
-		if !w.Cordoned && w.Kind != nil && left < m.startup(w) {
-			s := t.Job.Spec
-			add(w.Kind, pool{w.Model, w.Zone, w.Spot}, endingRoom, s.VCPUs, s.Cards, s.MemoryGB)
-		}
-	})
-	for _, b := range order {
-		if l.useful(b) {
-			l.bins[b.class] = append(l.bins[b.class], b)
-		}
-	}
-	return l
 }
 
 // guests returns what tasks of teams without a guarantee have on each machine. It is room
@@ -253,8 +277,7 @@
 		}
 		for i := range j.Tasks {
 			if t := &j.Tasks[i]; t.State.Held() {
-				n := out[t.Host]
-				out[t.Host] = jobs.Need{VCPUs: n.VCPUs + j.Spec.VCPUs, Cards: n.Cards + j.Spec.Cards, MemoryGB: n.MemoryGB + j.Spec.MemoryGB}
+				out[t.Host] = out[t.Host].Plus(jobs.NeedOf(j.Spec))
 			}
 		}
 	})
--- a/internal/fleet/shrink.go
+++ b/internal/fleet/shrink.go
@@ -17,61 +17,25 @@
 // end, its replicas move, and nothing new is placed there.
 func (m *Manager) shrink(l *layout, services, ordinary map[string]float64, arrays float64, now ident.Mono) {
 	m.moves = maxMoves
-	spare := l.spare()
-	var smallest float64
-	var cand []*workers.Worker
-	for _, w := range m.machine.Sorted() {
-		if w.State != workers.Up || w.Kind == nil || w.Doomed > 0 || w.Shun > now {
-			continue
-		}
-		if w.Cordoned {
-			spare -= w.VCPUs
-			m.empty(w, now)
-			continue
-		}
-		cand = append(cand, w)
-		if smallest == 0 || w.Kind.VCPUs < smallest {
-			smallest = w.Kind.VCPUs
-		}
-	}
+	x := &shrinking{arrays: arrays, services: total(services), ordinary: ordinary, free: l.zones()}
+	candidates, smallest, leaving := m.candidates(now)
 	// What boots can't take the place of what is returned.
-	free := l.zones()
+	booting := 0.0
 	for p, v := range l.later {
-		spare -= v
+		booting += v
 		if !p.standby {
-			free[p.site] -= v
+			x.free[p.site] -= v
 		}
 	}
-	spare = round(spare)
-	all := total(services)
-	if spare-smallest < all+arrays {
+	x.spare = round(l.spare() - leaving - booting)
+	if x.spare-smallest < x.services+arrays {
 		m.excess = 0
 		return
 	}
-	sort.SliceStable(cand, func(i, k int) bool {
-		a, b := cand[i], cand[k]
-		if x, y := price(a), price(b); x != y {
-			return x > y
-		}
-		if a.Replicas != b.Replicas {
-			return a.Replicas < b.Replicas
-		}
-		return a.VCPUs < b.VCPUs
-	})
+	sort.SliceStable(candidates, func(i, k int) bool { return dearer(candidates[i], candidates[k]) })
 	excess := false
-	for _, w := range cand {
-		// Its replicas move, and its arrays end where they are; but while work goes
-		// on as it does, others come in their place. (Counting only what was free
-		// on it cordoned most of a fleet within a second of the end of a peak, and
-		// rented it again.)
-		keep := arrays
-		if w.Spot {
-			keep *= spotKeep
-		}
-		if spare-w.Kind.VCPUs < all+keep {
-			continue
-		}
-		if !w.Spot && free[w.Zone]-w.Kind.VCPUs < ordinary[w.Zone] {
+	for _, w := range candidates {
+		if !x.needless(w) {
 			continue
 		}
 		excess = true
@@ -81,10 +45,7 @@
 		if now.Sub(m.excess) < m.cfg.Tuning.IdleKeep {
 			return
 		}
-		spare -= w.Kind.VCPUs
-		if !w.Spot {
-			free[w.Zone] -= w.Kind.VCPUs
-		}
+		x.remove(w)
 		slog.Info("cordoning machine", "host", string(w.Host), "tasks", len(w.Tasks), "replicas_cpus", w.Replicas)
 		w.Cordoned = true
 		m.empty(w, now)
@@ -94,6 +55,70 @@
 	}
 }
 
+// candidates lists the machines that may be cordoned, with the CPUs of the smallest, and goes on
+// emptying those that are; leaving is what work there will need elsewhere.
+func (m *Manager) candidates(now ident.Mono) (list []*workers.Worker, smallest, leaving float64) {
+	for _, w := range m.machine.Sorted() {
+		if w.State != workers.Up || w.Kind == nil || w.Doomed > 0 || w.Shun > now {
+			continue
+		}
+		if w.Cordoned {
+			leaving += w.VCPUs
+			m.empty(w, now)
+			continue
+		}
+		list = append(list, w)
+		if smallest == 0 || w.Kind.VCPUs < smallest {
+			smallest = w.Kind.VCPUs
+		}
+	}
+	return list, smallest, leaving
+}
+
+// dearer orders machines by what is saved by returning them, then by how easily they are
+// emptied.
+func dearer(a, b *workers.Worker) bool {
+	if x, y := price(a), price(b); x != y {
+		return x > y
+	}
+	if a.Replicas != b.Replicas {
+		return a.Replicas < b.Replicas
+	}
+	return a.VCPUs < b.VCPUs
+}
+
+// shrinking is what is free while machines are cordoned, in CPUs, and what of it must be kept.
+type shrinking struct {
+	spare    float64            // on all machines
+	free     map[string]float64 // on ordinary machines, by zone
+	services float64            // to be kept on all machines for services
+	arrays   float64            // and for arrays
+	ordinary map[string]float64 // to be kept on ordinary machines, by zone
+}
+
+// needless says whether enough is left without a machine. Its replicas move, and its arrays end
+// where they are; but while work goes on as it does, others come in their place. (Counting only
+// what was free on it cordoned most of a fleet within a second of the end of a peak, and rented
+// it again.)
+func (x *shrinking) needless(w *workers.Worker) bool {
+	keep := x.arrays
+	if w.Spot {
+		keep *= spotKeep
+	}
+	if x.spare-w.Kind.VCPUs < x.services+keep {
+		return false
+	}
+	return w.Spot || x.free[w.Zone]-w.Kind.VCPUs >= x.ordinary[w.Zone]
+}
+
+// remove takes a machine out of what is free.
+func (x *shrinking) remove(w *workers.Worker) {
+	x.spare -= w.Kind.VCPUs
+	if !w.Spot {
+		x.free[w.Zone] -= w.Kind.VCPUs
+	}
+}
+
 // spotKeep is how many times the room for arrays is kept before a spot machine is
 // returned: idle they cost little, and a boot is paid for as well.
 const spotKeep = 1.7
--- a/internal/fleet/size.go
+++ b/internal/fleet/size.go
@@ -68,7 +68,7 @@
 		for _, j := range m.waiting(services) {
 			n := min(j.Wants(), m.teams.Room(j.Spec))
 			if n > 0 && (!j.Gang() || n == j.Waits()) {
-				m.lay(l, j, n, &late, open, now)
+				m.lay(&laying{layout: l, job: j, left: n, late: &late, open: open, now: now})
 			}
 		}
 	}
@@ -100,89 +100,6 @@
 	return math.Floor(cpus/most) * most
 }
 
-// lay finds room for n tasks of a job, and opens machines for what finds none.
-func (m *Manager) lay(l *layout, j *jobs.Job, n int, late *float64, open func(*api.Spec, ask) *bin, now ident.Mono) {
-	s := j.Spec
-	limit := s.Tasks
-	if s.Spread {
-		limit = (s.Tasks + 1) / 2
-	}
-	sites := maps.Clone(j.Zones)
-	if sites == nil {
-		sites = map[string]int{}
-	}
-	a := ask{zone: l.oneZone(s, sites)}
-	put := func(b *bin) {
-		if !b.allows(s) || a.zone != "" && a.zone != b.pool.site {
-			return
-		}
-		k := n
-		if s.Spread {
-			k = min(k, limit-sites[b.pool.site])
-		}
-		if k <= 0 {
-			return
-		}
-		k, back := l.put(b, s, k)
-		for _, w := range back {
-			w.Cordoned = false
-			m.machine.Uncordoned()
-		}
-		sites[b.pool.site] += k
-		n -= k
-	}
-	for c := range l.bins {
-		kept := l.bins[c][:0]
-		for i := 0; i < len(l.bins[c]); i++ {
-			b := l.bins[c][i]
-			if n > 0 {
-				put(b)
-			}
-			if b.n > 0 {
-				kept = append(kept, b)
-			}
-		}
-		l.bins[c] = kept
-	}
-	for n > 0 {
-		if s.Spread {
-			a.full = nil
-			for z, k := range sites {
-				if k >= limit {
-					a.full = append(a.full, z)
-				}
-			}
-		}
-		dear := s.Spot && now.Sub(j.Arrived) < patience*m.slowest()
-		// An ordinary machine costs several times as much, and spot ones that are
-		// refused now are mostly to be had a little later.
-		// For work of guests no ordinary machine is rented at all: it is for what is to spare.
-		// (They doubled the ordinary fleet, and the price.)
-		a.spot = dear && *late <= 0 || s.Spot && m.teams.Guest(s.Team)
-		b := open(s, a)
-		if b == nil && j.Gang() && s.OneZone && j.Held == 0 && a.zone != "" {
-			// Nothing is to be had there: perhaps it is elsewhere, for all of them.
-			a.zone, n = "", s.Tasks
-			b = open(s, a)
-		}
-		if b == nil {
-			return
-		}
-		if s.OneZone {
-			// Where the first machine is, the others have to be. (Without room anywhere
-			// they were opened in both zones in turn.)
-			a.zone = b.pool.site
-		}
-		if dear && !b.pool.standby {
-			*late -= b.v
-		}
-		before := n
-		if put(b); n == before {
-			return
-		}
-	}
-}
-
 // rentAll asks for what is missing, of each pool in turn, as far as the cloud's
 // rate allows.
 func (m *Manager) rentAll(rent map[pool]int) {
@@ -303,6 +220,27 @@
 func (m *Manager) newBin(catalog []cloud.Model, l *layout, s *api.Spec, a ask, now ident.Mono) *bin {
 	var best *bin
 	cheapest, fewest := math.Inf(1), 0
+	m.openPools(catalog, a, now, func(k *cloud.Model, p pool) {
+		b := &bin{kind: k, pool: p, n: 1, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, class: p.class()}
+		if !b.allows(s) {
+			return
+		}
+		price := k.Hourly
+		if p.standby {
+			price = k.MarketPrice
+		}
+		price /= float64(max(b.fit(s), 1))
+		n := l.count[p]
+		if best == nil || price < cheapest-1e-9 || price < cheapest+1e-9 && n < fewest {
+			best, cheapest, fewest = b, price, n
+		}
+	})
+	return best
+}
+
+// openPools calls f for each pool that is asked for and has machines to be had, as far as is
+// known.
+func (m *Manager) openPools(catalog []cloud.Model, a ask, now ident.Mono, f func(*cloud.Model, pool)) {
 	for i := range catalog {
 		k := &catalog[i]
 		for _, z := range k.Zones {
@@ -310,27 +248,12 @@
 				continue
 			}
 			for _, standby := range []bool{true, false} {
-				if a.spot && !standby {
-					continue
-				}
-				p := pool{k.SKU, z, standby}
-				b := &bin{kind: k, pool: p, n: 1, v: k.VCPUs, c: k.Cards, g: k.MemoryGB, class: p.class()}
-				if !b.allows(s) || m.market(p).closed > now {
-					continue
-				}
-				price := k.Hourly
-				if standby {
-					price = k.MarketPrice
-				}
-				price /= float64(max(b.fit(s), 1))
-				n := l.count[p]
-				if best == nil || price < cheapest-1e-9 || price < cheapest+1e-9 && n < fewest {
-					best, cheapest, fewest = b, price, n
+				if p := (pool{k.SKU, z, standby}); (standby || !a.spot) && m.market(p).closed <= now {
+					f(k, p)
 				}
 			}
 		}
 	}
-	return best
 }
 
 func (m *Manager) market(p pool) *market {
