--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -125,38 +125,16 @@
 	l.teams = placement.NewTeams(c.set.Cluster.Teams)
 	w := c.set.Cluster.Workers
 	port := leaderPort{Env: c.env, until: c.elect.Until}
-	l.workers = workers.NewTable(port, l.jobs, workers.Config{
-		Term: t, LeaseS: settings.Seconds(w.LeaseS), Grace: c.grace,
-		Catalog: func(m string) *cloud.Model { return l.kinds[m] },
-		Deposed: func() { c.elect.Deposed("a worker has seen a later term") },
-		Changed: func() { l.dirty = true },
-		Failed:  l.failed,
-		Commit:  l.commitWorker,
-		Asked:   l.asked,
-		Renewed: func() ident.Mono { return l.renewals.Renewed(c.env.Now()) },
-	})
+	l.workers = workers.NewTable(port, l.jobs, l.workersConfig())
 	l.planner = placement.NewPlanner(l.teams, l.jobs, l.workers, l, c.env.Now, c.set.Tuning.Plan == "asm1", c.set.Cluster.Objectives)
 	l.planner.MaxWait, l.planner.GangWait = c.set.Tuning.MaxWait, c.set.Tuning.GangWait
-	var unheard, blind func(string) bool
 	if c.links != nil {
-		unheard, blind = l.unheard, l.blind
 		times := handover.DefaultConfig()
 		times.Hold, times.Persist = c.set.Tuning.Links.Hold, c.set.Tuning.Links.Persist
 		l.handover = handover.New(times, &c.links.history, c.env.Now())
 	}
 	l.watchLoad()
-	l.fleet = fleet.New(port, l.workers, l.jobs, l.teams, c.rng, fleet.Config{
-		Term: t, Tuning: c.set.Tuning, Cloud: c.set.Cluster.Cloud, Workers: w,
-		Catalog: func() []cloud.Model { return l.models },
-		Reached: l.reached, Stranded: l.stranded, Unheard: unheard, Blind: blind,
-		Direct: func() bool { return l.c.env.Now().Sub(l.direct) < directAfter },
-		Aim:    l.planner.Aim,
-		Movable: func(t *jobs.Task, from *workers.Worker) bool {
-			return c.may(authority.Place) && l.planner.Movable(t, from)
-		},
-		Drain:   l.drain,
-		Reserve: func(site string, cpus float64) { l.planner.Reserve[site] = cpus },
-	})
+	l.fleet = fleet.New(port, l.workers, l.jobs, l.teams, c.rng, l.fleetConfig())
 	l.gangs = gang.NewTable(l.jobs, l.workers, c.env.Now, func() bool { return !l.dead && c.may(authority.Launch) },
 		gang.Config{Wait: settings.Seconds(w.GangWaitS), Peer: settings.Seconds(w.GangPeerS), Report: settings.Seconds(w.ReportS)})
 	l.jobs.OnMove = l.move
@@ -164,6 +142,48 @@
 	return l
 }
 
+// workersConfig says what the table of machines needs of the leader.
+func (l *lead) workersConfig() workers.Config {
+	c := l.c
+	return workers.Config{
+		Term:    l.term,
+		LeaseS:  settings.Seconds(c.set.Cluster.Workers.LeaseS),
+		Grace:   c.grace,
+		Catalog: func(m string) *cloud.Model { return l.kinds[m] },
+		Deposed: func() { c.elect.Deposed("a worker has seen a later term") },
+		Changed: func() { l.dirty = true },
+		Failed:  l.failed,
+		Commit:  l.commitWorker,
+		Asked:   l.asked,
+		Renewed: func() ident.Mono { return l.renewals.Renewed(c.env.Now()) },
+	}
+}
+
+// fleetConfig says what renting and returning needs of the leader.
+func (l *lead) fleetConfig() fleet.Config {
+	c := l.c
+	config := fleet.Config{
+		Term:     l.term,
+		Tuning:   c.set.Tuning,
+		Cloud:    c.set.Cluster.Cloud,
+		Workers:  c.set.Cluster.Workers,
+		Catalog:  func() []cloud.Model { return l.models },
+		Reached:  l.reached,
+		Stranded: l.stranded,
+		Direct:   func() bool { return c.env.Now().Sub(l.direct) < directAfter },
+		Aim:      l.planner.Aim,
+		Movable: func(t *jobs.Task, from *workers.Worker) bool {
+			return c.may(authority.Place) && l.planner.Movable(t, from)
+		},
+		Drain:   l.drain,
+		Reserve: func(zone string, cpus float64) { l.planner.Reserve[zone] = cpus },
+	}
+	if c.links != nil {
+		config.Unheard, config.Blind = l.unheard, l.blind
+	}
+	return config
+}
+
 func (l *lead) close() {
 	l.dead = true
 	l.commits.Stop()
--- a/internal/jobs/load.go
+++ b/internal/jobs/load.go
@@ -17,40 +17,49 @@
 // Load takes in what an earlier term left. Pairs come in the order of keys, so a
 // header comes before its segments.
 func (tb *Table) Load(path string, value json.RawMessage, stamp ident.Stamp) error {
-	name := strings.TrimPrefix(path, LivePrefix)
-	id, seg, isSeg := strings.Cut(name, "/")
-	if !isSeg {
-		var h header
-		if err := json.Unmarshal(value, &h); err != nil {
-			return fmt.Errorf("%s: %w", path, err)
-		}
-		if h.Spec == nil || LiveKey(h.Spec.ID) != path {
-			return fmt.Errorf("%s: not a job", path)
-		}
-		age := time.Duration(max(0, tb.wall()-h.AtMS)) * time.Millisecond
-		j := &Job{Spec: h.Spec, Seq: h.Seq, AtMS: h.AtMS, Arrived: tb.now().Add(-age), Phase: h.Phase, Durable: h.Phase, Known: true}
-		if j.Phase != Open {
-			j.Ended = tb.now().Add(-time.Hour) // nobody knows, long enough
-		}
-		tb.shape(j)
-		j.form = whole
-		if h.Logged {
-			if !tb.packed {
-				return fmt.Errorf("%s: of a later format", path)
-			}
-			j.form = logged
-		} else if len(h.Tasks) == 0 && len(j.Tasks) > 0 {
-			tb.divide(j, tb.perSeg)
-		} else {
-			j.segs = nil
-		}
-		j.head.Stamp, j.head.LSN = stamp, h.LSN
-		tb.commits.Seen(h.LSN)
-		tb.Jobs[h.Spec.ID] = j
-		tb.Seq = max(tb.Seq, h.Seq)
-		return tb.restore(j, 0, h.Tasks)
+	id, segment, isSegment := strings.Cut(strings.TrimPrefix(path, LivePrefix), "/")
+	if isSegment {
+		return tb.loadSegment(path, ident.JobID(id), segment, value, stamp)
+	}
+	return tb.loadHeader(path, value, stamp)
+}
+
+// loadHeader takes in a job.
+func (tb *Table) loadHeader(path string, value json.RawMessage, stamp ident.Stamp) error {
+	var h header
+	if err := json.Unmarshal(value, &h); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if h.Spec == nil || LiveKey(h.Spec.ID) != path {
+		return fmt.Errorf("%s: not a job", path)
 	}
-	j := tb.Jobs[ident.JobID(id)]
+	age := time.Duration(max(0, tb.wall()-h.AtMS)) * time.Millisecond
+	j := &Job{Spec: h.Spec, Seq: h.Seq, AtMS: h.AtMS, Arrived: tb.now().Add(-age), Phase: h.Phase, Durable: h.Phase, Known: true}
+	if j.Phase != Open {
+		j.Ended = tb.now().Add(-time.Hour) // nobody knows, long enough
+	}
+	tb.shape(j)
+	j.form = whole
+	if h.Logged {
+		if !tb.packed {
+			return fmt.Errorf("%s: of a later format", path)
+		}
+		j.form = logged
+	} else if len(h.Tasks) == 0 && len(j.Tasks) > 0 {
+		tb.divide(j, tb.perSeg)
+	} else {
+		j.segs = nil
+	}
+	j.head.Stamp, j.head.LSN = stamp, h.LSN
+	tb.commits.Seen(h.LSN)
+	tb.Jobs[h.Spec.ID] = j
+	tb.Seq = max(tb.Seq, h.Seq)
+	return tb.restore(j, 0, h.Tasks)
+}
+
+// loadSegment takes in a part of a job's tasks, of the first format.
+func (tb *Table) loadSegment(path string, id ident.JobID, number string, value json.RawMessage, stamp ident.Stamp) error {
+	j := tb.Jobs[id]
 	if j == nil || j.form == logged {
 		d := &commit.Doc{Path: path, Stamp: stamp, Render: func() json.RawMessage { return nil }}
 		tb.commits.Mark(d, nil)
@@ -60,7 +69,7 @@
 	if err := json.Unmarshal(value, &s); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	n, err := strconv.Atoi(seg)
+	n, err := strconv.Atoi(number)
 	if err != nil || n < 0 {
 		return fmt.Errorf("%s: no such segment", path)
 	}
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -147,23 +147,7 @@
 		taken[w] += n
 		c.spread++
 	}
-	type room struct {
-		w *workers.Worker
-		n int
-	}
-	var holders, others []room
-	for _, w := range p.roomy {
-		if n := w.Places(s); n > 0 && allowed(w) {
-			if w.Holds(s.Image) {
-				holders = append(holders, room{w, n})
-			} else {
-				others = append(others, room{w, n})
-			}
-		}
-	}
-	most := func(a, b room) int { return cmp.Compare(b.n, a.n) }
-	slices.SortStableFunc(holders, most)
-	slices.SortStableFunc(others, most)
+	holders, others := p.placesFor(s, allowed)
 	for _, r := range holders {
 		take(r.w, r.n)
 	}
@@ -186,6 +170,30 @@
 	return c
 }
 
+// places is how many tasks of a gang find room on a machine.
+type places struct {
+	w *workers.Worker
+	n int
+}
+
+// placesFor lists the allowed machines with room, those that hold the image and the others apart,
+// the most room first.
+func (p *Planner) placesFor(s *api.Spec, allowed func(*workers.Worker) bool) (holders, others []places) {
+	for _, w := range p.roomy {
+		if n := w.Places(s); n > 0 && allowed(w) {
+			if w.Holds(s.Image) {
+				holders = append(holders, places{w, n})
+			} else {
+				others = append(others, places{w, n})
+			}
+		}
+	}
+	most := func(a, b places) int { return cmp.Compare(b.n, a.n) }
+	slices.SortStableFunc(holders, most)
+	slices.SortStableFunc(others, most)
+	return holders, others
+}
+
 // evict goes on with machines where work of less right can be stopped.
 func (p *Planner) evict(j *jobs.Job, left *[]*jobs.Task, c *choice, taken map[*workers.Worker]int, allowed func(*workers.Worker) bool,
 	take func(*workers.Worker, int), holders bool) {
--- a/internal/workers/report.go
+++ b/internal/workers/report.go
@@ -151,19 +151,34 @@
 		tb.cfg.Commit(w)
 	}
 	if r.Session > w.Session {
-		// The worker has killed and forgotten all tasks of earlier sessions, and
-		// orders for them are refused.
-		w.Session = r.Session
-		w.queue = nil
-		w.images = nil
-		tb.clearOrphans(w)
-		// Its lease has its full time from when the session began, which was not
-		// after this: nobody need have answered it yet. (A placement learned of by
-		// a probe was thought lost with the lease before, and ran twice.)
-		w.answered, w.everAns = now, true
+		tb.beginSession(w, r.Session, now)
 	}
 	tb.loseEarlier(w, r)
 	w.serial, w.heard = r.Serial, now
+	tb.noteContact(w, r, now)
+	tb.noteNotice(w, r.NoticeS, now)
+	tb.clearOrphans(w)
+	for _, p := range r.Tasks {
+		tb.takeTask(w, p)
+	}
+	return true
+}
+
+// beginSession notes that the worker has killed and forgotten all tasks of earlier sessions, and
+// that orders for them are refused.
+func (tb *Table) beginSession(w *Worker, s ident.Session, now ident.Mono) {
+	w.Session = s
+	w.queue = nil
+	w.images = nil
+	tb.clearOrphans(w)
+	// Its lease has its full time from when the session began, which was not
+	// after this: nobody need have answered it yet. (A placement learned of by
+	// a probe was thought lost with the lease before, and ran twice.)
+	w.answered, w.everAns = now, true
+}
+
+// noteContact notes that a machine is heard, and whether it hears us.
+func (tb *Table) noteContact(w *Worker, r *api.Report, now ident.Mono) {
 	// To hear a machine is no proof that it hears us: our answers and commands may
 	// be lost on the way there. A token that we gave it is.
 	switch {
@@ -180,36 +195,40 @@
 		w.probing = false
 		tb.cfg.Changed()
 	}
-	if r.NoticeS == nil {
+}
+
+// noteNotice notes when the cloud takes a machine, nil if that is not announced.
+func (tb *Table) noteNotice(w *Worker, notice *float64, now ident.Mono) {
+	if notice == nil {
 		w.Doomed = 0
-	} else {
-		at := now.Add(time.Duration(*r.NoticeS * float64(time.Second)))
-		if w.Doomed == 0 {
-			slog.Info("machine will be taken", "host", string(w.Host), "in_s", *r.NoticeS)
-			tb.cfg.Changed()
-		}
-		w.Doomed = max(at, 1)
+		return
 	}
-	tb.clearOrphans(w)
-	for _, p := range r.Tasks {
-		t := w.Tasks[p.TaskID]
-		if p.Status != api.Ended && (t == nil || t.Attempt != p.Attempt) {
-			tb.orphan(w, p.TaskID, p.Attempt)
-			continue
-		}
-		if t == nil || t.Attempt != p.Attempt {
-			continue
-		}
-		if p.Status == api.Running || p.Status == api.Flushing || p.Status == api.Gathering || p.Cause == api.CauseDone {
-			w.cache(t.Job.Spec.Image, t.Job.Spec.ImageGB)
-		}
+	at := now.Add(time.Duration(*notice * float64(time.Second)))
+	if w.Doomed == 0 {
+		slog.Info("machine will be taken", "host", string(w.Host), "in_s", *notice)
+		tb.cfg.Changed()
+	}
+	w.Doomed = max(at, 1)
+}
+
+// takeTask notes what a report says of one task.
+func (tb *Table) takeTask(w *Worker, p api.TaskReport) {
+	t := w.Tasks[p.TaskID]
+	known := t != nil && t.Attempt == p.Attempt
+	if !known {
 		if p.Status != api.Ended {
-			tb.jobs.Observe(t, p.Status)
-			continue
+			tb.orphan(w, p.TaskID, p.Attempt)
 		}
-		tb.ended(w, t, p)
+		return
 	}
-	return true
+	if p.Status == api.Running || p.Status == api.Flushing || p.Status == api.Gathering || p.Cause == api.CauseDone {
+		w.cache(t.Job.Spec.Image, t.Job.Spec.ImageGB)
+	}
+	if p.Status != api.Ended {
+		tb.jobs.Observe(t, p.Status)
+		return
+	}
+	tb.ended(w, t, p)
 }
 
 // loseEarlier drops the tasks of sessions before the report's. A successor may find them
