--- a/internal/controller/load_view.go
+++ b/internal/controller/load_view.go
@@ -19,7 +19,7 @@
 		entitled[t.Name] = t.CPUs
 	}
 	l.mover = newMover(l)
-	l.jobs.OnOver = l.mover.forget
+	l.jobs.OnOver = l.mover.history.Forget
 	l.loads = load.New(load.DefaultConfig(), entitled)
 	if mode == settings.RebalancePlace {
 		l.planner.Even = l.loads.AnyHot
@@ -52,7 +52,7 @@
 	for _, c := range l.loads.Evaluate(now) {
 		slog.Info("team heat", "team", c.Team, "from", c.From.String(), "to", c.To.String(), "demand_ratio", c.Ratio)
 		if c.From == load.Hot {
-			l.mover.cooled()
+			l.mover.cooledAt = now
 		}
 	}
 }
--- a/internal/controller/move_picture.go
+++ b/internal/controller/move_picture.go
@@ -150,6 +150,11 @@
 	if j == nil || w == nil || !w.Allows(j.Spec) || j.Shunned[w.Host] || w.Faulty() {
 		return 0, false
 	}
+	// Within the ordinary machines of a zone a move takes nothing from services to come.
+	from := l.workers.Workers[j.Tasks[t.ID.Index].Host]
+	if (from == nil || from.Spot || from.Zone != w.Zone) && !l.planner.SparesReserve(j, w) {
+		return 0, false
+	}
 	if w.Holds(j.Spec.Image) {
 		return 0, true
 	}
--- a/internal/controller/move_report.go
+++ b/internal/controller/move_report.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"opaldale/internal/ident"
@@ -97,7 +98,7 @@
 // entries lists the moves under way, and those that have ended of late.
 func (m *mover) entries(now ident.Mono) []MoveEntry {
 	out := []MoveEntry{}
-	for _, x := range append(m.table.Active()[:len(m.table.Active()):len(m.table.Active())], m.table.Recent()...) {
+	for _, x := range slices.Concat(m.table.Active(), m.table.Recent()) {
 		e := MoveEntry{
 			Task:          x.Task.String(),
 			Team:          x.Team,
@@ -119,12 +120,6 @@
 	return out
 }
 
-// forget drops the record of a job that is over.
-func (m *mover) forget(id ident.JobID) { m.history.Forget(id) }
-
-// cooled notes that a hot team has cooled.
-func (m *mover) cooled() { m.cooledAt = m.lead.c.env.Now() }
-
 // counts fills in the counters of moves.
 func (m *mover) counts(s *Snapshot) {
 	s.MovesProposed, s.MoveGainSeconds = m.proposed, m.gain.Seconds()
--- a/internal/migration/history.go
+++ b/internal/migration/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"strings"
@@ -36,6 +37,8 @@
 	Moves []Entry `json:"moves"`
 }
 
+var errNoMoves = errors.New("no moves")
+
 // ReadRecord reads the value of a job's key.
 func ReadRecord(value json.RawMessage) (Record, error) {
 	var r Record
@@ -43,7 +46,12 @@
 		return Record{}, err
 	}
 	if len(r.Moves) == 0 {
-		return Record{}, fmt.Errorf("no moves")
+		return Record{}, errNoMoves
+	}
+	for _, e := range r.Moves {
+		if e.Index < 0 {
+			return Record{}, fmt.Errorf("task %d: %w", e.Index, ident.ErrMalformed)
+		}
 	}
 	return r, nil
 }
--- a/internal/migration/history_test.go
+++ b/internal/migration/history_test.go
@@ -99,7 +99,7 @@
 // TestUnreadable: a record that can't be read bars its job and no other, and stays until that
 // is over.
 func TestUnreadable(t *testing.T) {
-	for _, value := range []string{`7`, `{"moves":"many"}`, `{}`, `{"moves":[]}`} {
+	for _, value := range []string{`7`, `{"moves":"many"}`, `{}`, `{"moves":[]}`, `{"moves":[{"task":-1}]}`} {
 		s := &state{Store: statetest.New()}
 		s.Keys[Key("j-1")] = statesvc.Pair{Path: Key("j-1"), Value: json.RawMessage(value), Stamp: 5}
 		h, c := s.term(t)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -215,11 +215,13 @@
 
 // fits checks the room, and for arrays what is kept for services.
 func (p *Planner) fits(j *jobs.Job, w *workers.Worker) bool {
-	if !w.Fits(j.Spec) {
-		return false
-	}
-	return w.Spot || !arrays(j) ||
-		p.free[w.Zone]-j.Spec.VCPUs >= p.Reserve[w.Zone]-slack
+	return w.Fits(j.Spec) && p.SparesReserve(j, w)
+}
+
+// SparesReserve says whether a task more on a machine leaves what arrays must leave free for
+// services.
+func (p *Planner) SparesReserve(j *jobs.Job, w *workers.Worker) bool {
+	return w.Spot || !arrays(j) || p.free[w.Zone]-j.Spec.VCPUs >= p.Reserve[w.Zone]-slack
 }
 
 func (p *Planner) place(t *jobs.Task, w *workers.Worker) {
--- a/internal/rebalance/plan_test.go
+++ b/internal/rebalance/plan_test.go
@@ -175,6 +175,11 @@
 		{"it is as large as what waits", func(p *Picture) { p.Machines[0].Free, p.Machines[0].Tasks[0].Need = cpus(0), cpus(4) }, 0},
 		{"memory is short there", func(p *Picture) { p.Machines[0].Tasks[0].Need.MemoryGB = 1 }, 0},
 		{"what waits may not run there", func(p *Picture) { p.Waiting[0].Allowed = func(m *Machine) bool { return m.Host == "host-2" } }, 0},
+		{"one machine is much larger, and has the room", func(p *Picture) { p.Machines[1].Free = cpus(60) }, 0},
+		{"one machine is much larger, and what waits may not run there", func(p *Picture) {
+			p.Machines[1].Free = cpus(60)
+			p.Waiting[0].Allowed = func(m *Machine) bool { return m.Host == "host-1" }
+		}, 1},
 		{"a move is under way for it", func(p *Picture) { p.Active = []Active{{For: p.Waiting[0].ID}} }, 0},
 		{"a move uses its machine", func(p *Picture) { p.Active = []Active{{From: "host-3", To: "host-1"}} }, 0},
 		{"the cluster has its moves", func(p *Picture) { p.Active = make([]Active, 4) }, 0},
--- a/internal/standin/moves_load_test.go
+++ b/internal/standin/moves_load_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -321,6 +322,39 @@
 	}
 }
 
+// TestImagesEvictEachOther: the machines hold two images and the work has four, so that a move
+// fetches an image and costs another one its place. Nothing is moved to and fro for it.
+func TestImagesEvictEachOther(t *testing.T) {
+	t.Parallel()
+	moves := 0
+	for seed := range uint64(4) {
+		w := New(movingConfig(seed))
+		image := func(s *api.Spec, n int) { s.Image = fmt.Sprintf("img-%d", n%4) }
+		w.when(2, func() {
+			for n := range 4 * w.cfg.Capacity {
+				j := w.job(func(s *api.Spec) { w.narrow(s); image(s, n) }, firstEnds)
+				j.step = nextEnds
+			}
+		})
+		for s := wideAt; s < 110; s += 6 {
+			w.when(s, func() {
+				w.job(func(s *api.Spec) {
+					w.narrow(s)
+					image(s, w.nextJob)
+					s.Tasks, s.VCPUs, s.SnapshotEveryS, s.RuntimeS = 1, 4, 0, wideRuns.Seconds()
+				}, wideRuns)
+			})
+		}
+		w.Run()
+		whole(t, seed, w)
+		movesKept(t, seed, w)
+		moves += w.Moves
+	}
+	if moves == 0 {
+		t.Error("no move at all: the test shows nothing")
+	}
+}
+
 // TestUnreadableMoves: a record of moves that can't be read keeps its job from being moved, and
 // the leader leads on.
 func TestUnreadableMoves(t *testing.T) {
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -235,6 +235,7 @@
 	machines  []*rented
 	hires     map[string][]ident.HostID
 	downUntil ident.Mono
+	soldOut   bool // no machine is to be had
 }
 
 type rented struct {
@@ -283,7 +284,7 @@
 			}
 		}
 		n := min(r.Number, p.capacity()-have)
-		if n <= 0 {
+		if n <= 0 || p.soldOut {
 			reply(cloud.Reply{Outcome: cloud.NoCapacity})
 			return
 		}
