--- a/internal/standin/slow_test.go
+++ b/internal/standin/slow_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"opaldale/internal/controller"
+	"opaldale/internal/ident"
 	"opaldale/internal/settings"
 )
 
@@ -36,11 +37,11 @@
 				return false
 			})
 		})
-		w.when(100, func() {
-			if seed%2 == 1 {
-				w.depose(3 * time.Second)
-			}
-		})
+		if seed%2 == 1 {
+			w.when(100, func() { w.depose(3 * time.Second) })
+		} else {
+			w.when(30, func() { w.nothingStartsOn(slow) })
+		}
 		w.Run()
 		whole(t, seed, w)
 		movesKept(t, seed, w)
@@ -60,6 +61,27 @@
 	}
 }
 
+// nothingStartsOn checks that no task starts on a machine from two seconds after a leader has
+// found it to be slow.
+func (w *World) nothingStartsOn(k *worker) {
+	found := ident.Never
+	var look func()
+	look = func() {
+		if l := w.leader(); found == ident.Never && l != nil && l.ctl.Snapshot().SlowMachines > 0 {
+			found = w.now.Add(2 * time.Second)
+		}
+		for id, attempts := range k.pieces {
+			for _, p := range attempts {
+				if p.began > found {
+					w.broken("%s starts on %s, which is slow", id, k.host)
+				}
+			}
+		}
+		w.at(200*time.Millisecond, look)
+	}
+	look()
+}
+
 // TestNoMachineIsSlow: where all machines are alike, and their tasks differ, none is called slow.
 func TestNoMachineIsSlow(t *testing.T) {
 	t.Parallel()
