Fleet test: the tasks that fill the machines outlast it on the busiest machine

Seen: in one of four whole runs the package took 96 s instead of 38 s, and passed; the fleet test alone takes 21 to 24 s, also beside eight busy processes, and the slow run did not come again in two whole runs. Not traced further. Ruled in by reading: the filling tasks would have ended 4 minutes after their start, and their estimates after 200 s, so a run as slow as that could have failed for its slowness.

Change: both are an hour. Checks unchanged.

--- a/internal/loopback/fleet_test.go
+++ b/internal/loopback/fleet_test.go
@@ -21,6 +21,9 @@
 	narrowTasks = 4
 	wideCPUs    = 4
 	wideJobs    = 30
+	// narrowRuns is how long the tasks run that fill the machines, but for the first of each job:
+	// longer than the test on the busiest machine, so that its course doesn't depend on that.
+	narrowRuns = time.Hour
 	// evenBound is the imbalance that the fleet must fall below.
 	evenBound = 0.35
 )
@@ -70,12 +73,11 @@
 // fill fills all machines with jobs whose first tasks end soon: each machine then has room for
 // half of a wide task.
 func (f *fleet) fill(t *testing.T) []ident.JobID {
-	const runtime = 200
 	var jobs []ident.JobID
 	for range fleetWorkers {
-		s := f.spec("blue", narrowTasks, narrowCPUs, runtime)
+		s := f.spec("blue", narrowTasks, narrowCPUs, narrowRuns.Seconds())
 		jobs = append(jobs, s.ID)
-		f.submit(t, s, Work{First: 8 * time.Second, Step: 4 * time.Minute})
+		f.submit(t, s, Work{First: 8 * time.Second, Step: narrowRuns})
 	}
 	f.until(t, func() bool {
 		machines, tasks, _ := f.Load()
