--- a/internal/jobs/format_test.go
+++ b/internal/jobs/format_test.go
@@ -132,7 +132,7 @@
 }
 
 func (g golden) keep() *keep {
-	k := &keep{Store: statetest.New()}
+	k := newKeep(statetest.New())
 	for _, p := range g.Pairs {
 		k.Keys[p.Path] = p
 		k.Ledger = max(k.Ledger, uint64(p.Stamp))
@@ -158,7 +158,7 @@
 			if n < steps-1 {
 				k.run()
 			} else {
-				k.queue = nil // the term ends before the answer comes
+				k.Pending = nil // the term ends before the answer comes
 			}
 		}
 		next, _ := load(t, k, true)
@@ -201,7 +201,7 @@
 // does, so that an old leader reads it, keeps all of it and writes it again.
 func TestFirstFormatIsWritten(t *testing.T) {
 	g := readGolden(t)
-	k := &keep{Store: statetest.New()}
+	k := newKeep(statetest.New())
 	tb, c := table(k)
 	scripted(k, tb, c)
 	same(t, "in memory", tb, g)
@@ -231,7 +231,7 @@
 // that record never came to be, and the next term gave its number out again. What the
 // new record says must not be passed over for it.
 func TestLostNumber(t *testing.T) {
-	k := &keep{Store: statetest.New()}
+	k := newKeep(statetest.New())
 	head := `{"spec":{"id":"j-1","desk":"red","shape":"batch","pieces":2,"vcpus":1},"seq":1,"phase":"open","lsn":9,"tasks":[{},{}]}`
 	k.Keys["live/j-1"] = statesvc.Pair{Path: "live/j-1", Value: json.RawMessage(head), Stamp: 20}
 	k.Keys["log/00000"] = statesvc.Pair{Path: "log/00000", Value: json.RawMessage(`{"n":9,"l":[{"j":"j-1","t":1,"h":"host-1","n":1}]}`), Stamp: 31}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"opaldale/internal/api"
 	"opaldale/internal/commit"
@@ -14,37 +13,22 @@
 	"opaldale/internal/statetest"
 )
 
-// keep is a state service that carries everything out in order.
-type keep struct {
-	*statetest.Store
-	queue []func()
-	now   ident.Mono
-}
+// keep is a state service that carries everything out in order, and takes no larger values than
+// the service does.
+type keep struct{ *statetest.Queue }
+
+func newKeep(s *statetest.Store) *keep { return &keep{statetest.NewQueue(s)} }
 
-func (k *keep) Now() ident.Mono { return k.now }
-func (k *keep) After(d time.Duration, f func()) {
-	k.queue = append(k.queue, func() {
-		k.now = k.now.Add(d)
-		f()
-	})
-}
 func (k *keep) State(r statesvc.Request, f func(statesvc.Reply)) {
 	for _, c := range r.Then {
 		if len(c.Value) > 16<<10 {
 			panic(fmt.Sprintf("%s has %d bytes", c.Put, len(c.Value)))
 		}
 	}
-	a := k.Apply(r.Then)
-	k.queue = append(k.queue, func() { f(a) })
+	k.Queue.State(r, f)
 }
 
-func (k *keep) run() {
-	for len(k.queue) > 0 {
-		f := k.queue[0]
-		k.queue = k.queue[1:]
-		f()
-	}
-}
+func (k *keep) run() { k.Run() }
 
 func table(k *keep) (*Table, *commit.Committer) {
 	c := commit.New(k, commit.Limits{Ops: 16, PerSecond: 1e9, ValueBytes: 16 << 10}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { panic(why) })
@@ -55,7 +39,7 @@
 // leader task by task, and goes over as a whole.
 func TestSegments(t *testing.T) {
 	for _, pieces := range []int{1, 100, 5000} {
-		k := &keep{Store: statetest.New()}
+		k := newKeep(statetest.New())
 		tb, c := table(k)
 		s := &api.Spec{ID: "j-1", Shape: api.Batch, Tasks: pieces, Image: strings.Repeat("x", 200)}
 		accepted := false
@@ -121,7 +105,7 @@
 // TestCancelWaits: a cancelled job stays live until its tasks are proven gone,
 // so that a successor knows of them, but is told as cancelled at once.
 func TestCancelWaits(t *testing.T) {
-	k := &keep{Store: statetest.New()}
+	k := newKeep(statetest.New())
 	tb, c := table(k)
 	j := tb.Add(&api.Spec{ID: "j-1", Shape: api.Service, Tasks: 2}, func() {}, nil)
 	c.Flush()
@@ -178,7 +162,7 @@
 // not, so this one tells neither. (The answer to a cancellation's transaction was lost; a
 // follower read "cancelled", and the leader still said "running".)
 func TestToldOnceClear(t *testing.T) {
-	k := &keep{Store: statetest.New()}
+	k := newKeep(statetest.New())
 	tb, c := table(k)
 	var j *Job
 	told := ""
--- a/internal/migration/history_test.go
+++ b/internal/migration/history_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"strings"
 	"testing"
-	"time"
 
 	"opaldale/internal/commit"
 	"opaldale/internal/ident"
@@ -12,37 +11,8 @@
 	"opaldale/internal/statetest"
 )
 
-// state is a state service that carries everything out in order.
-type state struct {
-	*statetest.Store
-	queue []func()
-	now   ident.Mono
-}
-
-func (s *state) Now() ident.Mono { return s.now }
-
-func (s *state) After(d time.Duration, f func()) {
-	s.queue = append(s.queue, func() {
-		s.now = s.now.Add(d)
-		f()
-	})
-}
-
-func (s *state) State(r statesvc.Request, f func(statesvc.Reply)) {
-	answer := s.Apply(r.Then)
-	s.queue = append(s.queue, func() { f(answer) })
-}
-
-func (s *state) run() {
-	for len(s.queue) > 0 {
-		f := s.queue[0]
-		s.queue = s.queue[1:]
-		f()
-	}
-}
-
 // term makes the history of a term, with what is stored.
-func (s *state) term(t *testing.T) (*History, *commit.Committer) {
+func term(t *testing.T, s *statetest.Queue) (*History, *commit.Committer) {
 	c := commit.New(s, commit.Limits{Ops: 5, PerSecond: 1e9, ValueBytes: 2048}, statesvc.Cond{Path: "leader", Stamp: 1}, func(why string) { t.Error(why) })
 	h := NewHistory(c, func() int64 { return 1000 })
 	for path, p := range s.Keys {
@@ -55,8 +25,8 @@
 
 // TestHistory: moves are counted by every later term, and forgotten once their job is over.
 func TestHistory(t *testing.T) {
-	s := &state{Store: statetest.New()}
-	h, c := s.term(t)
+	s := statetest.NewQueue(statetest.New())
+	h, c := term(t, s)
 	move := &Move{Move: proposal(), Attempt: 3}
 	for n := range 2 {
 		durable := false
@@ -65,11 +35,11 @@
 			t.Error("durable before it is written")
 		}
 		c.Flush()
-		s.run()
+		s.Run()
 		if !durable || h.Count("j-1") != n+1 || h.Count("j-2") != 0 {
 			t.Errorf("durable %v, %d moves on record, %d of another job", durable, h.Count("j-1"), h.Count("j-2"))
 		}
-		if h, c = s.term(t); h.Count("j-1") != n+1 {
+		if h, c = term(t, s); h.Count("j-1") != n+1 {
 			t.Errorf("the next term knows of %d moves, want %d", h.Count("j-1"), n+1)
 		}
 	}
@@ -86,12 +56,12 @@
 	}
 	h.Prune(func(ident.JobID) bool { return true })
 	c.Flush()
-	if s.run(); h.Count("j-1") != 2 {
+	if s.Run(); h.Count("j-1") != 2 {
 		t.Error("a job that is not over is forgotten")
 	}
 	h.Prune(func(ident.JobID) bool { return false })
 	c.Flush()
-	if s.run(); len(s.Keys) != 0 || h.Count("j-1") != 0 {
+	if s.Run(); len(s.Keys) != 0 || h.Count("j-1") != 0 {
 		t.Errorf("left: %v", s.Keys)
 	}
 }
@@ -100,19 +70,19 @@
 // is over.
 func TestUnreadable(t *testing.T) {
 	for _, value := range []string{`7`, `{"moves":"many"}`, `{}`, `{"moves":[]}`, `{"moves":[{"task":-1}]}`} {
-		s := &state{Store: statetest.New()}
+		s := statetest.NewQueue(statetest.New())
 		s.Keys[Key("j-1")] = statesvc.Pair{Path: Key("j-1"), Value: json.RawMessage(value), Stamp: 5}
-		h, c := s.term(t)
+		h, c := term(t, s)
 		if !h.Barred("j-1") || h.Barred("j-2") {
 			t.Errorf("%s: barred %v, another %v", value, h.Barred("j-1"), h.Barred("j-2"))
 		}
 		c.Flush()
-		if s.run(); string(s.Keys[Key("j-1")].Value) != value {
+		if s.Run(); string(s.Keys[Key("j-1")].Value) != value {
 			t.Errorf("%s has become %s", value, s.Keys[Key("j-1")].Value)
 		}
 		h.Forget("j-1")
 		c.Flush()
-		if s.run(); len(s.Keys) != 0 {
+		if s.Run(); len(s.Keys) != 0 {
 			t.Errorf("%s is left", value)
 		}
 	}
--- a/internal/standin/moves_load_test.go
+++ b/internal/standin/moves_load_test.go
@@ -13,6 +13,20 @@
 	"opaldale/internal/statesvc"
 )
 
+// playMoves plays days of one kind and checks each; it returns how many moves were recorded.
+func playMoves(t *testing.T, seeds uint64, play func(w *World)) (moves int) {
+	t.Helper()
+	for seed := range seeds {
+		w := New(movingConfig(seed))
+		play(w)
+		w.Run()
+		whole(t, seed, w)
+		movesKept(t, seed, w)
+		moves += w.Moves
+	}
+	return moves
+}
+
 // eager has moves made as often as can be.
 func eager(t *settings.Tuning) {
 	t.Round = time.Second
@@ -157,14 +171,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(2) {
-				w := New(movingConfig(seed))
-				c.play(w)
-				w.Run()
-				whole(t, seed, w)
-				if w.Moves > 0 {
-					t.Errorf("seed %d: %d moves", seed, w.Moves)
-				}
+			if n := playMoves(t, 2, c.play); n > 0 {
+				t.Errorf("%d moves", n)
 			}
 		})
 	}
@@ -175,12 +183,10 @@
 // back to a machine that a move took it from.
 func TestPulsingLoad(t *testing.T) {
 	t.Parallel()
-	moves := 0
-	for seed := range uint64(6) {
-		w := New(movingConfig(seed))
+	moves := playMoves(t, 6, func(w *World) {
 		w.when(2, func() {
 			for i := range 4 * w.cfg.Capacity {
-				factor := []float64{0.5, 1, 1.5}[(i+int(seed))%3]
+				factor := []float64{0.5, 1, 1.5}[(i+int(w.cfg.Seed))%3]
 				j := w.job(func(s *api.Spec) { w.narrow(s); s.RuntimeS *= factor }, firstEnds)
 				j.step = nextEnds
 			}
@@ -203,11 +209,7 @@
 				return false
 			})
 		})
-		w.Run()
-		whole(t, seed, w)
-		movesKept(t, seed, w)
-		moves += w.Moves
-	}
+	})
 	if moves == 0 {
 		t.Error("no move at all: the test shows nothing")
 	}
@@ -330,9 +332,7 @@
 // fetches an image and costs another one its place. Nothing is moved to and fro for it.
 func TestImagesEvictEachOther(t *testing.T) {
 	t.Parallel()
-	moves := 0
-	for seed := range uint64(4) {
-		w := New(movingConfig(seed))
+	moves := playMoves(t, 4, func(w *World) {
 		image := func(s *api.Spec, n int) { s.Image = fmt.Sprintf("img-%d", n%4) }
 		w.when(2, func() {
 			for n := range 4 * w.cfg.Capacity {
@@ -349,11 +349,7 @@
 				}, wideRuns)
 			})
 		}
-		w.Run()
-		whole(t, seed, w)
-		movesKept(t, seed, w)
-		moves += w.Moves
-	}
+	})
 	if moves == 0 {
 		t.Error("no move at all: the test shows nothing")
 	}
--- /dev/null
+++ b/internal/statetest/queue.go
@@ -0,0 +1,45 @@
+package statetest
+
+import (
+	"time"
+
+	"opaldale/internal/ident"
+	"opaldale/internal/statesvc"
+)
+
+// Queue is a state service that carries everything out at once and in order, and answers, like
+// timers, only when the test runs what is pending.
+type Queue struct {
+	*Store
+	Pending []func()
+	now     ident.Mono
+}
+
+// NewQueue makes one over a store.
+func NewQueue(s *Store) *Queue { return &Queue{Store: s} }
+
+// Now returns the time that the timers have reached.
+func (q *Queue) Now() ident.Mono { return q.now }
+
+// After has f run in its turn, and the time go on by d before that.
+func (q *Queue) After(d time.Duration, f func()) {
+	q.Pending = append(q.Pending, func() {
+		q.now = q.now.Add(d)
+		f()
+	})
+}
+
+// State carries a request's changes out; the answer comes in its turn.
+func (q *Queue) State(r statesvc.Request, f func(statesvc.Reply)) {
+	answer := q.Apply(r.Then)
+	q.Pending = append(q.Pending, func() { f(answer) })
+}
+
+// Run runs what is pending, and what comes of it.
+func (q *Queue) Run() {
+	for len(q.Pending) > 0 {
+		f := q.Pending[0]
+		q.Pending = q.Pending[1:]
+		f()
+	}
+}
