--- a/internal/controller/actions.go
+++ b/internal/controller/actions.go
@@ -118,7 +118,7 @@
 		case s.Saves():
 			// As late as it can still save, with a report's time to spare.
 			if left < save+2*settings.Seconds(l.c.set.Cluster.Workers.ReportS) {
-				l.workers.StopTask(w, t, save+time.Millisecond)
+				l.workers.StopTask(w, t, t.SaveTime())
 			}
 		case s.Shape == api.Service || need > left:
 			l.workers.StopTask(w, t, 0)
--- a/internal/controller/move_picture.go
+++ b/internal/controller/move_picture.go
@@ -17,21 +17,22 @@
 func (m *mover) waiting(now ident.Mono) []rebalance.Waiting {
 	l := m.lead
 	var list []rebalance.Waiting
+	booting := l.booting()
 	for _, j := range l.jobs.Sorted() {
 		if j.Waits() == 0 || j.Gang() || j.Suspect || now < j.RetryAt || j.Spec.OneZone || j.Spec.Spread || !l.teams.Allows(j.Spec, 1) {
 			continue
 		}
-		t := firstWaiting(j)
-		if t == nil || now.Sub(t.Since) < m.config.Patience {
+		first := j.WaitingTasks(1)
+		if len(first) == 0 || now.Sub(first[0].Since) < m.config.Patience {
 			continue
 		}
+		t := first[0]
 		list = append(list, rebalance.Waiting{
 			ID:       t.TaskID(),
-			Team:     j.Spec.Team,
 			Need:     jobs.NeedOf(j.Spec),
 			Level:    j.Spec.Priority.Level(),
 			Waited:   now.Sub(t.Since),
-			Arriving: m.arriving(j.Spec, now),
+			Arriving: arriving(booting, j.Spec, now),
 			Allowed: func(k *rebalance.Machine) bool {
 				w := l.workers.Workers[k.Host]
 				return w.Allows(j.Spec) && !j.Shunned[k.Host]
@@ -41,21 +42,23 @@
 	return list
 }
 
-func firstWaiting(j *jobs.Job) *jobs.Task {
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State == jobs.Waiting {
-			return t
+// booting lists the machines that boot.
+func (l *lead) booting() []*workers.Worker {
+	var list []*workers.Worker
+	for _, w := range l.workers.Sorted() {
+		if w.State == workers.Booting {
+			list = append(list, w)
 		}
 	}
-	return nil
+	return list
 }
 
-// arriving estimates when the next machine that boots and may take a job is there; 0: none is
-// on its way.
-func (m *mover) arriving(s *api.Spec, now ident.Mono) time.Duration {
+// arriving estimates when the next of the machines that boot and may take a job is there; 0:
+// none is on its way.
+func arriving(booting []*workers.Worker, s *api.Spec, now ident.Mono) time.Duration {
 	soonest := time.Duration(0)
-	for _, w := range m.lead.workers.Sorted() {
-		if w.State != workers.Booting || !w.Allows(s) {
+	for _, w := range booting {
+		if !w.Allows(s) {
 			continue
 		}
 		left := max(time.Second, settings.Seconds(w.Kind.StartupS)-now.Sub(w.Born))
@@ -114,7 +117,7 @@
 		return max(time.Second, t.WindDown)
 	case runtime <= 0:
 		return 0
-	case t.RunsAt > t.Since:
+	case t.SeenRunning():
 		return max(time.Second, runtime-now.Sub(t.RunsAt))
 	}
 	return runtime
@@ -124,7 +127,7 @@
 // its job allows.
 func (m *mover) movable(t *jobs.Task) bool {
 	s := t.Job.Spec
-	if t.State != jobs.Assigned || t.RunsAt <= t.Since || t.Job.Gang() || t.Job.Suspect || s.OneZone || s.Spread || m.history.Barred(s.ID) {
+	if t.State != jobs.Assigned || !t.SeenRunning() || t.Job.Gang() || t.Job.Suspect || s.OneZone || s.Spread || m.history.Barred(s.ID) {
 		return false
 	}
 	return s.Shape != api.Service || t.Job.Runs > 1 // a lone replica would be missed
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -147,8 +147,13 @@
 	m.seen[key] = true
 	m.proposed++
 	m.gain += p.Gain - p.Cost
-	slog.Info("a move would pay", "task", p.Task.String(), "source", p.Source.String(), "team", p.Team, "from", string(p.From), "to", string(p.To),
-		"for", p.For.String(), "gain_s", p.Gain.Seconds(), "cost_s", p.Cost.Seconds())
+	logMove("a move would pay", p)
+}
+
+// logMove tells of a move that is proposed or begun.
+func logMove(what string, p rebalance.Move) {
+	slog.Info(what, "task", p.Task.String(), "source", p.Source.String(), "team", p.Team, "from", string(p.From), "to", string(p.To),
+		"for", p.Beneficiary(), "gain_s", p.Gain.Seconds(), "cost_s", p.Cost.Seconds())
 }
 
 // begin takes up a proposed move: its room is kept, and it is recorded. The task is stopped
@@ -161,8 +166,7 @@
 	}
 	x := m.table.Begin(p, t.Attempt, now)
 	m.held[x] = to
-	slog.Info("move begins", "task", p.Task.String(), "source", p.Source.String(), "team", p.Team, "from", string(p.From), "to", string(p.To),
-		"for", p.For.String(), "gain_s", p.Gain.Seconds(), "cost_s", p.Cost.Seconds())
+	logMove("move begins", p)
 	m.history.Write(x, func() {
 		if !l.dead {
 			m.table.Recorded(x)
@@ -198,7 +202,7 @@
 	}
 	if t := l.task(x.Task); t != nil {
 		o.JobOpen = t.Job.Phase == jobs.Open
-		o.Task, o.Attempt, o.Runs = t.State, t.Attempt, t.RunsAt > t.Since
+		o.Task, o.Attempt, o.Runs = t.State, t.Attempt, t.SeenRunning()
 		if t.State.Held() {
 			o.Host = t.Host
 		}
@@ -241,7 +245,7 @@
 	if w == nil || !m.usable(w) {
 		return migration.DestinationShut
 	}
-	if _, holds := w.Reserved(); !holds {
+	if !w.ReservationHolds() {
 		return migration.DestinationFull
 	}
 	return migration.DestinationReady
@@ -260,10 +264,7 @@
 func (m *mover) stop(x *migration.Move) {
 	l := m.lead
 	t, from := l.task(x.Task), l.workers.Workers[x.From]
-	windDown := time.Duration(0)
-	if x.Save > 0 {
-		windDown = x.Save + time.Millisecond
-	}
+	windDown := t.SaveTime()
 	if j := l.jobs.Jobs[x.For.Job]; j != nil {
 		l.planner.Promise(from, j, l.c.env.Now().Add(windDown+promiseTime))
 	}
--- a/internal/controller/slow.go
+++ b/internal/controller/slow.go
@@ -11,7 +11,7 @@
 // needs less, and of one that an earlier term placed the beginning is not known.
 func (m *mover) completed(t *jobs.Task, w *workers.Worker) {
 	resumed := t.Attempt > 1 && t.Job.Spec.Saves()
-	if t.RunsAt <= t.Since || !t.PlacedNow() || resumed || t.Job.Gang() {
+	if !t.SeenRunning() || !t.PlacedNow() || resumed || t.Job.Gang() {
 		return
 	}
 	m.speeds.Ran(t.Job.Spec.ID, w.Model, w.Host, m.lead.c.env.Now().Sub(t.RunsAt))
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -33,6 +33,18 @@
 // PlacedNow says whether the task was placed in this term.
 func (t *Task) PlacedNow() bool { return t.placed > 0 }
 
+// SeenRunning says whether the task was seen to run since it entered its state.
+func (t *Task) SeenRunning() bool { return t.RunsAt > t.Since }
+
+// SaveTime is what a task that is stopped by itself gets to save; 0: it never does.
+func (t *Task) SaveTime() time.Duration {
+	s := t.Job.Spec
+	if !s.Saves() {
+		return 0
+	}
+	return time.Duration(s.SnapshotS*float64(time.Second)) + time.Millisecond
+}
+
 // TaskID names the task.
 func (t *Task) TaskID() ident.TaskID { return ident.TaskID{Job: t.Job.Spec.ID, Index: t.Index} }
 
@@ -113,6 +125,20 @@
 	return len(j.Tasks) - j.Held - j.Done
 }
 
+// WaitingTasks returns the first tasks that wait, up to so many.
+func (j *Job) WaitingTasks(most int) []*Task {
+	var list []*Task
+	for i := range j.Tasks {
+		if len(list) >= most {
+			break
+		}
+		if t := &j.Tasks[i]; t.State == Waiting {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // Wants returns how many tasks may be placed at the most.
 func (j *Job) Wants() int {
 	if j.Suspect {
--- a/internal/jobs/moves.go
+++ b/internal/jobs/moves.go
@@ -27,7 +27,7 @@
 		}
 		for i := range j.Tasks {
 			t := &j.Tasks[i]
-			if t.State == Assigned && t.RunsAt > t.Since && tb.now().Sub(t.RunsAt) > acquitAfter {
+			if t.State == Assigned && t.SeenRunning() && tb.now().Sub(t.RunsAt) > acquitAfter {
 				j.sound, j.Suspect, j.Backoff = true, false, 0
 				delete(tb.doubted, j)
 				break
--- a/internal/migration/migration.go
+++ b/internal/migration/migration.go
@@ -45,14 +45,6 @@
 	recorded bool
 }
 
-// Beneficiary names the task that a move makes room for, if it does.
-func (m *Move) Beneficiary() string {
-	if m.Source != rebalance.MakesRoom {
-		return ""
-	}
-	return m.For.String()
-}
-
 // Realised returns the gain of a move as it came about: by how much sooner the waiting task
 // got its place than was expected without the move, less what the move cost; or what a task
 // gains that has left a slow machine, less the time that it was away.
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -307,11 +307,7 @@
 		p.act.StopGang(v.Job)
 		return
 	}
-	d := time.Duration(0)
-	if v.Job.Spec.Saves() {
-		d = time.Duration(v.Job.Spec.SnapshotS*float64(time.Second)) + time.Millisecond
-	}
-	p.act.Preempt(v, w, d)
+	p.act.Preempt(v, w, v.SaveTime())
 }
 
 // arrays says whether a job's tasks are independent ones that end.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -73,7 +73,7 @@
 		if !ok {
 			admitted = p.teams.Room(j.Spec)
 		}
-		tasks := waitingTasks(j, min(admitted, left))
+		tasks := j.WaitingTasks(min(admitted, left))
 		room[j.Spec.Team] = admitted - len(tasks)
 		left -= len(tasks)
 		if len(tasks) == 0 {
@@ -90,17 +90,3 @@
 	}
 	return d
 }
-
-// waitingTasks returns the first tasks of a job that wait, up to so many.
-func waitingTasks(j *jobs.Job, most int) []*jobs.Task {
-	var list []*jobs.Task
-	for i := range j.Tasks {
-		if len(list) >= most {
-			break
-		}
-		if t := &j.Tasks[i]; t.State == jobs.Waiting {
-			list = append(list, t)
-		}
-	}
-	return list
-}
--- a/internal/rebalance/picture.go
+++ b/internal/rebalance/picture.go
@@ -55,7 +55,6 @@
 // Waiting is a task that finds no room.
 type Waiting struct {
 	ID     ident.TaskID
-	Team   string
 	Need   jobs.Need
 	Level  int           // of its priority, 0 the highest
 	Waited time.Duration // so far
@@ -149,3 +148,11 @@
 	Save     time.Duration // time given to the task to save; 0: it is ended at once
 	Fetch    time.Duration // of its image, at the destination
 }
+
+// Beneficiary names the task that a move makes room for, if it does.
+func (m *Move) Beneficiary() string {
+	if m.Source != MakesRoom {
+		return ""
+	}
+	return m.For.String()
+}
--- a/internal/rebalance/plan_test.go
+++ b/internal/rebalance/plan_test.go
@@ -40,7 +40,7 @@
 	}
 	for i := range rapid.IntRange(0, 8).Draw(t, "waiting") {
 		zone := rapid.SampledFrom([]string{"", "east"}).Draw(t, "zone")
-		p.Waiting = append(p.Waiting, Waiting{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", 100+i))}, Team: "red",
+		p.Waiting = append(p.Waiting, Waiting{ID: ident.TaskID{Job: ident.JobID(fmt.Sprintf("j-%d", 100+i))},
 			Need: drawNeed(t, 2, 8), Level: rapid.IntRange(0, 3).Draw(t, "level"), Waited: seconds(t, "waited", 20), Arriving: seconds(t, "arriving", 60), Allowed: func(m *Machine) bool { return zone == "" || m.Zone == zone }})
 	}
 	return p
@@ -138,7 +138,7 @@
 			Tasks: []Task{{ID: ident.TaskID{Job: "j-1"}, Team: "red", Need: cpus(1), Ran: 40 * time.Second, Left: 2 * time.Minute, Saves: 10 * time.Second, Save: time.Second}}},
 		{Host: "host-2", Zone: "east", Free: cpus(2)},
 	}
-	p.Waiting = []Waiting{{ID: ident.TaskID{Job: "j-9"}, Team: "blue", Need: cpus(4), Waited: time.Minute, Allowed: func(*Machine) bool { return true }}}
+	p.Waiting = []Waiting{{ID: ident.TaskID{Job: "j-9"}, Need: cpus(4), Waited: time.Minute, Allowed: func(*Machine) bool { return true }}}
 	if change != nil {
 		change(p)
 	}
--- a/internal/workers/reservation.go
+++ b/internal/workers/reservation.go
@@ -27,13 +27,10 @@
 // Keeps says whether the machine has a reservation.
 func (w *Worker) Keeps() bool { return w.reservation != nil }
 
-// Reserved returns what is kept, and whether the machine still has it: work of a higher
-// priority may have taken it.
-func (w *Worker) Reserved() (r Reservation, holds bool) {
-	if w.reservation == nil {
-		return Reservation{}, false
-	}
-	return *w.reservation, w.unused().Covers(w.reservation.Need)
+// ReservationHolds says whether the machine still has what is kept: work of a higher priority may
+// have taken it.
+func (w *Worker) ReservationHolds() bool {
+	return w.reservation != nil && w.unused().Covers(w.reservation.Need)
 }
 
 // unused is what no task takes; nothing while the machine's type is not known.
--- a/internal/workers/reservation_test.go
+++ b/internal/workers/reservation_test.go
@@ -26,16 +26,16 @@
 	if w.FreeFor(api.High) != w.unused() || w.FreeFor(api.Standard) != w.Free() || w.FreeFor(api.BestEffort) != w.Free() {
 		t.Errorf("by priority: %v, %v, %v", w.FreeFor(api.High), w.FreeFor(api.Standard), w.FreeFor(api.BestEffort))
 	}
-	if _, holds := w.Reserved(); !holds {
+	if !w.ReservationHolds() {
 		t.Error("the reservation is lost")
 	}
 	w.VCPUs = 5
-	if _, holds := w.Reserved(); holds {
+	if w.ReservationHolds() {
 		t.Error("a reservation holds though its room was taken")
 	}
 	w.VCPUs = 2
 	w.Unreserve()
-	if _, holds := w.Reserved(); holds || w.Keeps() || !w.Room(six) {
+	if w.ReservationHolds() || w.Keeps() || !w.Room(six) {
 		t.Error("the reservation is not given up")
 	}
 }
