--- a/review/standin/blocked.go
+++ b/review/standin/blocked.go
@@ -65,7 +65,10 @@
 	}
 	// From here on nothing disturbs the deployment.
 	since := time.Now()
-	for time.Since(since) < 91*time.Second {
+	for i := 0; time.Since(since) < 91*time.Second; i++ {
+		if i%20 == 0 {
+			w.get(i/20%3, late)
+		}
 		time.Sleep(500 * time.Millisecond)
 		w.mu.Lock()
 		started := !late.firstStart.IsZero()
