Workers: log each command call to a worker when it starts and ends

Each call now logs its number, token and commands at level debug when it starts, and its status when it ends.

--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -128,7 +128,12 @@
 		Incarnation:  max(w.order.incarnation, 1),
 		Commands:     w.commands.startCall(),
 	}}
-	tb.port.Worker(call, func(result CommandResult) { tb.handleCommandResult(w, result) })
+	number := w.commands.calls
+	logCallSent(w, number, call.Body)
+	tb.port.Worker(call, func(result CommandResult) {
+		logCallEnded(w, number, result)
+		tb.handleCommandResult(w, result)
+	})
 }
 
 func (tb *Table) handleCommandResult(w *Worker, result CommandResult) {
--- a/internal/workers/command_queue.go
+++ b/internal/workers/command_queue.go
@@ -11,6 +11,7 @@
 type commandQueue struct {
 	queued       []api.Command
 	inFlight     []api.Command // commands of the call in flight
+	calls        uint64        // number of calls started; the number of a call in the log
 	sending      bool          // a call is in flight or scheduled
 	probePending bool          // make the next call even if no command is queued
 }
@@ -31,6 +32,7 @@
 // that it is encoded as an empty list.
 func (q *commandQueue) startCall() []api.Command {
 	q.probePending = false
+	q.calls++
 	q.inFlight, q.queued = q.queued, nil
 	if q.inFlight == nil {
 		return []api.Command{}
