Workers: at most one call to a worker in flight, its commands known until it ends

The proof that a task which a heartbeat doesn't list is gone needs every command with the newest fencing token to be known until its call has ended. When the response to a call showed an unwanted task, Enqueue started a timer for the kill command, and handleCommandResult then sent the queue itself. The timer found the queue empty and reset `sending` while that call was in flight. The next command went out in a second call, which replaced `inFlight`, and the end of the first call cleared it. A launch in flight was then no longer known: the next heartbeat without its task released the task, which started elsewhere before the held-up launch was executed. Renewal of leases, repeated launches and clears relied on the same two fields.

The queue's state is idle, scheduled or in flight; only startCall begins a call and only endCall ends one, so that a late timer can do neither. A timer that finds a call in flight leaves its commands to the end of that call.

--- a/internal/propertytest/propertytest.go
+++ b/internal/propertytest/propertytest.go
@@ -4,6 +4,8 @@
 
 import (
 	"flag"
+	"maps"
+	"strconv"
 	"testing"
 )
 
@@ -13,9 +15,18 @@
 
 // Main runs the tests of a package that uses rapid and returns the exit code. The TestMain of the
 // package calls it. Flags on the command line that differ from rapid's defaults take precedence.
-func Main(m *testing.M) int {
+func Main(m *testing.M) int { return run(m, defaults) }
+
+// MainWithChecks is like Main, but each property is checked with the given number of cases.
+func MainWithChecks(m *testing.M, checks int) int {
+	values := maps.Clone(defaults)
+	values["rapid.checks"] = strconv.Itoa(checks)
+	return run(m, values)
+}
+
+func run(m *testing.M, values map[string]string) int {
 	flag.Parse()
-	for name, value := range defaults {
+	for name, value := range values {
 		f := flag.Lookup(name)
 		if f == nil || f.Value.String() != f.DefValue {
 			continue
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -16,6 +16,7 @@
 	provisioned   map[string][]ident.MachineID // by request id
 	downUntil     ident.MonotonicTime
 	outOfCapacity bool // all provisioning requests fail
+	spotOnly      bool // provisioning requests for on-demand machines fail
 }
 
 // machine is a virtual machine of the cloud.
@@ -100,7 +101,7 @@
 		}
 	}
 	n := min(r.Count, p.zoneCapacity()-inUse)
-	if n <= 0 || p.outOfCapacity {
+	if n <= 0 || p.outOfCapacity || p.spotOnly && !r.Spot {
 		return nil, false
 	}
 	for range n {
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"opaldale/internal/api"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 )
@@ -32,8 +33,10 @@
 	failedBoots        faultWindow // machines never boot
 	cancelAtCompletion faultWindow // users cancel jobs right after the last task completes
 	probeAfterReply    faultWindow // users query all nodes within milliseconds of a reply
-	heldDeliveries     []func()    // delivers the duplicates of heldHeartbeats
-	awaitingNextLeader bool        // the delivery of heldDeliveries at the next term is set up
+	// callDelay, if set, returns how much later than normal a command call reaches a worker.
+	callDelay          func(w *worker, request api.CommandRequest) time.Duration
+	heldDeliveries     []func() // delivers the duplicates of heldHeartbeats
+	awaitingNextLeader bool     // the delivery of heldDeliveries at the next term is set up
 
 	// eventCounts counts the events that took place, by kind.
 	eventCounts map[eventName]int
@@ -68,6 +71,15 @@
 	sim.schedule(time.Duration(500+sim.rng.IntN(5500))*time.Millisecond, proceed)
 }
 
+// delayCall calls deliver, which delivers a command call to a worker, after the delay that the scenario has set for the call.
+func (sim *Simulation) delayCall(w *worker, request api.CommandRequest, deliver func()) {
+	if sim.callDelay == nil {
+		deliver()
+		return
+	}
+	sim.schedule(sim.callDelay(w, request), deliver)
+}
+
 // interceptTransaction executes a transaction without a reply, either at once or late, if such a fault occurs. It returns
 // false if none does.
 func (s *store) interceptTransaction(r kvstore.Request) bool {
--- a/internal/simulator/node_env.go
+++ b/internal/simulator/node_env.go
@@ -115,7 +115,11 @@
 // command sends a command call to the worker that it addresses. A call past its deadline is not sent.
 func (e *nodeEnv) command(c workers.CommandCall, f func(workers.CommandResult)) {
 	sim := e.sim()
-	respond := func(a workers.CommandResult) { e.ifAlive(func() { f(a) })() }
+	endCall := e.beginCall(c)
+	respond := func(a workers.CommandResult) {
+		endCall()
+		e.ifAlive(func() { f(a) })()
+	}
 	sim.recordLaunch(e.node.name, c)
 	if c.Launches() && sim.handingOver(e.node) {
 		sim.reportViolation("%s launches a task during its handover", e.node.name)
@@ -137,9 +141,11 @@
 	}
 	handle := func(reply func(workers.CommandResult)) {
 		sim.delayCommand(func() {
-			target.whenResponsive(func() {
-				target.handleCommands(c.Body, func(a workers.CommandResult) {
-					sim.delayCommand(func() { reply(a) })
+			sim.delayCall(target, c.Body, func() {
+				target.whenResponsive(func() {
+					target.handleCommands(c.Body, func(a workers.CommandResult) {
+						sim.delayCommand(func() { reply(a) })
+					})
 				})
 			})
 		})
@@ -147,6 +153,21 @@
 	call(sim, e.node.name, c.Addr, commandTimeout, handle, func(a workers.CommandResult, _ bool) { respond(a) })
 }
 
+// beginCall checks that the term that sends commands to a worker has no other call with commands to it in flight, and returns
+// a function that ends the call. Probes don't count: a leader may probe a machine before it knows the machine.
+func (e *nodeEnv) beginCall(c workers.CommandCall) (end func()) {
+	if len(c.Body.Commands) == 0 {
+		return func() {}
+	}
+	key := commandCallKey{e.node.name, e.incarnation, c.Body.FencingToken.Term(), c.Addr}
+	sim := e.sim()
+	if sim.callsInFlight[key] {
+		sim.reportViolation("%s sends commands to %s while an earlier call with commands is in flight", e.node.name, c.Addr)
+	}
+	sim.callsInFlight[key] = true
+	return func() { delete(sim.callsInFlight, key) }
+}
+
 // SendPeer sends a frame to another controller.
 func (e *nodeEnv) SendPeer(to ident.NodeID, f *transport.Frame) {
 	sim := e.sim()
@@ -176,6 +197,14 @@
 	}
 }
 
+// commandCallKey identifies the command calls of one term of a process to a worker.
+type commandCallKey struct {
+	node        string
+	incarnation int
+	term        ident.Term
+	addr        string
+}
+
 const (
 	// startWallMS is the wall clock at the start of a run, in milliseconds since the epoch.
 	startWallMS = 1_700_000_000_000
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -32,6 +32,7 @@
 	jobOrder      []ident.JobID
 	sortedByID    []*worker // cache of sortedWorkers; nil after a worker was added or removed
 	lastJobNumber int
+	callsInFlight map[commandCallKey]bool // calls with commands to workers
 	networkFaults
 	activeFaults
 	linkMonitor
@@ -64,6 +65,7 @@
 		settings:      cfg.clusterSettings(),
 		workers:       map[ident.MachineID]*worker{},
 		jobs:          map[ident.JobID]*userJob{},
+		callsInFlight: map[commandCallKey]bool{},
 		gangs:         map[gangKey]*gangAttempt{},
 		networkFaults: newNetworkFaults(),
 		linkMonitor: linkMonitor{
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -100,7 +100,7 @@
 		return
 	}
 	w.commands.queued = append(w.commands.queued, command)
-	if w.commands.startSending() {
+	if w.commands.scheduleCall() {
 		// Send after the current event, so that all commands it queues share one call.
 		tb.port.After(0, func() { tb.sendQueued(w) })
 	}
@@ -110,7 +110,7 @@
 // false if no call can be made now: the address is unknown, the machine is terminated, or a call is in
 // flight.
 func (tb *Table) Probe(w *Worker) bool {
-	if w.Addr == "" || w.State == Terminated || !w.commands.startSending() {
+	if w.Addr == "" || w.State == Terminated || !w.commands.scheduleCall() {
 		return false
 	}
 	w.commands.probePending = true
@@ -118,15 +118,19 @@
 	return true
 }
 
+// sendQueued starts a call with the queued commands, unless a call is in flight or none is needed.
 func (tb *Table) sendQueued(w *Worker) {
-	if tb.closed || w.State == Terminated || !w.commands.hasWork() {
-		w.commands.sending = false
+	if tb.closed || w.State == Terminated {
+		return
+	}
+	commands, started := w.commands.startCall()
+	if !started {
 		return
 	}
 	call := CommandCall{Addr: w.Addr, Zone: w.Zone, Body: api.CommandRequest{
 		FencingToken: tb.fencingToken(w),
 		Incarnation:  max(w.order.incarnation, 1),
-		Commands:     w.commands.startCall(),
+		Commands:     commands,
 	}}
 	number := w.commands.calls
 	logCallSent(w, number, call.Body)
@@ -140,7 +144,7 @@
 	if tb.closed {
 		return
 	}
-	w.commands.finishCall()
+	w.commands.endCall()
 	if result.NotSent {
 		// If this node is still the leader, the response to the worker's next heartbeat repeats the commands.
 		w.commands.discard()
@@ -159,13 +163,7 @@
 	}
 	w.reachability.commandAnswered()
 	tb.applyCommandResponse(w, result.Heartbeat)
-	if len(w.commands.queued) > 0 {
-		// Known limitation: if applyCommandResponse queued a command, Enqueue has also started a timer
-		// to send it. That timer finds the queue empty and resets sending while this call is in flight,
-		// so another call may overlap with this one.
-		w.commands.sending = true
-		tb.sendQueued(w)
-	}
+	tb.sendQueued(w)
 }
 
 // fenceOff raises the worker's fencing token after a call without a response. Once the worker has seen the
--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -45,3 +45,48 @@
 		t.Errorf("%s is recorded as an unknown attempt on a terminated machine", stray.TaskID)
 	}
 }
+
+// placeSecondTask answers the launch of the first task with a response that lists an unknown attempt, which the table
+// kills in a second call, and places the second task while that call is in flight.
+func (h *harness) placeSecondTask() *jobs.Task {
+	stray := api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: 1}, Attempt: 9, Status: api.Running}
+	h.respond(0, h.taskReport(api.Running, ""), stray)
+	h.runUntilIdle()
+	task := &h.job.Tasks[1]
+	h.jobs.Place(task, "h", 1, func() { h.tb.Launch(h.worker, task) })
+	h.runUntilIdle()
+	return task
+}
+
+// TestOneCallInFlight guards against a second call to a worker while one is in flight. A response that showed an unwanted
+// task started such a call: the timer of the kill command took the call with that command for ended.
+func TestOneCallInFlight(t *testing.T) {
+	h := newHarness(t)
+	h.placeSecondTask()
+	if len(h.sent) != 2 {
+		t.Errorf("while the call with the kill command is in flight: got %d calls, want 2", len(h.sent))
+	}
+	h.respond(1, h.taskReport(api.Running, ""))
+	if len(h.sent) != 3 || h.sent[2].Commands[0].Verb != api.Launch {
+		t.Errorf("after the call with the kill command: got calls %+v, want a third one with a launch", h.sent)
+	}
+}
+
+// TestLaunchInFlightIsNotLost guards against a task running twice: a launch whose call is in flight may be executed after the
+// worker has sent a heartbeat without the task, so that the task must not be placed elsewhere.
+func TestLaunchInFlightIsNotLost(t *testing.T) {
+	h := newHarness(t)
+	task := h.placeSecondTask()
+	h.respond(1, h.taskReport(api.Running, ""))
+	h.tb.StopTask(h.worker, task, 0)
+	h.runUntilIdle()
+	for i := 2; i < len(h.sent); i++ {
+		if !api.ContainsLaunch(h.sent[i].Commands) {
+			h.respond(i, h.taskReport(api.Running, ""))
+		}
+	}
+	h.heartbeat(0, h.taskReport(api.Running, ""))
+	if task.State != jobs.Stopping {
+		t.Errorf("heartbeat without the task while its launch is in flight: task is %v, want %v", task.State, jobs.Stopping)
+	}
+}
--- a/internal/workers/harness_test.go
+++ b/internal/workers/harness_test.go
@@ -49,7 +49,10 @@
 	}
 }
 
-const term = 7
+const (
+	term        = 7
+	leaderGrace = 10 * time.Second
+)
 
 // harness is a table in term 7 with one machine, whose heartbeats the test sends.
 type harness struct {
@@ -74,7 +77,7 @@
 	h.tb = NewTable(h, h.jobs, Config{
 		Term:              term,
 		LeaseDuration:     30 * time.Second,
-		LeaderGrace:       10 * time.Second,
+		LeaderGrace:       leaderGrace,
 		Catalog:           func(string) *cloud.MachineType { return &machineType },
 		OnLaterTerm:       func() { t.Error("a worker reported a later term, want none") },
 		OnCapacityChanged: func() {},
@@ -137,6 +140,13 @@
 	return api.TaskReport{TaskID: h.task().TaskID(), Attempt: h.task().Attempt, Status: status, Cause: cause}
 }
 
+// respond ends a call with the response of the machine's worker, which has executed it and lists the given tasks.
+func (h *harness) respond(call int, tasks ...api.TaskReport) {
+	h.sequence++
+	heartbeat := newHeartbeat(1, h.sequence, h.sent[call].FencingToken, tasks...)
+	h.answers[call](CommandResult{Status: 200, Heartbeat: heartbeat})
+}
+
 // verbs lists the verbs of the commands in a response, each followed by a space.
 func verbs(response *api.HeartbeatResponse) string {
 	s := ""
--- a/internal/workers/lease.go
+++ b/internal/workers/lease.go
@@ -92,7 +92,7 @@
 // command may still start a task whose job was cancelled longer ago than the leader's grace period:
 // expiry of the lease is then the only guarantee that the task ends.
 func (tb *Table) mayRenewLease(w *Worker, heartbeat *api.Heartbeat) bool {
-	if tb.hasCurrentToken(w, heartbeat) && !w.commands.sending && heartbeat.SequenceNumber >= w.order.sequence {
+	if tb.hasCurrentToken(w, heartbeat) && w.commands.idle() && heartbeat.SequenceNumber >= w.order.sequence {
 		return true // the worker cannot execute any earlier command after this heartbeat
 	}
 	for _, t := range w.Tasks {
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -79,10 +79,10 @@
 	return t.State == jobs.Assigned && t.ReportedStatus == "" && t.PlacedThisTerm()
 }
 
-// dropMissing marks a task as lost that is not in a heartbeat with the newest fencing token. With an older
-// token, an earlier command could still start the task. Commands in responses to earlier heartbeats cannot
-// start it, because a worker sends a heartbeat only after it has executed the previous response or has
-// timed out waiting for it.
+// dropMissing marks a task as lost that is not in a heartbeat with the newest fencing token and that no queued or
+// in-flight command addresses. With an older token, or with a command in flight, an earlier command could still
+// start the task. Commands in responses to earlier heartbeats cannot start it, because a worker sends a heartbeat
+// only after it has executed the previous response or has timed out waiting for it.
 func (tb *Table) dropMissing(w *Worker, t *jobs.Task) {
 	switch t.State {
 	case jobs.Assigned:
