--- a/internal/workers/harness_test.go
+++ b/internal/workers/harness_test.go
@@ -50,8 +50,9 @@
 }
 
 const (
-	term        = 7
-	leaderGrace = 10 * time.Second
+	term          = 7
+	leaderGrace   = 10 * time.Second
+	leaseDuration = 30 * time.Second
 )
 
 // harness is a table in term 7 with one machine, whose heartbeats the test sends.
@@ -68,6 +69,18 @@
 // newHarness returns a table with one machine that is up, and a job with two tasks, one of which has a
 // durable placement on the machine.
 func newHarness(t *testing.T) *harness {
+	t.Helper()
+	h := newHarnessWithoutHeartbeat(t)
+	h.heartbeat(0)
+	h.job = h.jobs.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Tasks: 2, VCPUs: 1, Image: "img", ImageGB: 1}, func() {}, nil)
+	h.runUntilIdle()
+	h.jobs.Place(h.task(), "h", 1, func() { h.tb.Launch(h.worker, h.task()) })
+	h.runUntilIdle()
+	return h
+}
+
+// newHarnessWithoutHeartbeat returns a table with one machine, which has sent no heartbeat in this term, and no job.
+func newHarnessWithoutHeartbeat(t *testing.T) *harness {
 	t.Helper()
 	h := &harness{fakeEnvironment: &fakeEnvironment{now: ident.MonotonicTime(time.Hour)}}
 	machineType := cloud.MachineType{SKU: "m8", VCPUs: 8, MemoryGB: 32, LocalDiskGB: 10}
@@ -76,7 +89,7 @@
 	h.jobs = jobs.NewTable(h.commits, 16<<10, h.Now, func() int64 { return 0 })
 	h.tb = NewTable(h, h.jobs, Config{
 		Term:              term,
-		LeaseDuration:     30 * time.Second,
+		LeaseDuration:     leaseDuration,
 		LeaderGrace:       leaderGrace,
 		Catalog:           func(string) *cloud.MachineType { return &machineType },
 		OnLaterTerm:       func() { t.Error("a worker reported a later term, want none") },
@@ -95,11 +108,6 @@
 		}
 	}
 	h.worker = h.tb.Add(MachineInfo{ID: "h", Model: "m8", Zone: "east", CreatedAt: h.now})
-	h.heartbeat(0)
-	h.job = h.jobs.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Tasks: 2, VCPUs: 1, Image: "img", ImageGB: 1}, func() {}, nil)
-	h.runUntilIdle()
-	h.jobs.Place(h.task(), "h", 1, func() { h.tb.Launch(h.worker, h.task()) })
-	h.runUntilIdle()
 	return h
 }
 
