--- a/internal/workers/absence_test.go
+++ b/internal/workers/absence_test.go
@@ -42,8 +42,8 @@
 	return rapid.SampledFrom(matching).Draw(t, "task")
 }
 
-// TestAbsentTaskCannotStart guards against a task running twice: whatever the order in which calls and heartbeats
-// are executed, delayed and lost, an attempt that the table considers gone neither runs on its machine nor can
+// TestAbsentTaskCannotStart guards against a task running twice: in any order in which calls and heartbeats are
+// executed, delayed and lost, an attempt that the table considers gone neither runs on its machine nor can
 // be started there by an earlier command, and at most one call to the worker is in flight. Nor is the worker's lease
 // renewed while an earlier command could start a task whose job was cancelled longer ago than the leader's grace period.
 func TestAbsentTaskCannotStart(t *testing.T) {
