Workers: a queued launch is sent only if the leader may still launch

What callers saw: nothing; an invariant of docs/links.md was broken, that a leader launches nothing while it hands over leadership.

Cause: the permission was checked when the launch was queued, and a command waits while another call to the worker is in flight; the handover can begin meanwhile.

Change: the table asks for the permission when a call starts, and drops queued launches without it; the response to the next heartbeat repeats them. Single tasks, gangs and the queue use one function.

--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -166,6 +166,7 @@
 		},
 		Persist:         func(w *workers.Worker) { l.machines.Commit(w) },
 		OnCommandResult: l.recordCommandOutcome,
+		MayLaunch:       l.mayLaunch,
 		LastPeerRenewal: func() ident.MonotonicTime { return l.renewals.LatestRenewal(l.env.Now()) },
 	}
 }
@@ -188,10 +189,12 @@
 	return handover.New(config, l.controller.links.LeaderHistory(), l.env.Now())
 }
 
+// mayLaunch reports whether this term may send launch commands now.
+func (l *leaderTerm) mayLaunch() bool { return !l.closed() && l.controller.allows(authority.Launch) }
+
 func (l *leaderTerm) newGangTable() *gang.Table {
 	times := l.controller.settings.Cluster.Workers
-	mayLaunch := func() bool { return !l.closed() && l.controller.allows(authority.Launch) }
-	return gang.NewTable(l.jobs, l.workers, l.env.Now, mayLaunch, gang.Config{
+	return gang.NewTable(l.jobs, l.workers, l.env.Now, l.mayLaunch, gang.Config{
 		GatherTimeout:     settings.Seconds(times.GangWaitS),
 		PeerLossTimeout:   settings.Seconds(times.GangPeerS),
 		HeartbeatInterval: settings.Seconds(times.HeartbeatS),
--- a/internal/controller/task_actions.go
+++ b/internal/controller/task_actions.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"opaldale/internal/api"
-	"opaldale/internal/authority"
 	"opaldale/internal/gang"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
@@ -74,7 +73,7 @@
 		"image_cached", w.HasImage(t.Job.Spec.Image), "within_quota", t.Job.WithinGuarantee,
 		"age_s", l.env.Now().Sub(t.Job.SubmittedAt).Seconds())
 	l.jobs.Place(t, w.ID, w.Incarnation(), func() {
-		if l.closed() || !l.controller.allows(authority.Launch) {
+		if !l.mayLaunch() {
 			return
 		}
 		if w.State == workers.Terminating || w.State == workers.Terminated {
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -118,11 +118,16 @@
 	return true
 }
 
-// sendQueued starts a call with the queued commands, unless a call is in flight or none is needed.
+// sendQueued starts a call with the queued commands, unless a call is in flight or none is needed. A launch command may
+// have waited for the call before it; if it may not be sent any more, the response to a later heartbeat launches the
+// task, if this node still leads then.
 func (tb *Table) sendQueued(w *Worker) {
 	if tb.closed || w.State == Terminated {
 		return
 	}
+	if api.ContainsLaunch(w.commands.queued) && !tb.cfg.MayLaunch() {
+		w.commands.discardLaunches()
+	}
 	commands, started := w.commands.startCall()
 	if !started {
 		return
--- a/internal/workers/command_queue.go
+++ b/internal/workers/command_queue.go
@@ -65,6 +65,11 @@
 // discard drops the queued commands.
 func (q *commandQueue) discard() { q.queued = nil }
 
+// discardLaunches drops the queued launch commands.
+func (q *commandQueue) discardLaunches() {
+	q.queued = slices.DeleteFunc(q.queued, func(command api.Command) bool { return command.Verb == api.Launch })
+}
+
 // targets reports whether any queued or in-flight command addresses an attempt.
 func (q *commandQueue) targets(attempt taskAttempt) bool {
 	return slices.ContainsFunc(q.inFlight, attempt.isTargetOf) || slices.ContainsFunc(q.queued, attempt.isTargetOf)
--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -90,3 +90,22 @@
 		t.Errorf("heartbeat without the task while its launch is in flight: task is %v, want %v", task.State, jobs.Stopping)
 	}
 }
+
+// TestLaunchWaitsForPermission guards against a launch during a handover: a launch command that waited for the end of another
+// call is not sent if the leader may not launch tasks any more, and the next heartbeat's response repeats it if it may again.
+func TestLaunchWaitsForPermission(t *testing.T) {
+	h := newHarness(t)
+	task := h.placeSecondTask()
+	h.launchesForbidden = true
+	h.respond(1, h.taskReport(api.Running, ""))
+	h.runUntilIdle()
+	for _, request := range h.sent[2:] {
+		if api.ContainsLaunch(request.Commands) {
+			t.Errorf("without permission to launch: got call %+v, want none with a launch", request)
+		}
+	}
+	h.launchesForbidden = false
+	if got := verbs(h.heartbeat(0, h.taskReport(api.Running, ""))); got != "launch " || task.State != jobs.Assigned {
+		t.Errorf("with permission again: commands %q, task is %v; want %q, %v", got, task.State, "launch ", jobs.Assigned)
+	}
+}
--- a/internal/workers/harness_test.go
+++ b/internal/workers/harness_test.go
@@ -64,6 +64,8 @@
 	worker   *Worker
 	job      *jobs.Job
 	sequence ident.SequenceNumber
+
+	launchesForbidden bool
 }
 
 // newHarness returns a table with one machine that is up, and a job with two tasks, one of which has a
@@ -98,6 +100,7 @@
 		Persist:           func(w *Worker) { w.Persisted = true },
 		LastPeerRenewal:   func() ident.MonotonicTime { return 0 },
 		OnCommandResult:   func(*Worker, bool) {},
+		MayLaunch:         func() bool { return !h.launchesForbidden },
 	})
 	h.jobs.OnStateChange = func(task *jobs.Task, from, to jobs.State) {
 		w := h.tb.Workers[task.MachineID]
--- a/internal/workers/table.go
+++ b/internal/workers/table.go
@@ -58,6 +58,8 @@
 	LastPeerRenewal func() ident.MonotonicTime
 	// OnCommandResult is called with the result of a command call before the table applies it.
 	OnCommandResult func(w *Worker, answered bool)
+	// MayLaunch reports whether launch commands may be sent now. It may be nil: they may always be sent.
+	MayLaunch func() bool
 }
 
 // Table holds all machines that the leader of a term knows. It is not safe for concurrent use: all
@@ -86,6 +88,9 @@
 	if cfg.OnTaskCompleted == nil {
 		cfg.OnTaskCompleted = func(*jobs.Task, *Worker) {}
 	}
+	if cfg.MayLaunch == nil {
+		cfg.MayLaunch = func() bool { return true }
+	}
 	return &Table{
 		Workers:         map[ident.MachineID]*Worker{},
 		cfg:             cfg,
