--- a/internal/workers/absence_test.go
+++ b/internal/workers/absence_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -13,33 +14,24 @@
 	"opaldale/internal/jobs"
 )
 
-// callWhere returns a call that satisfies a condition. The test skips the current action if there is none.
-func (m *workerModel) callWhere(t *rapid.T, condition func(c *modelCall) bool) *modelCall {
-	m.syncCalls()
-	var calls []*modelCall
-	for _, c := range m.calls {
-		if condition(c) {
-			calls = append(calls, c)
+// drawWhere draws an element that satisfies a condition. The test skips the current action if there is none.
+func drawWhere[T any](t *rapid.T, label string, list []T, condition func(T) bool) T {
+	var matching []T
+	for _, element := range list {
+		if condition(element) {
+			matching = append(matching, element)
 		}
 	}
-	if len(calls) == 0 {
-		t.Skip("no such call")
+	if len(matching) == 0 {
+		t.Skip("no such " + label)
 	}
-	return rapid.SampledFrom(calls).Draw(t, "call")
+	return rapid.SampledFrom(matching).Draw(t, label)
 }
 
-// taskWhere returns a task that satisfies a condition. The test skips the current action if there is none.
-func taskWhere(t *rapid.T, tasks []*jobs.Task, condition func(task *jobs.Task) bool) *jobs.Task {
-	var matching []*jobs.Task
-	for _, task := range tasks {
-		if condition(task) {
-			matching = append(matching, task)
-		}
-	}
-	if len(matching) == 0 {
-		t.Skip("no such task")
-	}
-	return rapid.SampledFrom(matching).Draw(t, "task")
+// drawCall draws a call that satisfies a condition, like drawWhere.
+func (m *workerModel) drawCall(t *rapid.T, condition func(c *modelCall) bool) *modelCall {
+	m.syncCalls()
+	return drawWhere(t, "call", m.calls, condition)
 }
 
 // TestAbsentTaskCannotStart guards against a task running twice: in any order in which calls and heartbeats are
@@ -64,9 +56,8 @@
 func TestAbsentAdoptedTaskCannotStart(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newHarnessWithoutHeartbeat(t)
+		h.sequence = 20 // heartbeats to the predecessor
 		m := newWorkerModel(h, ident.MakeFencingToken(term-1, 0))
-		h.sequence = 20
-		m.sequence = h.sequence
 		tasks := []*jobs.Task{}
 		for i := range 3 {
 			job := h.loadPlacedJob(t, ident.JobID(fmt.Sprintf("j-%d", i+1)), uint64(i+1))
@@ -102,12 +93,8 @@
 // checkAbsence performs random actions on a table and a worker, and checks the worker after each one.
 func checkAbsence(t *rapid.T, m *workerModel, tasks []*jobs.Task) {
 	actions := callActions(m)
-	for name, action := range heartbeatActions(m, tasks) {
-		actions[name] = action
-	}
-	for name, action := range leaderActions(m, tasks) {
-		actions[name] = action
-	}
+	maps.Copy(actions, heartbeatActions(m, tasks))
+	maps.Copy(actions, leaderActions(m, tasks))
 	actions[""] = func(t *rapid.T) { m.check(t, tasks) }
 	t.Repeat(actions)
 }
@@ -115,21 +102,21 @@
 // callActions returns the actions that execute calls and pass their results to the table.
 func callActions(m *workerModel) map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"execute call": func(t *rapid.T) { m.executeCall(m.callWhere(t, func(c *modelCall) bool { return !c.executed })) },
+		"execute call": func(t *rapid.T) { m.executeCall(m.drawCall(t, func(c *modelCall) bool { return !c.executed })) },
 		"answer call": func(t *rapid.T) {
-			c := m.callWhere(t, func(c *modelCall) bool { return c.executed && !c.ended })
+			c := m.drawCall(t, func(c *modelCall) bool { return c.executed && !c.ended })
 			m.endCall(c, c.result)
 		},
 		"execute and answer call": func(t *rapid.T) {
-			c := m.callWhere(t, func(c *modelCall) bool { return !c.executed && !c.ended })
+			c := m.drawCall(t, func(c *modelCall) bool { return !c.executed && !c.ended })
 			m.executeCall(c)
 			m.endCall(c, c.result)
 		},
 		"time out call": func(t *rapid.T) {
-			m.endCall(m.callWhere(t, func(c *modelCall) bool { return !c.ended }), CommandResult{})
+			m.endCall(m.drawCall(t, func(c *modelCall) bool { return !c.ended }), CommandResult{})
 		},
 		"do not send call": func(t *rapid.T) {
-			c := m.callWhere(t, func(c *modelCall) bool { return !c.executed && !c.ended })
+			c := m.drawCall(t, func(c *modelCall) bool { return !c.executed && !c.ended })
 			c.executed = true
 			m.endCall(c, CommandResult{NotSent: true})
 		},
@@ -178,17 +165,18 @@
 	h := m.h
 	return map[string]func(*rapid.T){
 		"place task": func(t *rapid.T) {
-			task := taskWhere(t, tasks, func(task *jobs.Task) bool {
+			task := drawWhere(t, "task", tasks, func(task *jobs.Task) bool {
 				mayPlace := task.State == jobs.Waiting && !h.tb.HasUnknownAttempt(task.TaskID())
 				return mayPlace && task.Job.Phase == jobs.Open && h.worker.Schedulable(h.now)
 			})
 			h.jobs.Place(task, h.worker.ID, h.worker.Incarnation(), func() { h.tb.Launch(h.worker, task) })
 		},
 		"stop task": func(t *rapid.T) {
-			h.tb.StopTask(h.worker, taskWhere(t, tasks, func(task *jobs.Task) bool { return task.State == jobs.Assigned }), 0)
+			task := drawWhere(t, "task", tasks, func(task *jobs.Task) bool { return task.State == jobs.Assigned })
+			h.tb.StopTask(h.worker, task, 0)
 		},
 		"cancel job": func(t *rapid.T) {
-			task := taskWhere(t, tasks[2:], func(task *jobs.Task) bool { return task.Job.Phase == jobs.Open })
+			task := drawWhere(t, "task", tasks[2:], func(task *jobs.Task) bool { return task.Job.Phase == jobs.Open })
 			h.jobs.Cancel(task.Job, func() {})
 			h.tb.StopAllocated(task.Job, 0)
 		},
--- a/internal/workers/worker_model_test.go
+++ b/internal/workers/worker_model_test.go
@@ -205,12 +205,9 @@
 		return ""
 	}
 	launches := func(commands []api.Command) bool {
-		for _, command := range commands {
-			if command.Verb == api.Launch && attempt.isTargetOf(command) {
-				return true
-			}
-		}
-		return false
+		return slices.ContainsFunc(commands, func(command api.Command) bool {
+			return command.Verb == api.Launch && attempt.isTargetOf(command)
+		})
 	}
 	for i, c := range m.calls {
 		if !c.executed && m.accepts(c.request) && launches(c.request.Commands) {
