Loopback: reserve the nodes' ports, so that no other socket gets them

The test bed asked the kernel for a free port, closed the socket, and listened on the port later; between the two, and while a node was killed, any other socket of the machine could get the port: packages are tested side by side, and each outbound connection takes one.

Change: each address of a node is held by a bound socket that never listens, until the cluster stops. The kernel gives such a port to nobody who asks for any port, connections to it are refused, and the node's own listener may share it.

The new test found a fault in the product too: a server closed before its HTTP server had begun to serve went on accepting connections, since http.Server.Close closes only the listeners that it serves already. Close closes both listeners now.

--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -38,6 +38,7 @@
 
 	provider *provider
 	services []*http.Server
+	ports    []reservedPort // of the nodes
 	client   *http.Client
 
 	mu       sync.Mutex
@@ -121,24 +122,24 @@
 	}
 }
 
-// freeAddr returns a loopback address with a port that is currently free.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// reserveAddr returns a loopback address that stays reserved until the cluster stops, also while no process listens on it.
+func (c *Cluster) reserveAddr() (string, error) {
+	port, err := reservePort()
 	if err != nil {
 		return "", err
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	c.ports = append(c.ports, port)
+	return port.addr.String(), nil
 }
 
 // configureNodes creates the nodes with their settings.
 func (c *Cluster) configureNodes(nodes int, storeAddr, cloudAddr string, tune func(*settings.Settings)) error {
 	for i := range nodes {
-		bind, err := freeAddr()
+		bind, err := c.reserveAddr()
 		if err != nil {
 			return err
 		}
-		transportAddr, err := freeAddr()
+		transportAddr, err := c.reserveAddr()
 		if err != nil {
 			return err
 		}
@@ -235,6 +236,9 @@
 	for _, s := range c.services {
 		_ = s.Close() // all clients have stopped, so an error has no effect
 	}
+	for _, port := range c.ports {
+		port.release()
+	}
 }
 
 // stopped reports whether Stop was called.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -185,6 +185,7 @@
 		close(s.loop.done)
 		s.peerListener.Close()
 		_ = s.httpServer.Close() // the node stops even if this fails
+		s.listener.Close()       // httpServer closes only a listener that it serves already
 		s.transport.Close()
 		for _, t := range s.httpTransports {
 			t.CloseIdleConnections()
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -67,6 +67,23 @@
 	return s
 }
 
+// TestCloseBeforeServe guards against a closed node that goes on accepting connections, because it was closed before its HTTP
+// server had begun to serve.
+func TestCloseBeforeServe(t *testing.T) {
+	s, err := New(&settings.Settings{Bind: "127.0.0.1:0", TransportAddr: "127.0.0.1:0", Tuning: settings.DefaultTuning()},
+		(&net.Dialer{}).DialContext)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	for _, listener := range []net.Listener{s.listener, s.peerListener} {
+		if conn, err := net.Dial("tcp4", listener.Addr().String()); err == nil {
+			conn.Close()
+			t.Errorf("connecting to the closed node at %s: got no error, want one", listener.Addr())
+		}
+	}
+}
+
 // TestHTTPAPIWithoutLeader: a node that has neither a leader nor a key-value store responds to each kind of
 // request, and to malformed ones, with the right status and text.
 func TestHTTPAPIWithoutLeader(t *testing.T) {
