JSON: names compare exactly; unknown fields never replace known ones

Cause: encoding/json takes a field whose name differs only under case folding for the known one, and the last one wins. PROTOCOL: "Unknown JSON fields must be ignored by the receiver." It was so wherever JSON is read.

Change: package decode reads all JSON; a test looks for other decoders in the sources. A known field given twice: 400 "given twice" for a submission, else the last value counts; what unknown fields hold isn't looked at. Writing stays with encoding/json, so nothing stored or sent has changed; the golden files are unchanged but for three texts of 400 responses to heartbeats, which name the field by its path.

--- a/cmd/opaldale/log_source_test.go
+++ b/cmd/opaldale/log_source_test.go
@@ -28,7 +28,7 @@
 
 // testSupportPackages holds the packages of internal that are only for tests and simulations. The program does not import them.
 var testSupportPackages = []string{
-	"simulator", "loopback", "golden", "propertytest", "clocktest", "kvstoretest", "workerstest",
+	"simulator", "loopback", "golden", "propertytest", "clocktest", "decodetest", "kvstoretest", "workerstest",
 }
 
 // logSources holds the parsed files of a package, and the log statements and problems found in them.
--- a/cmd/opaldale/report_command.go
+++ b/cmd/opaldale/report_command.go
@@ -1,12 +1,13 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 
 	"github.com/spf13/cobra"
+
+	"opaldale/internal/decode"
 )
 
 // reportCommand returns a command that prints a report of a node for operators, either with write or as the
@@ -28,7 +29,7 @@
 				return err
 			}
 			var report T
-			if err := json.Unmarshal(body, &report); err != nil {
+			if err := decode.JSON(body, &report); err != nil {
 				return fmt.Errorf("%s: %w", addr, err)
 			}
 			return write(cmd.OutOrStdout(), report)
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -4,7 +4,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+
+	"opaldale/internal/decode"
+	"opaldale/internal/ident"
 )
 
 // MaxBodyBytes is the maximum size of a request body. Larger ones are rejected.
@@ -18,6 +22,23 @@
 
 func (e *FieldError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Problem) }
 
+// malformed returns the *FieldError for an error of package decode, or the error itself if it is one already. The field has the
+// form of a path, such as pieces.0.try.
+func malformed(err error) *FieldError {
+	var fieldErr *FieldError
+	if errors.As(err, &fieldErr) {
+		return fieldErr
+	}
+	field := decode.FieldPath(err)
+	switch {
+	case field == "":
+		return &FieldError{"body", "not a JSON object"}
+	case errors.Is(err, ident.ErrMalformed):
+		return &FieldError{field, ident.ErrMalformed.Error()}
+	}
+	return &FieldError{field, "wrong type or out of range"}
+}
+
 // ErrorResponse is the body of a response with an error status.
 type ErrorResponse struct {
 	Error string `json:"error"`
--- a/internal/api/golden_test.go
+++ b/internal/api/golden_test.go
@@ -1,8 +1,6 @@
 package api
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"reflect"
 	"strings"
@@ -80,10 +78,6 @@
 	} {
 		body := strings.Replace(string(JSON(report)), change.from, change.to, 1)
 		_, err := ParseHeartbeat([]byte(body))
-		var typeErr *json.UnmarshalTypeError
-		if errors.As(err, &typeErr) {
-			err = fmt.Errorf("wrong type of %s", typeErr.Field) // without the names of Go's types
-		}
 		fmt.Fprintf(&reports, "%s for %s: %v\n", change.to, change.from, err)
 	}
 	d.Add("reports", reports.String())
--- a/internal/api/heartbeat.go
+++ b/internal/api/heartbeat.go
@@ -1,8 +1,7 @@
 package api
 
 import (
-	"encoding/json"
-
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -62,12 +61,11 @@
 	Commands     []Command          `json:"orders"`
 }
 
-// ParseHeartbeat parses and validates a heartbeat. Its errors are errors of encoding/json, errors that wrap
-// ident.ErrMalformed for malformed IDs, or of type *FieldError.
+// ParseHeartbeat parses and validates a heartbeat. Its errors are of type *FieldError.
 func ParseHeartbeat(body []byte) (*Heartbeat, error) {
 	var heartbeat Heartbeat
-	if err := json.Unmarshal(body, &heartbeat); err != nil {
-		return nil, err
+	if err := decode.JSON(body, &heartbeat); err != nil {
+		return nil, malformed(err)
 	}
 	switch {
 	case heartbeat.MachineID == "":
--- a/internal/api/job.go
+++ b/internal/api/job.go
@@ -1,11 +1,10 @@
 package api
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"math"
+	"slices"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -79,26 +78,44 @@
 var requiredFields = []string{"id", "lane", "desk", "shape", "rank", "pieces", "vcpus", "cards", "memory_gb",
 	"bundle", "image_gb", "one_zone", "apart", "standby", "runtime_s", "snapshot_every_s", "snapshot_s"}
 
+// optionalFields are the other fields of a submission.
+var optionalFields = []string{"models", "site", "due_s"}
+
 // ParseSpec parses and validates a submission. Its errors are of type *FieldError and are sent to the user.
 func ParseSpec(body []byte) (*Spec, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil || fields == nil {
-		return nil, &FieldError{"body", "not a JSON object"}
+	if err := checkFields(body); err != nil {
+		return nil, malformed(err)
+	}
+	var s Spec
+	if err := decode.JSON(body, &s); err != nil {
+		return nil, malformed(err)
 	}
-	for _, field := range requiredFields {
-		if raw, ok := fields[field]; !ok || bytes.Equal(raw, []byte("null")) {
-			return nil, &FieldError{field, "missing"}
+	return &s, s.validate()
+}
+
+// checkFields checks that the required fields of a submission are present and not null, and that no field of a submission is
+// given twice. It returns an error of type *FieldError, or of package decode if the body is not a JSON object.
+func checkFields(body []byte) error {
+	nulls := map[string]bool{}
+	err := decode.Fields(body, func(name string, isNull bool) error {
+		if !slices.Contains(requiredFields, name) && !slices.Contains(optionalFields, name) {
+			return nil
+		}
+		if _, ok := nulls[name]; ok {
+			return &FieldError{name, "given twice"}
 		}
+		nulls[name] = isNull
+		return nil
+	})
+	if err != nil {
+		return err
 	}
-	var s Spec
-	if err := json.Unmarshal(body, &s); err != nil {
-		var typeErr *json.UnmarshalTypeError
-		if errors.As(err, &typeErr) && typeErr.Field != "" {
-			return nil, &FieldError{typeErr.Field, "wrong type or out of range"}
+	for _, name := range requiredFields {
+		if isNull, ok := nulls[name]; !ok || isNull {
+			return &FieldError{name, "missing"}
 		}
-		return nil, &FieldError{"body", "malformed"}
 	}
-	return &s, s.validate()
+	return nil
 }
 
 // The limits on the fields of a submission. The error texts repeat the numbers.
--- /dev/null
+++ b/internal/api/main_test.go
@@ -0,0 +1,10 @@
+package api
+
+import (
+	"os"
+	"testing"
+
+	"opaldale/internal/propertytest"
+)
+
+func TestMain(m *testing.M) { os.Exit(propertytest.Main(m)) }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,6 +12,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
 	"opaldale/internal/commit"
+	"opaldale/internal/decode"
 	"opaldale/internal/kvstore"
 )
 
@@ -93,7 +94,7 @@
 		var types []cloud.MachineType
 		for i, p := range pairs {
 			var machineType cloud.MachineType
-			if p.Key != typeKey(i) || json.Unmarshal(p.Value, &machineType) != nil {
+			if p.Key != typeKey(i) || decode.JSON(p.Value, &machineType) != nil {
 				slog.Error("invalid machine type in store", "path", p.Key)
 				continue
 			}
@@ -113,7 +114,7 @@
 		var types []cloud.MachineType
 		if r.Outcome == kvstore.OK {
 			c.singleDoc.Revision = r.Revision
-			if err := json.Unmarshal(r.Value, &types); err != nil {
+			if err := decode.JSON(r.Value, &types); err != nil {
 				slog.Error("invalid machine catalog in store", "path", Key, "err", err)
 			}
 		}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -1,11 +1,11 @@
 package cloud
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/httpcall"
 	"opaldale/internal/ident"
 )
@@ -89,7 +89,7 @@
 		var problem struct {
 			Error string `json:"error"`
 		}
-		if json.Unmarshal(body, &problem) == nil && problem.Error == noCapacityError {
+		if decode.JSON(body, &problem) == nil && problem.Error == noCapacityError {
 			return Response{Outcome: NoCapacity, Error: problem.Error}
 		}
 		return Response{Outcome: Unavailable, Error: "503 " + problem.Error}
@@ -108,18 +108,18 @@
 		var catalog struct {
 			Models []MachineType `json:"models"`
 		}
-		err := json.Unmarshal(body, &catalog)
+		err := decode.JSON(body, &catalog)
 		return Response{MachineTypes: catalog.Models}, err
 	case Provision:
 		var provisioned machineIDList
-		err := json.Unmarshal(body, &provisioned)
+		err := decode.JSON(body, &provisioned)
 		return Response{Provisioned: provisioned.MachineIDs}, err
 	case List:
 		var list struct {
 			Machines  []ListedMachine `json:"hosts"`
 			Truncated bool            `json:"truncated"`
 		}
-		err := json.Unmarshal(body, &list)
+		err := decode.JSON(body, &list)
 		return Response{Machines: list.Machines, Truncated: list.Truncated}, err
 	}
 	return Response{}, nil // the bodies of other responses are ignored
--- a/internal/cloud/golden_test.go
+++ b/internal/cloud/golden_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"opaldale/internal/decodetest"
 	"opaldale/internal/golden"
 	"opaldale/internal/ident"
 )
@@ -74,6 +75,11 @@
 		if got := c.Do(Request{Op: testCase.op}); !reflect.DeepEqual(got, testCase.want) {
 			t.Errorf("decoding %s: got %+v, want %+v", testCase.body, got, testCase.want)
 		}
+		if testCase.op == Terminate {
+			continue // the body is ignored
+		}
+		parse := func(body []byte) (Response, error) { return decodeSuccess(testCase.op, body) }
+		decodetest.UnknownFields(t, []byte(testCase.body), parse, func(a, b Response) bool { return reflect.DeepEqual(a, b) })
 	}
 	names := map[Outcome]string{NoResponse: "lost", OK: "ok", NoCapacity: "no capacity", Unavailable: "refused", Invalid: "bad"}
 	var b strings.Builder
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -3,11 +3,11 @@
 // This file forwards requests to the leader, and answers those that a follower can answer itself.
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"opaldale/internal/api"
+	"opaldale/internal/decode"
 	"opaldale/internal/election"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
@@ -215,7 +215,7 @@
 // rememberCancellation records the job if the leader's response confirms its cancellation.
 func (c *Controller) rememberCancellation(response Response) {
 	var status api.StatusResponse
-	if response.Status == http.StatusOK && json.Unmarshal(response.Body, &status) == nil {
+	if response.Status == http.StatusOK && decode.JSON(response.Body, &status) == nil {
 		c.rememberIfCancelled(status.ID, status.Status)
 	}
 }
--- a/internal/controller/job_lookup.go
+++ b/internal/controller/job_lookup.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
 	"opaldale/internal/kvstore"
@@ -96,7 +97,7 @@
 		var job jobs.ArchivedJob
 		switch r.Outcome {
 		case kvstore.OK:
-			if err := json.Unmarshal(r.Value, &job); err != nil {
+			if err := decode.JSON(r.Value, &job); err != nil {
 				slog.Error("unreadable job record in store", "job", string(id), "err", err)
 				done(job, false, err)
 				return
--- a/internal/election/follow.go
+++ b/internal/election/follow.go
@@ -1,10 +1,10 @@
 package election
 
 import (
-	"encoding/json"
 	"log/slog"
 	"time"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 )
@@ -51,7 +51,7 @@
 // wrote, the node campaigns.
 func (e *Elector) followOrCampaign(response kvstore.Response) {
 	var record leaderRecord
-	if err := json.Unmarshal(response.Value, &record); err != nil {
+	if err := decode.JSON(response.Value, &record); err != nil {
 		slog.Error("cannot decode leader key", "err", err)
 		e.checkLeaderLater()
 		return
@@ -122,6 +122,6 @@
 // malformed or is a record of this node.
 func (e *Elector) decodePeerRecord(value []byte) (leaderRecord, bool) {
 	var record leaderRecord
-	err := json.Unmarshal(value, &record)
+	err := decode.JSON(value, &record)
 	return record, err == nil && record.Node != e.self
 }
--- a/internal/election/term.go
+++ b/internal/election/term.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -36,11 +37,11 @@
 // level is later than ident.NewestFormatLevel.
 func DecodeTerm(value []byte) (ident.Term, ident.FormatLevel, error) {
 	var term ident.Term
-	if json.Unmarshal(value, &term) == nil {
+	if decode.JSON(value, &term) == nil {
 		return term, 0, nil
 	}
 	var record termRecord
-	if err := json.Unmarshal(value, &record); err != nil {
+	if err := decode.JSON(value, &record); err != nil {
 		return 0, 0, err
 	}
 	if record.Term == 0 || record.Level == 0 {
--- a/internal/golden/compare_test.go
+++ b/internal/golden/compare_test.go
@@ -1,6 +1,7 @@
 package golden
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -79,7 +80,17 @@
 	}
 }
 
-// TestRoundTrip checks that RoundTrip fails if a field is not encoded.
+// looseMessage is a message whose decoder accepts names of fields that differ in case.
+type looseMessage struct {
+	Number int `json:"number"`
+}
+
+func (m *looseMessage) UnmarshalJSON(text []byte) error {
+	type plain looseMessage // without this method
+	return json.Unmarshal(text, (*plain)(m))
+}
+
+// TestRoundTrip checks that RoundTrip fails if a field is not encoded, or if an unknown field is decoded as a known one.
 func TestRoundTrip(t *testing.T) {
 	type complete struct {
 		Number int `json:"number"`
@@ -94,6 +105,9 @@
 	if failures := check(t, func(tb testing.TB) { RoundTrip(tb, &d, "lossy", lossy{1}) }); len(failures) != 1 {
 		t.Errorf("lossy: failures %q, want one", failures)
 	}
+	if failures := check(t, func(tb testing.TB) { RoundTrip(tb, &Document{}, "loose", looseMessage{1}) }); len(failures) != 1 {
+		t.Errorf("loose: failures %q, want one", failures)
+	}
 	if want := "## complete\n{\n \"number\": 1\n}\n## lossy\n{}\n"; d.text.String() != want {
 		t.Errorf("document %q, want %q", d.text.String(), want)
 	}
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -12,6 +12,9 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"opaldale/internal/decode"
+	"opaldale/internal/decodetest"
 )
 
 var update = flag.Bool("update", false, "write the golden files instead of comparing with them")
@@ -41,17 +44,26 @@
 }
 
 // RoundTrip appends a section with the JSON encoding of a message, and checks that decoding it
-// yields an equal message.
+// yields an equal message, with and without unknown fields. All fields of the message must be set.
 func RoundTrip[T any](t testing.TB, d *Document, title string, message T) {
 	t.Helper()
 	d.JSON(t, title, message)
-	var decoded T
-	if err := json.Unmarshal(encode(t, message), &decoded); err != nil {
+	text := encode(t, message)
+	decoded, err := decodeAs[T](text)
+	if err != nil {
 		t.Errorf("%s: decoding its JSON encoding: got error %v, want none", title, err)
 	}
 	if !reflect.DeepEqual(decoded, message) {
 		t.Errorf("%s: JSON round trip: got %+v, want %+v", title, decoded, message)
+		return
 	}
+	decodetest.UnknownFields(t, text, decodeAs[T], func(a, b T) bool { return reflect.DeepEqual(a, b) })
+}
+
+func decodeAs[T any](text []byte) (T, error) {
+	var message T
+	err := decode.JSON(text, &message)
+	return message, err
 }
 
 // Compare compares a text with the golden file testdata/NAME.golden and reports the first line
--- a/internal/jobs/load.go
+++ b/internal/jobs/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"opaldale/internal/commit"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -37,7 +38,7 @@
 // loadHeader restores a job from its header.
 func (tb *Table) loadHeader(key string, value json.RawMessage, revision ident.Revision) error {
 	var header jobHeader
-	if err := json.Unmarshal(value, &header); err != nil {
+	if err := decode.JSON(value, &header); err != nil {
 		return fmt.Errorf("%s: %w", key, err)
 	}
 	if header.Spec == nil || LiveKey(header.Spec.ID) != key {
@@ -108,7 +109,7 @@
 // loadSegment restores some of a job's tasks from a segment, in the legacy format.
 func (tb *Table) loadSegment(j *Job, stored storedSegment) error {
 	var segment taskSegment
-	if err := json.Unmarshal(stored.value, &segment); err != nil {
+	if err := decode.JSON(stored.value, &segment); err != nil {
 		return fmt.Errorf("%s: %w", stored.key, err)
 	}
 	index, err := strconv.Atoi(stored.number)
--- a/internal/jobs/load_log.go
+++ b/internal/jobs/load_log.go
@@ -1,11 +1,11 @@
 package jobs
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 
 	"opaldale/internal/commit"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 )
@@ -22,7 +22,7 @@
 	records := make([]storedRecord, len(pairs))
 	for i, pair := range pairs {
 		records[i] = storedRecord{key: pair.Key, revision: pair.Revision}
-		if err := json.Unmarshal(pair.Value, &records[i].logRecord); err != nil {
+		if err := decode.JSON(pair.Value, &records[i].logRecord); err != nil {
 			return fmt.Errorf("%s: %w", pair.Key, err)
 		}
 	}
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"opaldale/internal/api"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -66,7 +67,7 @@
 // it. Only tasks stored in the header are counted.
 func ParseLiveView(value json.RawMessage) (api.JobView, error) {
 	var header jobHeader
-	if err := json.Unmarshal(value, &header); err != nil {
+	if err := decode.JSON(value, &header); err != nil {
 		return api.JobView{}, err
 	}
 	if header.Spec == nil {
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -1,12 +1,12 @@
 package kvstore
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/httpcall"
 )
 
@@ -58,7 +58,7 @@
 	if len(body) == 0 {
 		return response
 	}
-	if err := json.Unmarshal(body, &response); err != nil && outcome == OK {
+	if err := decode.JSON(body, &response); err != nil && outcome == OK {
 		return Response{Outcome: NoResponse, Error: err.Error()}
 	}
 	return response
--- a/internal/kvstore/golden_test.go
+++ b/internal/kvstore/golden_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"opaldale/internal/decodetest"
 	"opaldale/internal/golden"
 )
 
@@ -62,6 +63,8 @@
 		if got := c.Do(Request{Timeout: time.Minute}); !reflect.DeepEqual(got, want) {
 			t.Errorf("response %s was decoded as %+v, want %+v", body, got, want)
 		}
+		parse := func(body []byte) (Response, error) { return decodeResponse(http.StatusOK, body), nil }
+		decodetest.UnknownFields(t, body, parse, func(a, b Response) bool { return reflect.DeepEqual(a, b) })
 	}
 	golden.RoundTrip(t, &d, "key", golden.Filled[KeyValue](0))
 	golden.RoundTrip(t, &d, "change seen", golden.Filled[WatchEvent](0))
--- a/internal/loopback/cloud.go
+++ b/internal/loopback/cloud.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,6 +10,7 @@
 	"time"
 
 	"opaldale/internal/cloud"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -79,7 +79,7 @@
 
 func (p *provider) provisionMachines(w http.ResponseWriter, r *http.Request) {
 	var q cloud.Request
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	if err := decode.JSONFrom(r.Body, &q); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -128,7 +128,7 @@
 	var q struct {
 		Hosts []ident.MachineID `json:"hosts"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+	if err := decode.JSONFrom(r.Body, &q); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"opaldale/internal/api"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/server"
 	"opaldale/internal/settings"
@@ -328,7 +329,7 @@
 	}
 	defer resp.Body.Close()
 	response := Response{Status: resp.StatusCode}
-	if json.NewDecoder(resp.Body).Decode(&response.Job) != nil {
+	if decode.JSONFrom(resp.Body, &response.Job) != nil {
 		response.Job = api.JobView{}
 	}
 	return response
--- a/internal/loopback/store.go
+++ b/internal/loopback/store.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 )
@@ -146,7 +147,7 @@
 		If   []kvstore.Compare  `json:"if"`
 		Then []kvstore.Mutation `json:"then"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	if err := decode.JSONFrom(r.Body, &t); err != nil {
 		writeJSON(w, http.StatusBadRequest, kvstore.Response{Error: err.Error()})
 		return
 	}
@@ -177,7 +178,7 @@
 	var body struct {
 		TTL int64 `json:"ttl_ms"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.TTL <= 0 {
+	if err := decode.JSONFrom(r.Body, &body); err != nil || body.TTL <= 0 {
 		writeJSON(w, http.StatusBadRequest, kvstore.Response{Error: "ttl_ms"})
 		return
 	}
--- a/internal/loopback/worker.go
+++ b/internal/loopback/worker.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"opaldale/internal/api"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -164,7 +165,7 @@
 // outdated fencing token, or if the machine is terminated.
 func (w *worker) handleCommands(rw http.ResponseWriter, r *http.Request) {
 	var c api.CommandRequest
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+	if err := decode.JSONFrom(r.Body, &c); err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -304,7 +305,7 @@
 		return false
 	}
 	var reply api.HeartbeatResponse
-	if json.Unmarshal(b, &reply) != nil {
+	if decode.JSON(b, &reply) != nil {
 		return false
 	}
 	w.mu.Lock()
--- a/internal/machinestore/machinestore.go
+++ b/internal/machinestore/machinestore.go
@@ -12,6 +12,7 @@
 
 	"opaldale/internal/api"
 	"opaldale/internal/commit"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 	"opaldale/internal/workers"
@@ -177,7 +178,7 @@
 // Restore loads a group that was stored in an earlier term. It returns an error if the record can't be decoded.
 func (s *Store) Restore(pair kvstore.KeyValue) error {
 	var record GroupRecord
-	if err := json.Unmarshal(pair.Value, &record); err != nil {
+	if err := decode.JSON(pair.Value, &record); err != nil {
 		return fmt.Errorf("machine group %s: %w", pair.Key, err)
 	}
 	machines, err := record.Decode()
--- a/internal/migration/history.go
+++ b/internal/migration/history.go
@@ -10,6 +10,7 @@
 
 	"opaldale/internal/api"
 	"opaldale/internal/commit"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 )
 
@@ -45,7 +46,7 @@
 // negative task index.
 func ReadRecord(value json.RawMessage) (Record, error) {
 	var r Record
-	if err := json.Unmarshal(value, &r); err != nil {
+	if err := decode.JSON(value, &r); err != nil {
 		return Record{}, err
 	}
 	if len(r.Moves) == 0 {
--- a/internal/simulator/edge_case_requests.go
+++ b/internal/simulator/edge_case_requests.go
@@ -8,6 +8,7 @@
 
 	"opaldale/internal/api"
 	"opaldale/internal/controller"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/transport"
 )
@@ -70,7 +71,7 @@
 // sendWithoutField submits a job that lacks a random required field, which must get status 400.
 func (sim *Simulation) sendWithoutField(n *node, s api.Spec) {
 	var m map[string]any
-	if json.Unmarshal(api.JSON(s), &m) != nil {
+	if decode.JSON(api.JSON(s), &m) != nil {
 		return
 	}
 	field := requiredFields[sim.rng.IntN(len(requiredFields))]
@@ -92,7 +93,7 @@
 					return
 				}
 				var v api.JobView
-				if r.Status != http.StatusOK || json.Unmarshal(r.Body, &v) != nil || v.Status != api.StatusDone {
+				if r.Status != http.StatusOK || decode.JSON(r.Body, &v) != nil || v.Status != api.StatusDone {
 					sim.reportViolation("the cancellation of %s, which is done, got status %d: %s", id, r.Status, r.Body)
 				}
 			})
--- a/internal/simulator/invariants.go
+++ b/internal/simulator/invariants.go
@@ -1,7 +1,6 @@
 package simulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -9,6 +8,7 @@
 
 	"opaldale/internal/api"
 	"opaldale/internal/controller"
+	"opaldale/internal/decode"
 	"opaldale/internal/election"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
@@ -81,7 +81,7 @@
 // user learned of it: overlapping requests have no order.
 func (sim *Simulation) checkStatusReply(j *userJob, r *controller.Response, requestedAt ident.MonotonicTime) {
 	var v api.JobView
-	if err := json.Unmarshal(r.Body, &v); err != nil || v.ID != j.spec.ID {
+	if err := decode.JSON(r.Body, &v); err != nil || v.ID != j.spec.ID {
 		sim.reportViolation("%s: the reply is not a view of the job: %s", j.spec.ID, r.Body)
 		return
 	}
--- a/internal/simulator/mutation.go
+++ b/internal/simulator/mutation.go
@@ -11,6 +11,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/commit"
 	"opaldale/internal/controller"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 	"opaldale/internal/transport"
@@ -22,13 +23,13 @@
 	var m api.Heartbeat
 	switch {
 	case sim.mutates(RenewWithoutLeadership) && !n.controller.Election().LeaseValid():
-		if json.Unmarshal(body, &m) == nil {
+		if decode.JSON(body, &m) == nil {
 			return &controller.Response{Status: http.StatusOK,
 				Body: api.JSON(api.HeartbeatResponse{FencingToken: m.FencingToken, Commands: []api.Command{}})}
 		}
 	case sim.mutates(DropStopCommands) && r.Status == http.StatusOK:
 		var o api.HeartbeatResponse
-		if json.Unmarshal(r.Body, &o) == nil {
+		if decode.JSON(r.Body, &o) == nil {
 			o.Commands = withoutStops(o.Commands)
 			return &controller.Response{Status: http.StatusOK, Body: api.JSON(o)}
 		}
@@ -83,7 +84,7 @@
 			LSN  uint64 `json:"n"`
 			Text string `json:"t"`
 		}
-		if !strings.HasPrefix(p.Key, commit.LogPrefix) || json.Unmarshal(p.Value, &v) != nil {
+		if !strings.HasPrefix(p.Key, commit.LogPrefix) || decode.JSON(p.Value, &v) != nil {
 			continue
 		}
 		var lines []string
@@ -105,7 +106,7 @@
 // dropZoneConstraint removes the zone constraints from a submission, for the mutation DropZoneConstraint.
 func dropZoneConstraint(body []byte) []byte {
 	var s api.Spec
-	if json.Unmarshal(body, &s) != nil {
+	if decode.JSON(body, &s) != nil {
 		return body
 	}
 	s.Zone, s.OneZone = nil, false
@@ -173,7 +174,7 @@
 		var v struct {
 			Text string `json:"t"`
 		}
-		if !strings.HasPrefix(c.Put, commit.LogPrefix) || json.Unmarshal(c.Value, &v) != nil {
+		if !strings.HasPrefix(c.Put, commit.LogPrefix) || decode.JSON(c.Value, &v) != nil {
 			continue
 		}
 		err := commit.ParseText(v.Text, func(id, line string) error {
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
 
 	"opaldale/internal/api"
 	"opaldale/internal/controller"
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/transport"
 	"opaldale/internal/workers"
@@ -188,7 +188,7 @@
 	if a != nil && a.Status == http.StatusOK && w.sim.now.Sub(sentAt) <= heartbeatTimeout {
 		w.heartbeatInFlight = false
 		var o api.HeartbeatResponse
-		if json.Unmarshal(a.Body, &o) != nil || incarnation != w.incarnation || !w.acceptToken(o.FencingToken) {
+		if decode.JSON(a.Body, &o) != nil || incarnation != w.incarnation || !w.acceptToken(o.FencingToken) {
 			return
 		}
 		w.leaseRenewedAt = sentAt
@@ -207,7 +207,7 @@
 	var home struct {
 		Home string `json:"home"`
 	}
-	_ = json.Unmarshal(body, &home) // if the body names no node, the caller retries with the next one
+	_ = decode.JSON(body, &home) // if the body names no node, the caller retries with the next one
 	for i, n := range w.sim.nodes {
 		if n.name == home.Home && i != w.nodeIndex {
 			w.switchToNode(i)
--- a/internal/upgrade/announce.go
+++ b/internal/upgrade/announce.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"opaldale/internal/decode"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 	"opaldale/internal/transport"
@@ -42,7 +43,7 @@
 			continue
 		}
 		var a announcement
-		if json.Unmarshal(pair.Value, &a) == nil {
+		if decode.JSON(pair.Value, &a) == nil {
 			announcements[ident.NodeID(node)] = a
 		}
 	}
@@ -97,7 +98,7 @@
 // isAnnounced reports whether a stored announcement covers the one of this program version.
 func isAnnounced(value []byte) bool {
 	var announced announcement
-	return json.Unmarshal(value, &announced) == nil && announced.covers(ownAnnouncement)
+	return decode.JSON(value, &announced) == nil && announced.covers(ownAnnouncement)
 }
 
 // write writes the key if it is still at the given revision; 0 means that the key does not exist.
