Simulator: free capacity includes memory; a team's limit delays the end

The check counted CPUs alone. The check, and the simulated worker when it refuses a launch, now count CPUs, GPUs and memory. A run now goes on for as long as an unfinished batch job had to wait for its team's limit, by the workers' own state and at most ten minutes; it must be done by then. All other bounds are as before.

The event loop dropped the event after the end of a run; it stays queued now, so that a run can go on.

--- /dev/null
+++ b/internal/simulator/liveness_test.go
@@ -0,0 +1,66 @@
+package simulator
+
+import (
+	"testing"
+	"time"
+
+	"opaldale/internal/api"
+	"opaldale/internal/settings"
+)
+
+// TestWaitReason checks the reasons for which the simulator takes a job to wait, on two machines of 8 CPUs and 32 GB. A machine
+// without free memory has no room, and a team at its limit is no fault of the scheduler.
+func TestWaitReason(t *testing.T) {
+	t.Parallel()
+	sim := New(Config{Seed: 1, NoArrivals: true, ZoneCapacity: 1, ActiveDuration: 2 * time.Minute,
+		Teams: []settings.Team{{Name: "red", CPUs: 10, CPUsMax: 20}, {Name: "blue", CPUs: 4, CPUsMax: 4}, {Name: "grey", CPUsMax: 1}}})
+	submit := func(team, zone string, shape api.Shape, tasks int, cpus, memory float64) *userJob {
+		return sim.submitJob(func(s *api.Spec) {
+			s.Team, s.Zone, s.Shape, s.Tasks, s.VCPUs, s.MemoryGB, s.Spot = team, &zone, shape, tasks, cpus, memory, false
+		}, time.Minute)
+	}
+	submit("red", "east", api.Service, 1, 1, 32)
+	submit("blue", "west", api.Service, 1, 2, 2)
+	waiting := map[*userJob]waitReason{}
+	sim.schedule(100*time.Second, func() {
+		waiting[submit("red", "east", api.Batch, 1, 1, 1)] = waitsForMachine
+		waiting[submit("blue", "west", api.Batch, 1, 3, 1)] = waitsForTeam
+		waiting[submit("red", "west", api.Batch, 1, 1, 1)] = notWaiting
+		for j, want := range waiting {
+			j.accepted = true
+			if want == notWaiting {
+				want = waitsForScheduler // until it is placed
+			}
+			if got := sim.waitReasonOf(j); got != want {
+				t.Errorf("%s at its submission: got reason %d, want %d", j.spec.ID, got, want)
+			}
+		}
+	})
+	sim.schedule(110*time.Second, func() {
+		for j, want := range waiting {
+			if got := sim.waitReasonOf(j); got != want {
+				t.Errorf("%s after 10 s: got reason %d, want %d", j.spec.ID, got, want)
+			}
+		}
+	})
+	sim.Run()
+	if len(sim.Violations) > 0 || len(waiting) == 0 {
+		t.Errorf("got violations %q and %d waiting jobs, want no violations and 3 jobs", sim.Violations, len(waiting))
+	}
+}
+
+// TestSoakTeamAtItsLimit: a job whose team is at its limit gets the time for which it had to wait, and must be done by then.
+func TestSoakTeamAtItsLimit(t *testing.T) {
+	t.Parallel()
+	sim := newSoak(72880)
+	sim.delayCommandsOfPreemptedWork(func(service *userJob) { sim.cancelWhenAccepted(service, nil) })
+	sim.Run()
+	requireClean(t, sim)
+	longest := time.Duration(0)
+	for _, j := range sim.jobs {
+		longest = max(longest, j.limitedByTeam)
+	}
+	if longest == 0 {
+		t.Error("no job had to wait for its team's limit, want one")
+	}
+}
--- a/internal/simulator/study_load.go
+++ b/internal/simulator/study_load.go
@@ -117,7 +117,7 @@
 func (sim *Simulation) imbalance() float64 {
 	n, sum, sumOfSquares := 0.0, 0.0, 0.0
 	for _, w := range sim.sortedWorkers() {
-		share := w.usedCPUs() / sim.cloud.machineTypes[0].VCPUs
+		share := w.used().VCPUs / sim.cloud.machineTypes[0].VCPUs
 		n++
 		sum += share
 		sumOfSquares += share * share
--- a/internal/simulator/user_job.go
+++ b/internal/simulator/user_job.go
@@ -15,6 +15,7 @@
 	failures            int                                     // attempts that failed because of alwaysFails or a faulty machine
 	durationStep        time.Duration                           // difference between the run times of consecutive tasks
 	idleCapacitySince   ident.MonotonicTime                     // since when it waits despite free capacity; 0: it does not
+	limitedByTeam       time.Duration                           // how long its team was at its limit in the quiescent part
 	checkpointedSeconds float64                                 // checkpointed progress of a gang, in seconds
 	checkpointed        map[int]time.Duration                   // checkpointed progress of an array, by task index
 	lostWork            time.Duration                           // run time lost when tasks stopped without a checkpoint
