Reservations: only for what fits, with an end, and known to the autoscaler

Cause: machines were reserved for a gang by its CPUs alone, for as long as it waited, against all jobs of any priority; the autoscaler took the replica to fit on the reserved machine. The block of a team's arrays for a starved one had no end either, also if services hold the limit for good.

Change: a reservation has a start and an end, a minute later, and Admits says who may use the capacity: the job, and jobs of a higher priority. Placement and the autoscaler ask the same code. Machines are reserved only if the job fits there once the batch tasks have ended, by CPUs, memory, GPUs, zones and apart; a quota only if services leave room.

--- a/internal/controller/gang_test.go
+++ b/internal/controller/gang_test.go
@@ -49,7 +49,8 @@
 }
 
 // TestGangAdmission: below the packed format level a gang is refused for now, since a leader of an earlier version could
-// not read it. At that level a gang is invalid if all its tasks together exceed the team's limit. At either level a job is
+// not read it. At that level a gang is invalid if all its tasks together exceed the team's limit, or can't be spread over
+// the zones that it may use. At either level a job is
 // invalid if its description exceeds the announced limits of the store.
 func TestGangAdmission(t *testing.T) {
 	var many []string
@@ -63,6 +64,7 @@
 	longModels := []string{`"models":null`, `"models":` + string(list)}
 	nineTasks := []string{`"pieces":4`, `"pieces":9`}
 	asBatch := []string{`"gang"`, `"batch"`}
+	apart := []string{`"apart":false`, `"apart":true`}
 	for _, x := range []struct {
 		name   string
 		level  ident.FormatLevel
@@ -74,6 +76,13 @@
 		{"a gang", ident.FormatPacked, nil, http.StatusCreated},
 		{"a gang over the quota", ident.FormatPacked, nineTasks, http.StatusUnprocessableEntity},
 		{"an array of as many tasks", ident.FormatPacked, slices.Concat(nineTasks, asBatch), http.StatusCreated},
+		{"a gang spread over the only zone", ident.FormatPacked, apart, http.StatusUnprocessableEntity},
+		{"a spread gang in the only zone it allows", ident.FormatPacked,
+			slices.Concat(apart, []string{`"site":null`, `"site":"a"`}), http.StatusUnprocessableEntity},
+		{"a spread gang of one task", ident.FormatPacked, slices.Concat(apart, []string{`"pieces":4`, `"pieces":1`}),
+			http.StatusCreated},
+		{"a spread array", ident.FormatPacked, slices.Concat(apart, asBatch), http.StatusCreated},
+		{"a spread service", ident.FormatPacked, slices.Concat(apart, []string{`"gang"`, `"service"`}), http.StatusCreated},
 		{"too long a description below the level", 0, slices.Concat(asBatch, longModels), http.StatusUnprocessableEntity},
 		{"too long a description", ident.FormatPacked, longModels, http.StatusUnprocessableEntity},
 	} {
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -11,6 +11,7 @@
 	"opaldale/internal/authority"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/placement"
 	"opaldale/internal/workers"
 )
 
@@ -65,9 +66,13 @@
 	if err := l.teams.Validate(spec); err != nil {
 		return err
 	}
-	if !l.fitsAnyMachineType(spec) {
+	zones := l.zonesFor(spec)
+	if len(zones) == 0 {
 		return errNoMachineTypeFits
 	}
+	if !placement.ZonesSuffice(spec, len(zones)) {
+		return errTooFewZones
+	}
 	if size, maxSize := l.jobs.HeaderSize(spec); size > maxSize {
 		return fmt.Errorf("the description takes %d bytes, and %d can be kept", size, maxSize)
 	}
@@ -77,8 +82,13 @@
 // errNoMachineTypeFits is returned for a job whose tasks fit none of the machine types that the job allows.
 var errNoMachineTypeFits = errors.New("models: no machine type fits")
 
-// fitsAnyMachineType reports whether a task of the job fits an empty machine of a type and zone that the job allows.
-func (l *leaderTerm) fitsAnyMachineType(spec *api.Spec) bool {
+// errTooFewZones is returned for a gang whose tasks can never all run at once, because it may not have more than half of them in
+// a zone and may use one zone only.
+var errTooFewZones = errors.New("apart: the gang needs two zones and may use only one")
+
+// zonesFor returns the zones that a job may use in which a task of it fits an empty machine of a type that the job allows.
+func (l *leaderTerm) zonesFor(spec *api.Spec) map[string]bool {
+	zones := map[string]bool{}
 	types := l.catalog.Types()
 	for i := range types {
 		machineType := &types[i]
@@ -87,11 +97,11 @@
 		}
 		for _, zone := range machineType.Zones {
 			if spec.Zone == nil || *spec.Zone == zone {
-				return true
+				zones[zone] = true
 			}
 		}
 	}
-	return false
+	return zones
 }
 
 // needsPackedFormat reports whether a job can be stored only in the packed format.
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -216,6 +216,7 @@
 		Movable: func(t *jobs.Task, from *workers.Worker) bool {
 			return c.allows(authority.Place) && l.planner.Movable(t, from)
 		},
+		ReservationOn:      l.planner.ReservationOn,
 		Drain:              l.drainBeforeReclaim,
 		SetServiceHeadroom: func(zone string, cpus float64) { l.planner.ServiceHeadroom[zone] = cpus },
 	}
--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -3,6 +3,10 @@
 // This file collects the counters and gauges that are exported as metrics.
 
 import (
+	"maps"
+	"slices"
+
+	"opaldale/internal/ident"
 	"opaldale/internal/load"
 	"opaldale/internal/migration"
 )
@@ -30,6 +34,7 @@
 	FetchedGB, PlanSeconds                                   float64
 	GangsStarted, GangsLost                                  uint64
 	GangsReplaced, GangsStopped                              uint64
+	ReservedMachines                                         []ReservedMachine // for starved jobs and gangs, by machine
 
 	// Machines and their workers.
 	MachinesProvisioned, MachinesTerminated, MachinesFenced uint64
@@ -51,6 +56,13 @@
 	MoveRealizedSeconds float64
 }
 
+// ReservedMachine is a machine that only one job, and more urgent ones, may use for a time.
+type ReservedMachine struct {
+	Machine          ident.MachineID
+	Job              ident.JobID
+	AgeS, RemainingS float64 // time since the start of the reservation and until its end
+}
+
 // Stats returns the node's counters.
 func (c *Controller) Stats() Stats {
 	stats := Stats{
@@ -111,6 +123,23 @@
 	stats.GangsLost = l.gangs.Lost
 	stats.GangsReplaced = l.gangs.Replaced
 	stats.GangsStopped = l.gangs.Stopped
+	stats.ReservedMachines = l.reservedMachines()
+}
+
+// reservedMachines returns the machines that are reserved for starved jobs and gangs, by name.
+func (l *leaderTerm) reservedMachines() (list []ReservedMachine) {
+	now := l.env.Now()
+	reservations := l.planner.MachineReservations()
+	for _, id := range slices.Sorted(maps.Keys(reservations)) {
+		reservation := reservations[id]
+		list = append(list, ReservedMachine{
+			Machine:    id,
+			Job:        reservation.Job.Spec.ID,
+			AgeS:       now.Sub(reservation.Since).Seconds(),
+			RemainingS: max(0, reservation.Until.Sub(now).Seconds()),
+		})
+	}
+	return list
 }
 
 func (l *leaderTerm) fillLoadStats(stats *Stats) {
--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -6,6 +6,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/cloud"
 	"opaldale/internal/jobs"
+	"opaldale/internal/placement"
 	"opaldale/internal/workers"
 )
 
@@ -19,7 +20,8 @@
 	pool        pool
 	tier        binTier
 	machines    int
-	free        jobs.Resources    // of each machine
+	free        jobs.Resources // of each machine
+	reservation placement.Reservation
 	cordoned    []*workers.Worker // the machines; only set in cordonedTier
 }
 
@@ -62,6 +64,9 @@
 	return workers.AllowsModel(spec, b.pool.model) && workers.FitsEmpty(b.machineType, spec)
 }
 
+// admits reports whether tasks of a job may be placed on the machines of the bin now, regardless of their free resources.
+func (b *bin) admits(j *jobs.Job) bool { return b.allows(j.Spec) && b.reservation.Admits(j) }
+
 // split returns a new bin of some of the machines, with a number of tasks packed onto each of them. The
 // bin that it is called on is unchanged.
 func (b *bin) split(machines, tasks int, spec *api.Spec) *bin {
@@ -70,6 +75,7 @@
 		pool:        b.pool,
 		tier:        b.tier,
 		machines:    machines,
+		reservation: b.reservation,
 		free:        b.free.Sub(jobs.ResourcesOf(spec).Times(tasks)),
 	}
 	if part.tier == cordonedTier {
@@ -97,9 +103,10 @@
 
 // binKey holds the properties that all machines of a bin share.
 type binKey struct {
-	pool pool
-	tier binTier
-	free jobs.Resources
+	pool        pool
+	tier        binTier
+	free        jobs.Resources
+	reservedFor *jobs.Job
 }
 
 // binBuilder groups machines into bins.
@@ -109,20 +116,36 @@
 	quantum float64 // free resources are rounded down to multiples of it
 }
 
+// machineGroup is a number of machines with the same properties.
+type machineGroup struct {
+	machineType *cloud.MachineType
+	pool        pool
+	tier        binTier
+	free        jobs.Resources // of each machine
+	reservation placement.Reservation
+	machines    int
+}
+
 // add adds machines to the bin with the same properties, which it creates if necessary, and returns it.
-func (builder *binBuilder) add(machineType *cloud.MachineType, p pool, tier binTier, free jobs.Resources, machines int) *bin {
-	key := binKey{p, tier, floorResources(free, builder.quantum)}
-	if tier == endingTier {
+func (builder *binBuilder) add(group machineGroup) *bin {
+	key := binKey{group.pool, group.tier, floorResources(group.free, builder.quantum), group.reservation.Job}
+	if group.tier == endingTier {
 		// The resources that an ending task releases are exactly as large as the task. If they were
 		// rounded down to the coarse quantum, a task of the same size would no longer fit.
-		key.free = floorResources(free, exactQuantum)
+		key.free = floorResources(group.free, exactQuantum)
 	}
 	b := builder.bins[key]
 	if b == nil {
-		b = &bin{machineType: machineType, pool: p, tier: tier, free: key.free}
+		b = &bin{
+			machineType: group.machineType,
+			pool:        group.pool,
+			tier:        group.tier,
+			free:        key.free,
+			reservation: group.reservation,
+		}
 		builder.bins[key] = b
 		builder.order = append(builder.order, b)
 	}
-	b.machines += machines
+	b.machines += group.machines
 	return b
 }
--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -81,8 +81,8 @@
 // chooseZone returns the zone for all tasks of a one-zone job: a zone that already has tasks of the job,
 // or else the zone in which most of them fit. It returns "" for other jobs, and if no task fits in any
 // zone.
-func (c *capacityModel) chooseZone(spec *api.Spec, tasksByZone map[string]int) string {
-	if !spec.OneZone {
+func (c *capacityModel) chooseZone(j *jobs.Job, tasksByZone map[string]int) string {
+	if !j.Spec.OneZone {
 		return ""
 	}
 	for zone, count := range tasksByZone {
@@ -91,7 +91,7 @@
 		}
 	}
 	best, most := "", 0
-	for zone, count := range c.fittingTasksByZone(spec) {
+	for zone, count := range c.fittingTasksByZone(j) {
 		if count > most || count == most && zone < best {
 			best, most = zone, count
 		}
@@ -100,12 +100,12 @@
 }
 
 // fittingTasksByZone returns the number of tasks of a job that fit in each zone.
-func (c *capacityModel) fittingTasksByZone(spec *api.Spec) map[string]int {
+func (c *capacityModel) fittingTasksByZone(j *jobs.Job) map[string]int {
 	fitting := map[string]int{}
 	for _, bins := range c.bins {
 		for _, b := range bins {
-			if b.allows(spec) {
-				fitting[b.pool.zone] += b.tasksPerMachine(spec) * b.machines
+			if b.admits(j) {
+				fitting[b.pool.zone] += b.tasksPerMachine(j.Spec) * b.machines
 			}
 		}
 	}
--- a/internal/fleet/capacity_measurement.go
+++ b/internal/fleet/capacity_measurement.go
@@ -61,14 +61,16 @@
 	}
 	capacity.machines[p]++
 	capacity.replicaVCPUs[p.zone] += w.ServiceVCPUs
+	group := machineGroup{machineType: w.Type, pool: p, tier: cordonedTier, free: free, machines: 1}
 	if w.Cordoned {
-		b := builder.add(w.Type, p, cordonedTier, free, 1)
+		b := builder.add(group)
 		b.cordoned = append(b.cordoned, w)
 		return
 	}
 	capacity.freeVCPUs[p] += free.VCPUs
 	capacity.batchVCPUs[p] += w.BatchVCPUs
-	builder.add(w.Type, p, p.tier(), free.Add(borrowed), 1)
+	group.tier, group.free, group.reservation = p.tier(), free.Add(borrowed), r.cfg.ReservationOn(w)
+	builder.add(group)
 }
 
 // isUsable reports whether a machine counts as capacity for new tasks. Machines that are slow, quarantined, in
@@ -88,7 +90,13 @@
 		if state == nil || state.pending <= 0 {
 			return
 		}
-		builder.add(machineType, p, p.tier(), machineTypeResources(machineType), state.pending)
+		builder.add(machineGroup{
+			machineType: machineType,
+			pool:        p,
+			tier:        p.tier(),
+			free:        machineTypeResources(machineType),
+			machines:    state.pending,
+		})
 		cpus := float64(state.pending) * machineType.VCPUs
 		capacity.machines[p] += state.pending
 		capacity.freeVCPUs[p] += cpus
@@ -102,7 +110,14 @@
 	r.eachRunningBatchTask(func(t *jobs.Task, w *workers.Worker) {
 		left := settings.Seconds(t.Job.Spec.RuntimeS) - r.now.Sub(t.RunningSince)
 		if !w.Cordoned && w.Type != nil && left < bootTime(w) {
-			builder.add(w.Type, poolOf(w), endingTier, jobs.ResourcesOf(t.Job.Spec), 1)
+			builder.add(machineGroup{
+				machineType: w.Type,
+				pool:        poolOf(w),
+				tier:        endingTier,
+				free:        jobs.ResourcesOf(t.Job.Spec),
+				reservation: r.cfg.ReservationOn(w),
+				machines:    1,
+			})
 		}
 	})
 }
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -77,6 +77,7 @@
 	table                *workers.Table
 	jobs                 *jobs.Table
 	commits              *commit.Committer
+	reservations         map[*workers.Worker]placement.Reservation
 	reachableViaPeer     bool
 	zonePeersUnreachable bool
 }
@@ -112,6 +113,7 @@
 		ZonePeersUnreachable: func(string) bool { return r.zonePeersUnreachable },
 		Objective:            func(string) time.Duration { return 0 },
 		Movable:              func(*jobs.Task, *workers.Worker) bool { return false },
+		ReservationOn:        func(w *workers.Worker) placement.Reservation { return r.reservations[w] },
 		Drain:                func(*workers.Worker) {},
 		SetServiceHeadroom:   func(string, float64) {},
 	})
--- a/internal/fleet/manager.go
+++ b/internal/fleet/manager.go
@@ -60,6 +60,8 @@
 	// Movable reports whether another machine has the free capacity for a replica and already holds
 	// its image.
 	Movable func(t *jobs.Task, from *workers.Worker) bool
+	// ReservationOn returns the reservation of a machine, which placement observes, or the zero reservation.
+	ReservationOn func(w *workers.Worker) placement.Reservation
 	// Drain is called in each tick for each machine with a reclaim notice.
 	Drain func(w *workers.Worker)
 	// SetServiceHeadroom is called in each tick and for each zone with the CPUs on on-demand machines
--- a/internal/fleet/packing.go
+++ b/internal/fleet/packing.go
@@ -36,7 +36,7 @@
 	if p.tasksByZone == nil {
 		p.tasksByZone = map[string]int{}
 	}
-	p.constraint.zone = run.capacity.chooseZone(job.Spec, p.tasksByZone)
+	p.constraint.zone = run.capacity.chooseZone(job, p.tasksByZone)
 	return p
 }
 
@@ -78,7 +78,7 @@
 // packBin packs as many of the remaining tasks into a bin as fit and are allowed there.
 func (p *jobPacking) packBin(b *bin) {
 	spec := p.job.Spec
-	if !b.allows(spec) || p.constraint.zone != "" && p.constraint.zone != b.pool.zone {
+	if !b.admits(p.job) || p.constraint.zone != "" && p.constraint.zone != b.pool.zone {
 		return
 	}
 	count := p.remaining
--- a/internal/placement/batch.go
+++ b/internal/placement/batch.go
@@ -145,11 +145,13 @@
 
 // localTask returns a batch task that a machine can run without an image pull, or nil if there is
 // none. Tasks that the plan assigns to the machine come first, then the task of the highest precedence
-// whose image the machine has cached. A reserved machine runs only tasks of the job that it is
-// reserved for, whether or not it has their image cached.
+// whose image the machine has cached. On a reserved machine, a task of the job that it is reserved for
+// comes first, whether or not the machine has its image cached.
 func (d *dispatch) localTask(w *workers.Worker) (*jobs.Task, placementRule) {
-	if j := d.reservations.jobOn(w); j != nil {
-		return d.reservedTask(j, w), ruleLocal
+	if j := d.reservations.on(w).Job; j != nil {
+		if t := d.reservedTask(j, w); t != nil {
+			return t, ruleLocal
+		}
 	}
 	for _, t := range w.PlannedTasks {
 		if !d.inActiveRange(t) {
@@ -204,7 +206,7 @@
 // chooseTask returns the next batch task for a machine, or nil if there is none: a local task, else
 // the oldest task whose image no eligible machine has cached, else a task stolen from the longest plan.
 func (d *dispatch) chooseTask(w *workers.Worker) (*jobs.Task, placementRule) {
-	if t, rule := d.localTask(w); t != nil || d.IsReserved(w) {
+	if t, rule := d.localTask(w); t != nil {
 		return t, rule
 	}
 	for _, j := range d.uncachedJobs {
--- a/internal/placement/dispatch.go
+++ b/internal/placement/dispatch.go
@@ -29,7 +29,6 @@
 	taskCursor       map[*jobs.Job]int // index of the first task that may still be placed
 	plans            []*planQueue      // by number of waiting tasks, descending
 
-	quotaBlocked     map[string]*jobs.Job // by team: the starved job that the team's quota is reserved for
 	victimSearches   map[victimSearchKey]*preemptionHeap
 	placed           int // tasks placed
 	machinesSearched int // machines searched for victims
@@ -40,7 +39,7 @@
 	now := p.now()
 	p.teams.UpdateGuarantees(p.jobs)
 	p.freeOnDemand = map[string]float64{}
-	p.reservations.expire(now)
+	p.reservations.expire(now, p.quotaAllows)
 	d := &dispatch{
 		Planner:              p,
 		schedulableMachines:  p.storage.schedulableMachines[:0],
@@ -48,7 +47,6 @@
 		batchJobs:            p.storage.batchJobs[:0],
 		imageCached:          map[*jobs.Job]bool{},
 		taskCursor:           map[*jobs.Job]int{},
-		quotaBlocked:         map[string]*jobs.Job{},
 		victimSearches:       map[victimSearchKey]*preemptionHeap{},
 	}
 	queues, need := p.queueByShape(now)
@@ -127,14 +125,6 @@
 	d.placed++
 }
 
-// blockQuota reserves the quota of a job's team for the job, which is starved, unless it is already
-// reserved for another job. This dispatch then places no other batch job of the team.
-func (d *dispatch) blockQuota(j *jobs.Job) {
-	if d.quotaBlocked[j.Spec.Team] == nil {
-		d.quotaBlocked[j.Spec.Team] = j
-	}
-}
-
 // queueByShape returns the waiting jobs that may be placed now, by shape, and the smallest amount of
 // each resource that one of their tasks requests.
 func (p *Planner) queueByShape(now ident.MonotonicTime) (map[api.Shape][]queuedJob, jobs.Resources) {
--- a/internal/placement/eligibility.go
+++ b/internal/placement/eligibility.go
@@ -28,6 +28,16 @@
 // MaxTasksPerZone returns the maximum number of tasks in one zone for a job that is spread over zones.
 func MaxTasksPerZone(s *api.Spec) int { return (s.Tasks + 1) / 2 }
 
+// ZonesSuffice reports whether a job can have all of its tasks running at some time, if its tasks fit in a number of zones. Only
+// gangs need all at once: an array that is spread over zones and has one zone runs half of its tasks after the other half, and a
+// service runs as many replicas as it may.
+func ZonesSuffice(s *api.Spec, zones int) bool {
+	if s.OneZone {
+		zones = min(zones, 1)
+	}
+	return s.Shape != api.Gang || !s.Spread || zones*MaxTasksPerZone(s) >= s.Tasks
+}
+
 // unusedVCPUs returns the number of CPUs of a machine that no task uses, whether reserved or not.
 func unusedVCPUs(w *workers.Worker) float64 { return w.Type.VCPUs - w.VCPUs }
 
@@ -46,10 +56,7 @@
 
 // eligible reports whether a task of a job may be placed on a machine, regardless of its free capacity.
 func (d *dispatch) eligible(j *jobs.Job, w *workers.Worker) bool {
-	if reservedFor := d.reservations.jobOn(w); reservedFor != nil && reservedFor != j {
-		return false
-	}
-	if blockedFor := d.quotaBlocked[j.Spec.Team]; blockedFor != nil && blockedFor != j && isBatch(j) {
+	if !d.reservations.on(w).Admits(j) || isBatch(j) && !d.reservations.quotas[j.Spec.Team].Admits(j) {
 		return false
 	}
 	return allows(w, j) && zoneAllows(j, w.Zone) && d.teams.Allows(j.Spec, 1)
--- a/internal/placement/first_task.go
+++ b/internal/placement/first_task.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		if !d.teams.Allows(j.Spec, 1) {
-			d.blockQuota(j)
+			d.reserveQuota(j)
 			continue
 		}
 		if w := d.machineForFirstTask(j); w != nil {
@@ -76,18 +76,20 @@
 	return found
 }
 
-// reserveMostFreeMachine reserves the eligible machine with the most unused CPUs for a starved job.
+// reserveMostFreeMachine reserves a machine for a starved job: of the eligible machines on which its task fits once the
+// batch tasks there have ended, the one with the most unused CPUs.
 func (d *dispatch) reserveMostFreeMachine(j *jobs.Job) {
+	now, need := d.now(), jobs.ResourcesOf(j.Spec)
 	var best *workers.Worker
 	for _, w := range d.schedulableMachines {
-		if d.reservations.isReservedForStarved(w) || !d.eligible(j, w) {
+		if best != nil && unusedVCPUs(w) <= unusedVCPUs(best)+tolerance {
 			continue
 		}
-		if best == nil || unusedVCPUs(w) > unusedVCPUs(best)+tolerance {
+		if d.reservations.canReserve(w, now) && d.eligible(j, w) && freeAfterBatch(w).Covers(need) {
 			best = w
 		}
 	}
 	if best != nil {
-		d.reservations.reserveStarved(best, j)
+		d.reservations.reserveStarved(best, j, now)
 	}
 }
--- a/internal/placement/gang_planner.go
+++ b/internal/placement/gang_planner.go
@@ -122,12 +122,7 @@
 // assign assigns as many remaining tasks to a machine as its slots and the job's spread over zones
 // allow. It returns false if it assigned none.
 func (g *gangPlanner) assign(s machineSlots) bool {
-	spec := g.job.Spec
-	n := s.tasks
-	if spec.Spread {
-		n = min(n, MaxTasksPerZone(spec)-g.byZone[s.worker.Zone])
-	}
-	n = min(n, len(g.remaining))
+	n := min(s.tasks, tasksLeftInZone(g.job, g.byZone, s.worker.Zone), len(g.remaining))
 	if n <= 0 {
 		return false
 	}
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"opaldale/internal/jobs"
@@ -39,7 +40,7 @@
 	}
 	if !d.teams.Allows(j.Spec, float64(len(tasks))) {
 		if d.starved(j) {
-			d.blockQuota(j)
+			d.reserveQuota(j)
 		}
 		return
 	}
@@ -142,31 +143,57 @@
 		}
 	}
 	for _, w := range best {
-		d.reservations.reserveStarved(w, j)
+		d.reservations.reserveStarved(w, j, d.now())
 	}
 }
 
 // fewestMachinesFor returns the smallest set of machines of a zone on which a number of a gang's tasks
-// fit after the batch tasks there have ended, or nil if the whole zone doesn't have enough CPUs.
+// fit, within the gang's limit for each zone, after the batch tasks there have ended. It returns nil if there is none.
 func (d *dispatch) fewestMachinesFor(j *jobs.Job, zone string, tasks int) []*workers.Worker {
-	slots := func(w *workers.Worker) int {
-		if j.Spec.VCPUs <= 0 {
-			return tasks
-		}
-		return int((unusedVCPUs(w) + w.BatchVCPUs + tolerance) / j.Spec.VCPUs)
-	}
-	var list []*workers.Worker
+	var list []machineSlots
 	for _, w := range d.schedulableMachines {
-		if inZone(w, zone) && slots(w) > 0 && d.eligible(j, w) {
-			list = append(list, w)
+		if !inZone(w, zone) || !d.reservations.canReserve(w, d.now()) || !d.eligible(j, w) || d.actions.GangUsedMachine(j, w) {
+			continue
+		}
+		if slots := min(tasks, freeAfterBatch(w).TaskCapacity(j.Spec)); slots > 0 {
+			list = append(list, machineSlots{worker: w, tasks: slots})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *workers.Worker) int { return cmp.Compare(slots(b), slots(a)) })
-	sum := 0
-	for i, w := range list {
-		if sum += slots(w); sum >= tasks {
-			return list[:i+1]
+	slices.SortStableFunc(list, func(a, b machineSlots) int { return cmp.Compare(b.tasks, a.tasks) })
+	var machines []*workers.Worker
+	byZone := maps.Clone(j.AllocatedByZone)
+	if byZone == nil {
+		byZone = map[string]int{}
+	}
+	for _, candidate := range list {
+		n := min(candidate.tasks, tasksLeftInZone(j, byZone, candidate.worker.Zone))
+		if n <= 0 {
+			continue
+		}
+		machines = append(machines, candidate.worker)
+		byZone[candidate.worker.Zone] += n
+		if tasks -= n; tasks <= 0 {
+			return machines
 		}
 	}
 	return nil
 }
+
+// tasksLeftInZone returns how many more tasks of a job may be in a zone, given its tasks by zone.
+func tasksLeftInZone(j *jobs.Job, byZone map[string]int, zone string) int {
+	if !j.Spec.Spread {
+		return j.Spec.Tasks
+	}
+	return MaxTasksPerZone(j.Spec) - byZone[zone]
+}
+
+// freeAfterBatch returns the resources of a machine that are free once its batch tasks have ended.
+func freeAfterBatch(w *workers.Worker) jobs.Resources {
+	free := w.Free()
+	for _, t := range w.Tasks {
+		if isBatch(t.Job) {
+			free = free.Add(jobs.ResourcesOf(t.Job.Spec))
+		}
+	}
+	return free
+}
--- a/internal/placement/quota.go
+++ b/internal/placement/quota.go
@@ -81,7 +81,7 @@
 // Allows reports whether n more tasks with spec s fit into the limit of their team.
 func (ts *Teams) Allows(s *api.Spec, n float64) bool {
 	t := ts.byName[s.Team]
-	return t != nil && t.usedVCPUs+n*s.VCPUs <= t.CPUsMax+tolerance && t.usedGPUs+n*s.GPUs <= t.GPUsMax+tolerance
+	return t != nil && ts.allowsBeside(jobs.Resources{VCPUs: t.usedVCPUs, GPUs: t.usedGPUs}, s, n)
 }
 
 // IsBorrower reports whether a team has neither guarantee nor limit.
@@ -117,6 +117,47 @@
 	return max(n, 0)
 }
 
+// quotaAllows reports whether the limit of a job's team has room for the next placement of the job: a task, or all waiting tasks
+// of a gang.
+func (p *Planner) quotaAllows(j *jobs.Job) bool { return p.teams.Allows(j.Spec, placementSize(j)) }
+
+// placementSize returns the number of tasks of a job that are placed together.
+func placementSize(j *jobs.Job) float64 {
+	if j.IsGang() {
+		return float64(j.WaitingCount())
+	}
+	return 1
+}
+
+// reserveQuota reserves the quota of a starved job's team for the job: the team's other batch jobs are then not placed, so that
+// the quota becomes free as their tasks end. It reserves nothing if the team's services alone leave no room for the job.
+func (p *Planner) reserveQuota(j *jobs.Job) {
+	if p.teams.allowsBeside(p.serviceUsage(j.Spec.Team), j.Spec, placementSize(j)) {
+		p.reservations.reserveQuota(j, p.now())
+	}
+}
+
+// serviceUsage returns the resources of the allocated tasks of a team's services.
+func (p *Planner) serviceUsage(team string) jobs.Resources {
+	var used jobs.Resources
+	list := p.jobs.Teams[team]
+	if list == nil {
+		return used
+	}
+	for _, j := range list.OpenJobs {
+		if j.Spec.Shape == api.Service {
+			used = used.Add(jobs.ResourcesOf(j.Spec).Times(j.AllocatedTasks))
+		}
+	}
+	return used
+}
+
+// allowsBeside reports whether n tasks with spec s fit into the limit of their team beside some of its usage.
+func (ts *Teams) allowsBeside(used jobs.Resources, s *api.Spec, n float64) bool {
+	t := ts.byName[s.Team]
+	return t != nil && used.VCPUs+n*s.VCPUs <= t.CPUsMax+tolerance && used.GPUs+n*s.GPUs <= t.GPUsMax+tolerance
+}
+
 // LargestGuarantee returns the largest guarantee of any team, in CPUs.
 func (ts *Teams) LargestGuarantee() float64 {
 	largest := 0.0
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -91,7 +91,8 @@
 	d.Compare(t, "commands")
 }
 
-// goldenCollector collects the load metrics of a leader and the link metrics of a node whose link monitor is enabled.
+// goldenCollector collects the metrics of the load and of reservations of a leader, and the link metrics of a node whose link
+// monitor is enabled.
 type goldenCollector struct{}
 
 func (goldenCollector) Describe(chan<- *prometheus.Desc) {}
@@ -107,6 +108,8 @@
 			{Peer: "cloud", Direction: "outbound", StateCode: 1, Breaks: 15},
 		},
 	})
+	reserved := controller.ReservedMachine{Machine: "host-000001", Job: "j-000002", AgeS: 31.5, RemainingS: 32.5}
+	collectReservations(ch, []controller.ReservedMachine{reserved})
 	collectLoad(ch, controller.Stats{
 		Imbalance:           0.21,
 		MovesProposed:       22,
--- a/internal/server/node_metrics.go
+++ b/internal/server/node_metrics.go
@@ -88,6 +88,10 @@
 var (
 	machinesByState = newGauge("machines", "Machines by state.", "state")
 	placedByRule    = newCounter("placed", "Tasks placed, by placement rule; a gang counts as one.", "rule")
+	reservedFor     = newGauge("reserved_machine_seconds",
+		"Seconds for which a machine has been reserved for a starved job or a gang.", "machine", "job")
+	reservedUntil = newGauge("reserved_machine_remaining_seconds",
+		"Seconds until the reservation of a machine for a starved job or a gang ends.", "machine", "job")
 )
 
 // collectStats sends the metrics of the controller's statistics.
@@ -98,6 +102,7 @@
 	for state, count := range stats.Machines {
 		machinesByState.send(ch, float64(count), state)
 	}
+	collectReservations(ch, stats.ReservedMachines)
 	placedByRule.send(ch, float64(stats.PlacedPlanned), "planned")
 	placedByRule.send(ch, float64(stats.PlacedLocal), "local")
 	placedByRule.send(ch, float64(stats.PlacedUncached), "new")
@@ -106,6 +111,14 @@
 	placedByRule.send(ch, float64(stats.PlacedGangs), "gang")
 }
 
+// collectReservations sends the metrics of machines that are reserved for starved jobs and gangs.
+func collectReservations(ch chan<- prometheus.Metric, machines []controller.ReservedMachine) {
+	for _, reserved := range machines {
+		reservedFor.send(ch, reserved.AgeS, string(reserved.Machine), string(reserved.Job))
+		reservedUntil.send(ch, reserved.RemainingS, string(reserved.Machine), string(reserved.Job))
+	}
+}
+
 // Metrics of a node's sockets.
 var (
 	connections        = newGauge("connections", "Open inbound connections of users, workers and health checks.")
--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -15,8 +15,9 @@
 	machines      []*machine                   // by id, including terminated ones
 	provisioned   map[string][]ident.MachineID // by request id
 	downUntil     ident.MonotonicTime
-	outOfCapacity bool // all provisioning requests fail
-	spotOnly      bool // provisioning requests for on-demand machines fail
+	outOfCapacity bool   // all provisioning requests fail
+	spotOnly      bool   // provisioning requests for on-demand machines fail
+	emptyZone     string // provisioning requests for machines in this zone fail
 }
 
 // machine is a virtual machine of the cloud.
@@ -101,7 +102,7 @@
 		}
 	}
 	n := min(r.Count, p.zoneCapacity()-inUse)
-	if n <= 0 || p.outOfCapacity || p.spotOnly && !r.Spot {
+	if n <= 0 || p.outOfCapacity || p.spotOnly && !r.Spot || r.Zone == p.emptyZone {
 		return nil, false
 	}
 	for range n {
--- a/internal/simulator/liveness.go
+++ b/internal/simulator/liveness.go
@@ -53,8 +53,8 @@
 	waitsForScheduler                   // a task could start on a machine now
 )
 
-// waitReasonOf returns what a job waits for, by the workers' own state. Gangs and jobs whose tasks fail, which are retried late on
-// purpose, are not checked.
+// waitReasonOf returns what a job waits for, by the workers' own state. Gangs are not checked, nor are jobs whose tasks
+// fail, which are retried late on purpose.
 func (sim *Simulation) waitReasonOf(j *userJob) waitReason {
 	if !j.accepted || j.cancelSentAt > 0 || isTerminal(j.lastStatus) || j.spec.Shape == api.Gang || j.alwaysFails {
 		return notWaiting
--- a/internal/simulator/liveness_test.go
+++ b/internal/simulator/liveness_test.go
@@ -13,7 +13,8 @@
 func TestWaitReason(t *testing.T) {
 	t.Parallel()
 	sim := New(Config{Seed: 1, NoArrivals: true, ZoneCapacity: 1, ActiveDuration: 2 * time.Minute,
-		Teams: []settings.Team{{Name: "red", CPUs: 10, CPUsMax: 20}, {Name: "blue", CPUs: 4, CPUsMax: 4}, {Name: "grey", CPUsMax: 1}}})
+		Teams: []settings.Team{{Name: "red", CPUs: 10, CPUsMax: 20}, {Name: "blue", CPUs: 4, CPUsMax: 4},
+			{Name: "grey", CPUsMax: 1}}})
 	submit := func(team, zone string, shape api.Shape, tasks int, cpus, memory float64) *userJob {
 		return sim.submitJob(func(s *api.Spec) {
 			s.Team, s.Zone, s.Shape, s.Tasks, s.VCPUs, s.MemoryGB, s.Spot = team, &zone, shape, tasks, cpus, memory, false
@@ -64,3 +65,33 @@
 		t.Error("no job had to wait for its team's limit, want one")
 	}
 }
+
+// TestWaitingGangBlocksNobody guards against a machine that is reserved for ever for a gang that can't be placed: the cloud has
+// no capacity in the second of the zones over which the gang is spread. Other jobs wait beside free capacity meanwhile.
+func TestWaitingGangBlocksNobody(t *testing.T) {
+	t.Parallel()
+	sim := New(Config{Seed: 1, NoArrivals: true, ZoneCapacity: 1, ActiveDuration: time.Minute})
+	sim.cloud.emptyZone = "west"
+	submit := func(team string, shape api.Shape, tasks int, spread bool) *userJob {
+		return sim.submitJob(func(s *api.Spec) {
+			s.Team, s.Shape, s.Tasks, s.VCPUs, s.Spread, s.Spot = team, shape, tasks, 1, spread, false
+		}, 10*time.Second)
+	}
+	submit("red", api.Service, 1, false)
+	var gang, replica, array *userJob
+	sim.schedule(15*time.Second, func() { gang = submit("red", api.Gang, 4, true) })
+	sim.schedule(45*time.Second, func() {
+		replica = submit("blue", api.Service, 1, false)
+		array = submit("blue", api.Batch, 1, false)
+	})
+	sim.Run()
+	if len(sim.Violations) > 0 || !gang.accepted || gang.firstStartAt > 0 {
+		t.Errorf("got violations %q, the gang accepted: %v, started: %v, want none, true and false",
+			sim.Violations, gang.accepted, gang.firstStartAt > 0)
+	}
+	for _, j := range []*userJob{replica, array} {
+		if wait := j.firstStartAt.Sub(j.submittedAt); j.firstStartAt == 0 || wait > 30*time.Second {
+			t.Errorf("%s %s: got it started after %v, want within 30 s", j.spec.Shape, j.spec.ID, wait)
+		}
+	}
+}
