No job waits for good for machines it has failed on, or for headroom

- A job that had failed on two machines avoided both until it failed on a third one; if it may use two only, it waited for ever.
It now avoids machines for a minute after its last failure, the longest pause between attempts.
- An array that may not use spot machines waited beside the headroom that is kept free for services, for as long as long tasks ran, and the autoscaler counted those tasks as free.
After a minute without any task placed, one task of a job may use the headroom.

--- a/internal/controller/leader_loop.go
+++ b/internal/controller/leader_loop.go
@@ -51,6 +51,7 @@
 func (l *leaderTerm) manageFleet() time.Duration {
 	began := l.env.Now()
 	l.jobs.MarkProvenHealthy()
+	l.jobs.ExpireAvoidedMachines(avoidTime)
 	l.fleet.Tick()
 	l.gangs.Tick()
 	l.convertRecords(began)
--- a/internal/controller/task_actions.go
+++ b/internal/controller/task_actions.go
@@ -19,6 +19,8 @@
 	// shorter than the time for which any job may be left waiting.
 	minBackoff = 4 * time.Second
 	maxBackoff = time.Minute
+	// avoidTime is how long after its last failure a waiting job avoids the machines on which it has failed.
+	avoidTime = maxBackoff
 	// suspectAfterMachines is the number of machines on which tasks of a job must fail before the job itself
 	// is suspected.
 	suspectAfterMachines = 3
@@ -176,7 +178,7 @@
 	slog.Info("machine rejected task", "task", t.TaskID().String(), "machine", string(machine.ID), "cause", string(cause))
 }
 
-// recordTaskError makes a job avoid the machine on which one of its tasks has failed. After failures on
+// recordTaskError makes a job avoid the machine on which one of its tasks has failed, for up to avoidTime. After failures on
 // suspectAfterMachines machines the job itself is the likely cause, and is retried with exponential backoff.
 func (l *leaderTerm) recordTaskError(t *jobs.Task, machine *workers.Worker, now ident.MonotonicTime) {
 	j := t.Job
@@ -186,6 +188,7 @@
 		j.AvoidedMachines = map[ident.MachineID]bool{}
 	}
 	j.AvoidedMachines[machine.ID] = true
+	j.LastErrorAt = now
 	if len(j.AvoidedMachines) >= suspectAfterMachines {
 		clear(j.AvoidedMachines)
 		j.Suspect = !j.IsGang()
--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -10,6 +10,17 @@
 // the machine is at fault.
 func (tb *Table) RecordUnexplainedFailure(j *Job) { tb.unexplainedFailures[j] = true }
 
+// ExpireAvoidedMachines makes waiting jobs avoid no machines any more if their last error was some time ago. Without an end, a
+// job that has failed on each of the few machines that it may use would wait for ever, although the machines may work by now.
+func (tb *Table) ExpireAvoidedMachines(after time.Duration) {
+	now := tb.now()
+	for j := range tb.Waiting {
+		if len(j.AvoidedMachines) > 0 && now.Sub(j.LastErrorAt) >= after {
+			clear(j.AvoidedMachines)
+		}
+	}
+}
+
 // MarkProvenHealthy marks the jobs with unexplained failures that have since proven able to run. It clears
 // their suspect flag and retry backoff, because the failures were not their fault.
 func (tb *Table) MarkProvenHealthy() {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -25,6 +25,7 @@
 
 	// Retry state, maintained by the owner of the table.
 	AvoidedMachines map[ident.MachineID]bool // machines where a task of the job ended with an error
+	LastErrorAt     ident.MonotonicTime      // when a task of the job last ended with an error
 	RetryAt         ident.MonotonicTime      // no task is placed before this time
 	Backoff         time.Duration            // current backoff, by which RetryAt was last set
 	// Suspect is set when tasks have failed on several machines and none has completed since: the
--- a/internal/placement/eligibility.go
+++ b/internal/placement/eligibility.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"opaldale/internal/api"
 	"opaldale/internal/jobs"
 	"opaldale/internal/workers"
@@ -47,11 +49,18 @@
 	return w.Fits(j.Spec) && p.KeepsServiceHeadroom(j, w)
 }
 
-// KeepsServiceHeadroom reports whether the headroom for services remains free if one more task of a
-// job is placed on a machine, based on the free capacity at the last dispatch. Only batch tasks on
-// on-demand machines are restricted.
+// maxHeadroomWait is how long a job without any placed task waits before the headroom for services no longer binds it. It is
+// shorter than the time for which any job may be left waiting beside free capacity.
+const maxHeadroomWait = time.Minute
+
+// KeepsServiceHeadroom reports whether one more task of a job may be placed on a machine as far as the headroom for services is
+// concerned, based on the free capacity at the last dispatch. Only batch tasks on on-demand machines are restricted, except for
+// one task of a job that has waited for maxHeadroomWait.
 func (p *Planner) KeepsServiceHeadroom(j *jobs.Job, w *workers.Worker) bool {
-	return w.Spot || !isBatch(j) || p.freeOnDemand[w.Zone]-j.Spec.VCPUs >= p.ServiceHeadroom[w.Zone]-tolerance
+	if w.Spot || !isBatch(j) || p.freeOnDemand[w.Zone]-j.Spec.VCPUs >= p.ServiceHeadroom[w.Zone]-tolerance {
+		return true
+	}
+	return j.AllocatedTasks == 0 && p.now().Sub(j.SubmittedAt) >= maxHeadroomWait
 }
 
 // eligible reports whether a task of a job may be placed on a machine, regardless of its free capacity.
--- a/internal/placement/starvation_test.go
+++ b/internal/placement/starvation_test.go
@@ -131,3 +131,20 @@
 		})
 	}
 }
+
+// TestHeadroomBindsForAWhile guards against an array that may not use spot machines and waits beside free capacity for as long as
+// long tasks run, because the capacity is kept for services that may arrive.
+func TestHeadroomBindsForAWhile(t *testing.T) {
+	c := newStarvationCluster(1)
+	c.planner.config.MaxWait = time.Hour
+	c.planner.ServiceHeadroom["east"] = 8
+	c.submitJob(api.Batch, api.Standard, 2, 4, 2)
+	c.dispatchAll()
+	array := c.submitJob(api.Batch, api.Standard, 3, 2, 2)
+	if waited := c.waitUntilPlaced(array); waited < maxHeadroomWait || waited > maxHeadroomWait+2*time.Second {
+		t.Errorf("got the array placed after %v, want after %v", waited, maxHeadroomWait)
+	}
+	if c.dispatchAll(); array.AllocatedTasks != 1 {
+		t.Errorf("got %d tasks placed in the headroom, want 1", array.AllocatedTasks)
+	}
+}
--- a/internal/simulator/liveness_test.go
+++ b/internal/simulator/liveness_test.go
@@ -95,3 +95,36 @@
 		}
 	}
 }
+
+// TestMachinesOfFailuresAreTriedAgain guards against a job that waits for ever because its tasks have failed on both machines
+// that it may use, fewer than those after which the job itself is suspected. The machines work again meanwhile.
+func TestMachinesOfFailuresAreTriedAgain(t *testing.T) {
+	t.Parallel()
+	sim := New(Config{Seed: 1, NoArrivals: true, ZoneCapacity: 2, ActiveDuration: 2 * time.Minute})
+	submit := func(shape api.Shape, cpus float64) *userJob {
+		return sim.submitJob(func(s *api.Spec) {
+			zone := "east"
+			s.Team, s.Zone, s.Shape, s.Tasks, s.VCPUs, s.Spot = "red", &zone, shape, 1, cpus, false
+		}, 10*time.Second)
+	}
+	submit(api.Service, 5)
+	submit(api.Service, 5) // needs a machine of its own
+	var failing *userJob
+	setFaulty := func(faulty bool) {
+		for _, w := range sim.workers {
+			w.faulty = faulty
+		}
+	}
+	sim.schedule(40*time.Second, func() {
+		setFaulty(true)
+		failing = submit(api.Batch, 2)
+	})
+	sim.schedule(60*time.Second, func() {
+		if failing.failures < 2 {
+			t.Errorf("got %d failures of the job, want one on each of the two machines", failing.failures)
+		}
+		setFaulty(false)
+	})
+	sim.Run()
+	requireClean(t, sim)
+}
