Polls tell why the tasks of a job wait

A user whose job waits could not see whether its team's limit, its own failures or the machines are the reason. The leader's response to a poll has waits_for while tasks wait: "team limit", "retry after failure" or "machines". The field is left out otherwise, and by a node that answers from the store; receivers ignore unknown fields, so versions mix.

--- a/internal/api/job.go
+++ b/internal/api/job.go
@@ -205,8 +205,20 @@
 	Status  Status      `json:"status"`
 	Done    int         `json:"done"`    // number of completed tasks
 	Running int         `json:"running"` // number of running tasks
+	// WaitsFor is why tasks wait; "" if none does, or if the node that answers doesn't know.
+	WaitsFor WaitsFor `json:"waits_for,omitempty"`
 }
 
+// WaitsFor is why tasks of a job wait for placement.
+type WaitsFor string
+
+// The reasons to wait.
+const (
+	WaitsForTeamLimit WaitsFor = "team limit"          // the team's limit has no room, or is reserved for another job
+	WaitsForRetry     WaitsFor = "retry after failure" // tasks have failed, and are retried later
+	WaitsForMachines  WaitsFor = "machines"            // no machine has room that the job may use
+)
+
 // StatusResponse is the response to a submission or a cancellation.
 type StatusResponse struct {
 	ID     ident.JobID `json:"id"`
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -151,7 +151,10 @@
 // getJob answers a poll from memory, or from the archive if the job is not in memory.
 func (l *leaderTerm) getJob(id ident.JobID, reply func(Response)) {
 	if j := l.jobs.Jobs[id]; j != nil {
-		l.replyWhenDurable(j, reply, viewResponse)
+		l.replyWhenDurable(j, reply, func(view api.JobView) Response {
+			view.WaitsFor = l.planner.WaitReason(j)
+			return viewResponse(view)
+		})
 		return
 	}
 	if job, ok := l.jobs.LookupArchived(id); ok {
