Jobs: a task takes memory only once it is placed, planned or looked up

Each accepted task took some 160 bytes in the leader at once, so that 100 arrays of 100,000 tasks, all of them valid, took 1.5 GB of a node's 234 MB, in every successor too.

Loops over the tasks that may be allocated visit the created ones. Stored data are as before: the newest format never held tasks that were not placed. OnWaiting is called once for a job, not for each of its tasks.

--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -90,7 +90,7 @@
 	l.fleet = fleet.New(l.env, l.workers, l.jobs, l.teams, c.rng, l.fleetConfig())
 	l.gangs = l.newGangTable()
 	l.jobs.OnStateChange = l.onTaskStateChange
-	l.jobs.OnWaiting = func(*jobs.Task) { l.requestDispatch() }
+	l.jobs.OnWaiting = func(*jobs.Job) { l.requestDispatch() }
 	return l
 }
 
--- a/internal/controller/recovery.go
+++ b/internal/controller/recovery.go
@@ -113,8 +113,7 @@
 // takeOverTasks adds the allocated tasks of earlier terms to the usage of their machines, teams and zones.
 func (l *leaderTerm) takeOverTasks() {
 	for _, j := range l.jobs.Sorted() {
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
+		for t := range j.Tasks.Created() {
 			if !t.State.Allocated() {
 				continue
 			}
--- a/internal/controller/response_test.go
+++ b/internal/controller/response_test.go
@@ -96,7 +96,7 @@
 	l := c.leader
 	j := l.jobs.Jobs["j-1"]
 	l.workers.Add(workers.MachineInfo{ID: "h", Model: "m8", Zone: "a", CreatedAt: env.Time})
-	l.jobs.Place(&j.Tasks[0], "h", 1, func() {})
+	l.jobs.Place(j.Tasks.At(0), "h", 1, func() {})
 	c.AfterEvent()
 	want := func(what string, d time.Duration) {
 		t.Helper()
@@ -110,6 +110,6 @@
 	want("3 s after a cancellation", c.renewalGrace-3*time.Second)
 	env.Time = env.Time.Add(c.renewalGrace)
 	want("after the renewal grace", 0)
-	l.jobs.MarkNotRunning(&j.Tasks[0], nil)
+	l.jobs.MarkNotRunning(j.Tasks.At(0), nil)
 	want("after the task is confirmed as terminated", c.renewalGrace)
 }
--- a/internal/controller/task_actions.go
+++ b/internal/controller/task_actions.go
@@ -87,7 +87,7 @@
 
 // PlaceGang implements placement.Actions: it places all waiting tasks of a gang.
 func (l *leaderTerm) PlaceGang(j *jobs.Job, placements []gang.Placement) {
-	slog.Debug("placing gang", "job", string(j.Spec.ID), "tasks", len(placements), "total_tasks", len(j.Tasks),
+	slog.Debug("placing gang", "job", string(j.Spec.ID), "tasks", len(placements), "total_tasks", j.Tasks.Len(),
 		"within_quota", j.WithinGuarantee, "age_s", l.env.Now().Sub(j.SubmittedAt).Seconds())
 	l.gangs.Place(j, placements)
 }
@@ -111,8 +111,8 @@
 
 // stopJob stops all tasks of a job at once.
 func (l *leaderTerm) stopJob(j *jobs.Job) {
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State.Allocated() {
+	for t := range j.Tasks.Created() {
+		if t.State.Allocated() {
 			l.workers.StopTask(l.workers.Workers[t.MachineID], t, 0)
 		}
 	}
--- a/internal/fleet/batch_shortfall.go
+++ b/internal/fleet/batch_shortfall.go
@@ -71,8 +71,7 @@
 		if j.AllocatedTasks == 0 || !j.Spec.Spot || r.teams.IsBorrower(j.Spec.Team) {
 			return
 		}
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
+		for t := range j.Tasks.Created() {
 			if !t.State.Allocated() {
 				continue
 			}
--- a/internal/fleet/capacity_measurement.go
+++ b/internal/fleet/capacity_measurement.go
@@ -130,8 +130,8 @@
 		if j.AllocatedTasks == 0 || !r.teams.IsBorrower(j.Spec.Team) {
 			return
 		}
-		for i := range j.Tasks {
-			if t := &j.Tasks[i]; t.State.Allocated() {
+		for t := range j.Tasks.Created() {
+			if t.State.Allocated() {
 				borrowed[t.MachineID] = borrowed[t.MachineID].Add(jobs.ResourcesOf(j.Spec))
 			}
 		}
@@ -145,8 +145,7 @@
 		if j.RunningTasks == 0 {
 			return
 		}
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
+		for t := range j.Tasks.Created() {
 			if t.State != jobs.Assigned || t.RunningSince == 0 {
 				continue
 			}
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -178,7 +178,7 @@
 	for i, w := range r.table.Sorted() {
 		w.Addr = string(w.ID)
 		r.deadAddrs[w.Addr] = dead(i)
-		r.jobs.Place(&j.Tasks[i], w.ID, 1, func() {})
+		r.jobs.Place(j.Tasks.At(i), w.ID, 1, func() {})
 	}
 	r.commits.Flush()
 	return r
--- a/internal/fleet/manager_test.go
+++ b/internal/fleet/manager_test.go
@@ -105,7 +105,7 @@
 	w := r.table.Workers[machineID(0)]
 	j := r.submit(&api.Spec{ID: "j-1", Team: "red", Shape: api.Service, Tasks: 1, VCPUs: 1})
 	r.trackTasks()
-	r.jobs.Place(&j.Tasks[0], w.ID, 1, func() {})
+	r.jobs.Place(j.Tasks.At(0), w.ID, 1, func() {})
 	r.commits.Flush()
 	r.advance(25*time.Second, r.manager)
 	if w.State != workers.Terminating || j.AllocatedTasks != 1 {
@@ -220,7 +220,7 @@
 		lost := r.table.Workers[machineID(0)]
 		j := r.submit(&api.Spec{ID: "j-1", Team: "red", Shape: api.Service, Tasks: 1, VCPUs: 1})
 		r.trackTasks()
-		r.jobs.Place(&j.Tasks[0], lost.ID, 1, func() {})
+		r.jobs.Place(j.Tasks.At(0), lost.ID, 1, func() {})
 		r.commits.Flush()
 		sequence := ident.SequenceNumber(1)
 		runWithHeartbeats := func(d time.Duration) {
@@ -357,7 +357,7 @@
 			RuntimeS: 100,
 		})
 		for i := range 16 {
-			r.jobs.Place(&backlog.Tasks[i], machineID(i/8), 1, func() {})
+			r.jobs.Place(backlog.Tasks.At(i), machineID(i/8), 1, func() {})
 		}
 		r.submit(&api.Spec{ID: "j-2", Team: "red", Shape: api.Batch, Priority: api.Standard, Tasks: 2, VCPUs: 4, RuntimeS: 10})
 		for range 120 {
--- a/internal/gang/attempt.go
+++ b/internal/gang/attempt.go
@@ -73,8 +73,8 @@
 
 // hasUnlaunched reports whether any task has not been launched on its current machine.
 func (a *attempt) hasUnlaunched() bool {
-	for i := range a.job.Tasks {
-		if a.launchedOn[i] != a.job.Tasks[i].MachineID {
+	for i, t := range a.job.Tasks.All() {
+		if a.launchedOn[i] != t.MachineID {
 			return true
 		}
 	}
@@ -90,9 +90,9 @@
 }
 
 func countTasks(j *jobs.Job) taskCounts {
-	counts := taskCounts{missing: len(j.Tasks) - j.AllocatedTasks}
-	for i := range j.Tasks {
-		switch t := &j.Tasks[i]; t.State {
+	counts := taskCounts{missing: j.Tasks.Len() - j.AllocatedTasks}
+	for _, t := range j.Tasks.All() {
+		switch t.State {
 		case jobs.Placing:
 			counts.placing++
 		case jobs.Stopping:
--- a/internal/gang/gang.go
+++ b/internal/gang/gang.go
@@ -105,10 +105,10 @@
 	}
 	a := newAttempt(j, j.HighestAttempt(), Gathering, tb.now())
 	tb.attempts[j] = a
-	for i := range j.Tasks {
+	for i, t := range j.Tasks.All() {
 		// Assume that the task was launched. If it was not, a heartbeat will show that, and the task
 		// counts as lost.
-		a.launchedOn[i] = j.Tasks[i].MachineID
+		a.launchedOn[i] = t.MachineID
 	}
 	if !j.ReadyToLaunch() {
 		tb.abort(a, reasonIncomplete)
@@ -184,7 +184,7 @@
 	case a.state == Placed || a.hasUnlaunched():
 		tb.setState(a, Gathering, reasonDurable)
 		tb.launchPlaced(a)
-	case counts.running == len(a.job.Tasks):
+	case counts.running == a.job.Tasks.Len():
 		tb.Started++
 		tb.setState(a, Running, reasonAllRunning)
 	}
@@ -213,8 +213,7 @@
 
 // launchPlaced launches the tasks that have not been launched on their current machines.
 func (tb *Table) launchPlaced(a *attempt) {
-	for i := range a.job.Tasks {
-		t := &a.job.Tasks[i]
+	for i, t := range a.job.Tasks.All() {
 		if a.launchedOn[i] == t.MachineID {
 			continue
 		}
@@ -257,8 +256,8 @@
 	if a == nil || a.state != Running && a.state != Gathering || !j.ReadyToLaunch() {
 		return false
 	}
-	for i := range j.Tasks {
-		if !tb.workers.Reachable(j.Tasks[i].MachineID, tb.maxHeartbeatAge()) {
+	for _, t := range j.Tasks.All() {
+		if !tb.workers.Reachable(t.MachineID, tb.maxHeartbeatAge()) {
 			return false
 		}
 	}
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -135,14 +135,14 @@
 }
 
 func (h *harness) taskReport(i int, s api.TaskStatus, c api.Cause) api.TaskReport {
-	return api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: i}, Attempt: h.job.Tasks[i].Attempt, Status: s, Cause: c}
+	return api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: i}, Attempt: h.job.Tasks.At(i).Attempt, Status: s, Cause: c}
 }
 
 // place places the waiting tasks on consecutive machines, starting with the machine from.
 func (h *harness) place(from int) {
 	var placements []Placement
-	for i := range h.job.Tasks {
-		if t := &h.job.Tasks[i]; t.State == jobs.Waiting {
+	for i := range h.job.Tasks.Len() {
+		if t := h.job.Tasks.At(i); t.State == jobs.Waiting {
 			placements = append(placements, Placement{t, h.workers.Workers[machineID(from+len(placements))]})
 		}
 	}
@@ -223,18 +223,18 @@
 	h.heartbeat(1, h.taskReport(1, api.Gathering, ""))
 	h.heartbeat(2, h.taskReport(2, api.Ended, api.CauseNoCapacity))
 	h.run()
-	if h.wantState("gathering"); !h.job.AcceptsReplacements || h.job.Tasks[2].State != jobs.Waiting {
+	if h.wantState("gathering"); !h.job.AcceptsReplacements || h.job.Tasks.At(2).State != jobs.Waiting {
 		t.Fatalf("got AcceptsReplacements %v and task state %v, want true and waiting",
-			h.job.AcceptsReplacements, h.job.Tasks[2].State)
+			h.job.AcceptsReplacements, h.job.Tasks.At(2).State)
 	}
 	if !h.gangs.HasUsed(h.job, "host-2") || h.gangs.HasUsed(h.job, "host-3") {
 		t.Error("HasUsed must be true for host-2 and false for host-3")
 	}
-	number := h.job.Tasks[0].Attempt
+	number := h.job.Tasks.At(0).Attempt
 	h.place(3)
-	if h.job.Tasks[2].Attempt != number || h.job.Tasks[2].MachineID != "host-3" || len(h.sent["host-3"]) != 1 {
+	if h.job.Tasks.At(2).Attempt != number || h.job.Tasks.At(2).MachineID != "host-3" || len(h.sent["host-3"]) != 1 {
 		t.Errorf("replacement: got attempt %d on %s, commands %v; want attempt %d on host-3, one command",
-			h.job.Tasks[2].Attempt, h.job.Tasks[2].MachineID, h.sent["host-3"], number)
+			h.job.Tasks.At(2).Attempt, h.job.Tasks.At(2).MachineID, h.sent["host-3"], number)
 	}
 	h.heartbeat(3, h.taskReport(2, api.Running, ""))
 	h.heartbeat(0, h.taskReport(0, api.Running, ""))
@@ -269,8 +269,8 @@
 	h.heartbeat(1, h.taskReport(1, api.Ended, api.CauseGangMemberLost))
 	h.run()
 	h.wantState("ending")
-	for i := range h.job.Tasks {
-		if s := h.job.Tasks[i].State; s != jobs.Stopping && i != 1 {
+	for i := range h.job.Tasks.Len() {
+		if s := h.job.Tasks.At(i).State; s != jobs.Stopping && i != 1 {
 			t.Errorf("task %d: got state %v, want %v", i, s, jobs.Stopping)
 		}
 	}
@@ -284,8 +284,8 @@
 	h.run()
 	h.wantState("none")
 	h.place(0)
-	for i := range h.job.Tasks {
-		if got := h.job.Tasks[i].Attempt; got != number+1 {
+	for i := range h.job.Tasks.Len() {
+		if got := h.job.Tasks.At(i).Attempt; got != number+1 {
 			t.Errorf("task %d: got attempt %d, want %d", i, got, number+1)
 		}
 	}
@@ -354,7 +354,7 @@
 		h.place(0)
 		h.reportAll(api.Gathering)
 		if !complete {
-			h.jobs.MarkNotRunning(&h.job.Tasks[1], nil)
+			h.jobs.MarkNotRunning(h.job.Tasks.At(1), nil)
 		}
 		h.gangs = NewTable(h.jobs, h.workers, h.Now, func() bool { return true }, h.gangs.cfg)
 		h.gangs.Adopt(h.job)
--- a/internal/jobs/convert.go
+++ b/internal/jobs/convert.go
@@ -77,8 +77,8 @@
 // tasksWithoutLine returns the tasks that were placed at least once and have no line in the log.
 func (j *Job) tasksWithoutLine() []*Task {
 	var tasks []*Task
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.Attempt > 0 && !t.logPin.Held() {
+	for t := range j.Tasks.Created() {
+		if t.Attempt > 0 && !t.logPin.Held() {
 			tasks = append(tasks, t)
 		}
 	}
--- a/internal/jobs/format_test.go
+++ b/internal/jobs/format_test.go
@@ -68,7 +68,7 @@
 	}
 	place := func(j *Job, n int) {
 		for i := range n {
-			tb.Place(&j.Tasks[i], ident.MachineID(fmt.Sprintf("host-%06d", i)), ident.Incarnation(1+i%3), func() {})
+			tb.Place(j.Tasks.At(i), ident.MachineID(fmt.Sprintf("host-%06d", i)), ident.Incarnation(1+i%3), func() {})
 		}
 		store.FlushAndRun(c)
 	}
@@ -79,17 +79,17 @@
 	place(service, 4)
 	place(large, 149)
 	place(cancelled, 2)
-	tb.Complete(&small.Tasks[1], nil)
-	tb.MarkNotRunning(&service.Tasks[2], nil)
+	tb.Complete(small.Tasks.At(1), nil)
+	tb.MarkNotRunning(service.Tasks.At(2), nil)
 	store.FlushAndRun(c)
 	for _, d := range large.storage.segments {
 		c.MarkDirty(d, nil)
 	}
 	c.MarkDirty(service.storage.header, nil)
 	store.FlushAndRun(c)
-	tb.MarkNotRunning(&large.Tasks[148], nil)
-	tb.Complete(&large.Tasks[7], nil)
-	tb.Place(&service.Tasks[2], "host-000999", 7, func() {})
+	tb.MarkNotRunning(large.Tasks.At(148), nil)
+	tb.Complete(large.Tasks.At(7), nil)
+	tb.Place(service.Tasks.At(2), "host-000999", 7, func() {})
 	tb.Cancel(cancelled, func() {})
 	store.FlushAndRun(c)
 }
@@ -107,7 +107,7 @@
 			t.Errorf("%s: job %s is missing", stage, id)
 			continue
 		}
-		if got := (goldenJob{j.Phase.String(), toRecords(j.Tasks)}); !reflect.DeepEqual(got, want) {
+		if got := (goldenJob{j.Phase.String(), toRecords(&j.Tasks, 0, j.Tasks.Len())}); !reflect.DeepEqual(got, want) {
 			t.Errorf("%s: job %s: got %v, want %v", stage, id, got, want)
 		}
 	}
@@ -235,13 +235,13 @@
 	store.Revision = 40
 	for _, packed := range []bool{false, true} {
 		tb, _ := loadTable(t, store, packed)
-		if got := tb.Jobs["j-1"].Tasks[0].MachineID; got != "host-1" {
+		if got := tb.Jobs["j-1"].Tasks.At(0).MachineID; got != "host-1" {
 			t.Errorf("packed %v: machine of task 0 is %q, want %q from the log record", packed, got, "host-1")
 		}
 	}
 	delete(store.Entries, "log/00000")
 	tb, c := loadTable(t, store, false)
-	tb.Place(&tb.Jobs["j-1"].Tasks[1], "host-2", 1, func() {})
+	tb.Place(tb.Jobs["j-1"].Tasks.At(1), "host-2", 1, func() {})
 	store.FlushAndRun(c)
 	var r struct {
 		N uint64 `json:"n"`
--- a/internal/jobs/golden_test.go
+++ b/internal/jobs/golden_test.go
@@ -66,20 +66,20 @@
 	}
 	open, cancelled, held, done := add("j-11"), add("j-12"), add("j-13"), add("j-14")
 	for i := range 3 {
-		tb.Place(&open.Tasks[i], ident.MachineID(fmt.Sprintf("host 0%d,a", i)), ident.Incarnation(21+i), func() {})
-		tb.Place(&done.Tasks[i], "host-14", 31, func() {})
+		tb.Place(open.Tasks.At(i), ident.MachineID(fmt.Sprintf("host 0%d,a", i)), ident.Incarnation(21+i), func() {})
+		tb.Place(done.Tasks.At(i), "host-14", 31, func() {})
 	}
-	tb.Place(&held.Tasks[1], "host-13", 41, func() {})
+	tb.Place(held.Tasks.At(1), "host-13", 41, func() {})
 	flush()
-	tb.MarkNotRunning(&open.Tasks[0], nil)
+	tb.MarkNotRunning(open.Tasks.At(0), nil)
 	flush()
-	tb.Place(&open.Tasks[0], "host-77", 51, func() {})
-	tb.Complete(&open.Tasks[1], nil)
+	tb.Place(open.Tasks.At(0), "host-77", 51, func() {})
+	tb.Complete(open.Tasks.At(1), nil)
 	flush()
 	tb.Cancel(cancelled, func() {})
 	tb.Cancel(held, func() {})
-	for i := range done.Tasks {
-		tb.Complete(&done.Tasks[i], nil)
+	for i := range done.Tasks.Len() {
+		tb.Complete(done.Tasks.At(i), nil)
 	}
 	flush()
 	c.MarkDirty(open.storage.header, nil)
@@ -94,8 +94,8 @@
 	var b strings.Builder
 	for _, j := range tb.Sorted() {
 		fmt.Fprintf(&b, "%s is %s, number %d of %d\n", j.Spec.ID, j.Phase, j.Seq, j.SubmittedAtMS)
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
+		for i := range j.Tasks.Len() {
+			t := j.Tasks.At(i)
 			fmt.Fprintf(&b, "  %d is %s in attempt %d on %q, incarnation %d\n",
 				t.Index, t.State, t.Attempt, t.MachineID, t.Incarnation)
 		}
--- a/internal/jobs/health.go
+++ b/internal/jobs/health.go
@@ -37,8 +37,7 @@
 
 // hasLongRunningTask reports whether any task of the job has been running for more than provenHealthyAfter.
 func (tb *Table) hasLongRunningTask(j *Job) bool {
-	for i := range j.Tasks {
-		t := &j.Tasks[i]
+	for t := range j.Tasks.Created() {
 		if t.State == Assigned && t.SeenRunning() && tb.now().Sub(t.RunningSince) > provenHealthyAfter {
 			return true
 		}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -13,7 +13,7 @@
 	Seq           uint64 // order of submission
 	SubmittedAtMS int64  // wall clock time of the submission, in Unix milliseconds
 	SubmittedAt   ident.MonotonicTime
-	Tasks         []Task
+	Tasks         TaskList
 	TaskCounts
 
 	Phase             Phase               // current phase, which may not be durable yet
@@ -97,8 +97,8 @@
 	if !j.IsGang() {
 		return true
 	}
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State != Assigned || t.Attempt != j.Tasks[0].Attempt {
+	for _, t := range j.Tasks.All() {
+		if t.State != Assigned || t.Attempt != j.Tasks.At(0).Attempt {
 			return false
 		}
 	}
@@ -108,8 +108,8 @@
 // HighestAttempt returns the highest attempt of any task of the job.
 func (j *Job) HighestAttempt() ident.Attempt {
 	var highest ident.Attempt
-	for i := range j.Tasks {
-		highest = max(highest, j.Tasks[i].Attempt)
+	for t := range j.Tasks.Created() {
+		highest = max(highest, t.Attempt)
 	}
 	return highest
 }
@@ -119,17 +119,17 @@
 	if j.Phase != Open {
 		return 0
 	}
-	return len(j.Tasks) - j.AllocatedTasks - j.CompletedTasks
+	return j.Tasks.Len() - j.AllocatedTasks - j.CompletedTasks
 }
 
 // WaitingTasks returns up to limit tasks that wait to be placed, in order of their index.
 func (j *Job) WaitingTasks(limit int) []*Task {
 	var list []*Task
-	for i := range j.Tasks {
+	for i := range j.Tasks.Len() {
 		if len(list) >= limit {
 			break
 		}
-		if t := &j.Tasks[i]; t.State == Waiting {
+		if t := j.Tasks.At(i); t.State == Waiting {
 			list = append(list, t)
 		}
 	}
@@ -151,5 +151,5 @@
 // allCompleted reports whether all tasks of the job have completed. It is always false for a service, which
 // runs until it is cancelled.
 func (j *Job) allCompleted() bool {
-	return j.Spec.Shape != api.Service && j.CompletedTasks == len(j.Tasks)
+	return j.Spec.Shape != api.Service && j.CompletedTasks == j.Tasks.Len()
 }
--- a/internal/jobs/load.go
+++ b/internal/jobs/load.go
@@ -83,7 +83,7 @@
 	switch {
 	case header.Logged:
 		j.storage.format = inLog
-	case len(header.Tasks) == 0 && len(j.Tasks) > 0:
+	case len(header.Tasks) == 0 && j.Tasks.Len() > 0:
 		j.storage.format = inDocuments
 		tb.makeSegments(j, tb.tasksPerSegment)
 	default:
@@ -131,11 +131,11 @@
 // adjustSegments changes the segment size of a job to the one that a stored segment implies. The segment may
 // have been written under another limit on the size of values.
 func (tb *Table) adjustSegments(j *Job, index, count int) error {
-	division := segmentDivision{total: len(j.Tasks), expected: j.storage.tasksPerSegment}
+	division := segmentDivision{total: j.Tasks.Len(), expected: j.storage.tasksPerSegment}
 	tasksPerSegment, ok := division.infer(index, count)
 	if !ok {
 		return fmt.Errorf("segment %d has %d tasks, which matches no segment size for a job of %d tasks",
-			index, count, len(j.Tasks))
+			index, count, j.Tasks.Len())
 	}
 	if tasksPerSegment == j.storage.tasksPerSegment {
 		return nil
@@ -174,12 +174,14 @@
 
 // restoreTasks restores consecutive tasks, starting at index first, from their records.
 func restoreTasks(j *Job, first int, records []taskRecord) error {
-	if first+len(records) > len(j.Tasks) {
+	if first+len(records) > j.Tasks.Len() {
 		return fmt.Errorf("%s: the store has %d tasks from index %d on, but the job has only %d tasks",
-			j.Spec.ID, len(records), first, len(j.Tasks))
+			j.Spec.ID, len(records), first, j.Tasks.Len())
 	}
 	for i, record := range records {
-		j.Tasks[first+i].restore(record)
+		if record != (taskRecord{}) { // otherwise the task was never placed
+			j.Tasks.At(first + i).restore(record)
+		}
 	}
 	return nil
 }
--- a/internal/jobs/load_log.go
+++ b/internal/jobs/load_log.go
@@ -81,10 +81,10 @@
 // It ignores lines of archived jobs and lines that the task's document already includes.
 func (tb *Table) applyLine(tasks []*Task, record storedRecord, line logLine) []*Task {
 	j := tb.Jobs[line.Job]
-	if j == nil || line.Index >= len(j.Tasks) {
+	if j == nil || line.Index >= j.Tasks.Len() {
 		return tasks
 	}
-	t := &j.Tasks[line.Index]
+	t := j.Tasks.At(line.Index)
 	if j.storage.format != inLog && documentCovers(t.Document(), record) {
 		return tasks
 	}
--- a/internal/jobs/logline_test.go
+++ b/internal/jobs/logline_test.go
@@ -10,10 +10,11 @@
 // TestLogLineRoundTrip checks that a task's log line has no spaces or special characters for any machine ID, and
 // that it parses as the same task.
 func TestLogLineRoundTrip(t *testing.T) {
-	j := &Job{Spec: &api.Spec{ID: "j-1"}, Tasks: make([]Task, 3)}
+	j := &Job{Spec: &api.Spec{ID: "j-1"}}
+	j.Tasks = newTaskList(j, 3, 0)
 	for _, machineID := range []ident.MachineID{"host-000231", "a b,c\nd", "+", "%2C", "ü\"<&>"} {
 		for _, s := range []State{Waiting, Assigned, Stopping, Completed} {
-			task := &j.Tasks[2]
+			task := j.Tasks.At(2)
 			*task = Task{Job: j, Index: 2, State: s, Attempt: 1<<64 - 1, MachineID: machineID, Incarnation: 1<<64 - 1}
 			group, line := task.TextLine()
 			if group != "j-1" {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -57,10 +57,13 @@
 	segmentReserveBytes = 64
 )
 
-func toRecords(tasks []Task) []taskRecord {
-	out := make([]taskRecord, len(tasks))
-	for i := range tasks {
-		out[i] = tasks[i].toRecord()
+// toRecords returns the records of the tasks from first to before end.
+func toRecords(tasks *TaskList, first, end int) []taskRecord {
+	out := make([]taskRecord, end-first)
+	for i := range out {
+		if t := tasks.created(first + i); t != nil {
+			out[i] = t.toRecord()
+		}
 	}
 	return out
 }
--- a/internal/jobs/storage.go
+++ b/internal/jobs/storage.go
@@ -43,20 +43,16 @@
 
 func segmentKey(id ident.JobID, n int) string { return fmt.Sprintf("%s/%05d", LiveKey(id), n) }
 
-// initStorage creates the job's tasks and documents.
+// initStorage creates the list of the job's tasks, and its documents.
 func (tb *Table) initStorage(j *Job) {
-	now := tb.now()
-	j.Tasks = make([]Task, j.Spec.Tasks)
-	for i := range j.Tasks {
-		j.Tasks[i] = Task{Job: j, Index: i, StateSince: now}
-	}
+	j.Tasks = newTaskList(j, j.Spec.Tasks, tb.now())
 	j.storage.header = &commit.Document{Key: LiveKey(j.Spec.ID)}
 	j.storage.header.Render = func() json.RawMessage { return tb.renderHeader(j) }
 	if tb.packedLog {
 		j.storage.format = inLog
 		return
 	}
-	if len(j.Tasks) > tb.maxInlineTasks {
+	if j.Tasks.Len() > tb.maxInlineTasks {
 		tb.makeSegments(j, tb.tasksPerSegment)
 	}
 }
@@ -73,7 +69,7 @@
 	}
 	header.LSN = tb.commits.LSN()
 	if len(j.storage.segments) == 0 {
-		header.Tasks = toRecords(j.Tasks)
+		header.Tasks = toRecords(&j.Tasks, 0, j.Tasks.Len())
 	}
 	return api.JSON(header)
 }
@@ -81,21 +77,21 @@
 // makeSegments creates the segment documents of a job, with the given number of tasks in each.
 func (tb *Table) makeSegments(j *Job, tasksPerSegment int) {
 	j.storage.tasksPerSegment, j.storage.segments = tasksPerSegment, nil
-	for first := 0; first < len(j.Tasks); first += tasksPerSegment {
-		tasks := j.Tasks[first:min(first+tasksPerSegment, len(j.Tasks))]
+	for first := 0; first < j.Tasks.Len(); first += tasksPerSegment {
+		end := min(first+tasksPerSegment, j.Tasks.Len())
 		doc := &commit.Document{Key: segmentKey(j.Spec.ID, first/tasksPerSegment)}
-		doc.Render = func() json.RawMessage { return tb.renderSegment(j, tasks) }
+		doc.Render = func() json.RawMessage { return tb.renderSegment(j, first, end) }
 		j.storage.segments = append(j.storage.segments, doc)
 	}
 }
 
-// renderSegment returns the value to store for a segment, or nil if the job is archived or its tasks are
-// stored only in the log.
-func (tb *Table) renderSegment(j *Job, tasks []Task) json.RawMessage {
+// renderSegment returns the value to store for the segment of the tasks from first to before end, or nil if the job is
+// archived or its tasks are stored only in the log.
+func (tb *Table) renderSegment(j *Job, first, end int) json.RawMessage {
 	if j.storage.archived || j.storage.format == inLog {
 		return nil
 	}
-	return api.JSON(taskSegment{LSN: tb.commits.LSN(), Tasks: toRecords(tasks)})
+	return api.JSON(taskSegment{LSN: tb.commits.LSN(), Tasks: toRecords(&j.Tasks, first, end)})
 }
 
 // trimmedSpec returns the specification to store. For a job that is not open, it omits the fields that are
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -37,8 +37,8 @@
 	maxValueBytes   int  // limit on the size of values: the lowest one enforced or announced
 	packedLog       bool // the tasks of new jobs are stored only in the log
 
-	// OnWaiting is called when a task starts to wait for placement.
-	OnWaiting func(*Task)
+	// OnWaiting is called when tasks of a job start to wait for placement.
+	OnWaiting func(*Job)
 	// OnStateChange is called before each change of a task's state. The callback updates the accounts of the
 	// task's machine and team.
 	OnStateChange func(t *Task, from, to State)
@@ -70,7 +70,7 @@
 		tasksPerSegment:     max(1, (valueBytes-segmentReserveBytes)/maxRecordBytes),
 		maxInlineTasks:      max(0, (valueBytes-HeaderSpecBytes)/maxRecordBytes),
 		maxValueBytes:       valueBytes,
-		OnWaiting:           func(*Task) {},
+		OnWaiting:           func(*Job) {},
 		OnStateChange:       func(*Task, State, State) {},
 		OnArchived:          func(ident.JobID) {},
 	}
@@ -103,9 +103,7 @@
 	j.SubmissionDurable = true
 	tb.addToIndexes(j)
 	callAll(&j.callbacks.submitted)
-	for i := range j.Tasks {
-		tb.OnWaiting(&j.Tasks[i])
-	}
+	tb.OnWaiting(j)
 }
 
 // addToIndexes adds an open job to the indexes Teams and Waiting.
--- a/internal/jobs/table_test.go
+++ b/internal/jobs/table_test.go
@@ -65,7 +65,7 @@
 		t.Fatalf("new leader loaded %d completed, %d allocated tasks; want %d, %d",
 			j.CompletedTasks, j.AllocatedTasks, tasks/2, tasks-tasks/2)
 	}
-	if last := j.Tasks[tasks-1]; last.MachineID != "host-999999" || last.Incarnation != 1<<40 {
+	if last := j.Tasks.At(tasks - 1); last.MachineID != "host-999999" || last.Incarnation != 1<<40 {
 		t.Fatalf("new leader loaded the last task on %s in incarnation %d, want host-999999 in %d",
 			last.MachineID, last.Incarnation, uint64(1<<40))
 	}
@@ -73,9 +73,9 @@
 		t.Errorf("view from the live key: got %+v, error %v; want the view of j-1", v, err)
 	}
 
-	for i := range j.Tasks {
-		if j.Tasks[i].State == Assigned {
-			successor.Complete(&j.Tasks[i], nil)
+	for i := range j.Tasks.Len() {
+		if j.Tasks.At(i).State == Assigned {
+			successor.Complete(j.Tasks.At(i), nil)
 		}
 	}
 	successorCommits.Flush()
@@ -98,12 +98,12 @@
 	accepted := false
 	j := tb.Add(s, func() { accepted = true }, nil)
 	store.FlushAndRun(c)
-	for i := range j.Tasks {
-		tb.Place(&j.Tasks[i], "host-999999", 1<<40, func() {})
+	for i := range j.Tasks.Len() {
+		tb.Place(j.Tasks.At(i), "host-999999", 1<<40, func() {})
 	}
 	store.FlushAndRun(c)
 	for i := 0; i < tasks/2; i++ {
-		tb.Complete(&j.Tasks[i], nil)
+		tb.Complete(j.Tasks.At(i), nil)
 	}
 	store.FlushAndRun(c)
 	if !accepted {
@@ -140,7 +140,7 @@
 	tb, c := newTestTable(store)
 	j := tb.Add(&api.Spec{ID: "j-1", Shape: api.Service, Tasks: 2}, func() {}, nil)
 	store.FlushAndRun(c)
-	tb.Place(&j.Tasks[0], "h", 1, func() {})
+	tb.Place(j.Tasks.At(0), "h", 1, func() {})
 	store.FlushAndRun(c)
 	status, archived := api.Status(""), 0
 	tb.OnArchived = func(id ident.JobID) {
@@ -155,7 +155,7 @@
 		t.Fatalf("after the cancellation: status %q, keys %v; want status cancelled, key live/j-1 and not over/j-1",
 			status, store.Entries)
 	}
-	tb.MarkNotRunning(&j.Tasks[0], nil)
+	tb.MarkNotRunning(j.Tasks.At(0), nil)
 	store.FlushAndRun(c)
 	if store.Entries["over/j-1"].Revision == 0 || store.Entries["live/j-1"].Revision != 0 || archived != 1 {
 		t.Errorf("after the task can no longer run: keys %v, archived %d times; want over/j-1 and not live/j-1, archived once",
--- a/internal/jobs/transitions.go
+++ b/internal/jobs/transitions.go
@@ -28,7 +28,7 @@
 		t.setReportedStatus("", tb.now())
 	}
 	if next == Waiting && j.Phase == Open {
-		tb.OnWaiting(t)
+		tb.OnWaiting(j)
 	}
 }
 
@@ -123,8 +123,7 @@
 // result was saved by an earlier attempt can complete before all its tasks have started, and a task that
 // starts later still uses resources of its machine and quota of its team.
 func (tb *Table) completeGang(j *Job) {
-	for i := range j.Tasks {
-		t := &j.Tasks[i]
+	for _, t := range j.Tasks.All() {
 		mayStart := t.State == Assigned || t.State == Stopping
 		if mayStart && !isRunning(t.ReportedStatus) {
 			continue
@@ -179,8 +178,8 @@
 	callAll(&submitted)
 	callAll(&j.callbacks.completed)
 	callAll(&j.callbacks.converted)
-	for i := range j.Tasks {
-		tb.commits.Release(&j.Tasks[i].logPin)
+	for t := range j.Tasks.Created() {
+		tb.commits.Release(&t.logPin)
 	}
 	// Segments without a header have no effect. A new leader deletes any that remain.
 	for _, doc := range j.storage.segments {
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -13,7 +13,7 @@
 	v := api.JobView{ID: j.Spec.ID, Status: api.StatusQueued, Done: j.CompletedTasks, Running: j.RunningTasks}
 	switch {
 	case j.DurablePhase == Done:
-		v.Status, v.Done, v.Running = api.StatusDone, len(j.Tasks), 0
+		v.Status, v.Done, v.Running = api.StatusDone, j.Tasks.Len(), 0
 	case j.DurablePhase == Cancelled:
 		v.Status, v.Running = api.StatusCancelled, 0
 	case j.RunningTasks > 0:
@@ -56,7 +56,7 @@
 
 // archiveRecord returns the record to store for the job when it is archived.
 func (j *Job) archiveRecord() ArchivedJob {
-	archived := ArchivedJob{Phase: j.Phase, Tasks: len(j.Tasks), CompletedTasks: j.CompletedTasks}
+	archived := ArchivedJob{Phase: j.Phase, Tasks: j.Tasks.Len(), CompletedTasks: j.CompletedTasks}
 	if j.Phase == Done {
 		archived.CompletedTasks = archived.Tasks
 	}
--- a/internal/placement/eligibility.go
+++ b/internal/placement/eligibility.go
@@ -99,13 +99,13 @@
 	if j.PlaceableCount() == 0 {
 		return nil
 	}
-	for i := d.taskCursor[j]; i < len(j.Tasks); i++ {
-		t := &j.Tasks[i]
+	for i := d.taskCursor[j]; i < j.Tasks.Len(); i++ {
+		t := j.Tasks.At(i)
 		if t.State == jobs.Waiting && now >= t.RetryAt && !d.machineTable.HasUnknownAttempt(t.TaskID()) {
 			d.taskCursor[j] = i
 			return t
 		}
 	}
-	d.taskCursor[j] = len(j.Tasks)
+	d.taskCursor[j] = j.Tasks.Len()
 	return nil
 }
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -58,8 +58,7 @@
 func (d *dispatch) placeableGangTasks(j *jobs.Job) []*jobs.Task {
 	now := d.now()
 	var tasks []*jobs.Task
-	for i := range j.Tasks {
-		t := &j.Tasks[i]
+	for _, t := range j.Tasks.All() {
 		if t.State != jobs.Waiting {
 			continue
 		}
--- a/internal/placement/gangs_test.go
+++ b/internal/placement/gangs_test.go
@@ -13,8 +13,8 @@
 // allocatedByZone returns the number of allocated tasks of a job by zone.
 func allocatedByZone(c *testCluster, j *jobs.Job) map[string]int {
 	out := map[string]int{}
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State.Allocated() {
+	for i := range j.Tasks.Len() {
+		if t := j.Tasks.At(i); t.State.Allocated() {
 			out[c.machines.Workers[t.MachineID].Zone]++
 		}
 	}
@@ -47,13 +47,13 @@
 	c := newTwoZoneCluster(6, 0)
 	first := c.submitGang(2, 2, true)
 	c.dispatchAll()
-	w := c.machines.Workers[first.Tasks[0].MachineID]
+	w := c.machines.Workers[first.Tasks.At(0).MachineID]
 	c.heartbeat(w)
 	second := c.submitGang(4, 2, true)
 	c.dispatchAll()
-	for i := range second.Tasks {
-		if second.Tasks[i].MachineID != w.ID {
-			t.Errorf("task %d is on %s, want %s, which has the image cached", i, second.Tasks[i].MachineID, w.ID)
+	for i := range second.Tasks.Len() {
+		if second.Tasks.At(i).MachineID != w.ID {
+			t.Errorf("task %d is on %s, want %s, which has the image cached", i, second.Tasks.At(i).MachineID, w.ID)
 		}
 	}
 }
@@ -132,8 +132,8 @@
 // completeSome completes the first task of about a third of the gangs whose tasks are all allocated.
 func completeSome(c *testCluster, gangs []*jobs.Job, rng *rand.Rand) {
 	for _, j := range gangs {
-		if j.AllocatedTasks == len(j.Tasks) && rng.IntN(3) == 0 {
-			c.jobs.Complete(&j.Tasks[0], nil)
+		if j.AllocatedTasks == j.Tasks.Len() && rng.IntN(3) == 0 {
+			c.jobs.Complete(j.Tasks.At(0), nil)
 		}
 	}
 }
@@ -148,8 +148,8 @@
 		return fmt.Errorf("team red uses %v CPUs, over its limit of %v", used, most)
 	}
 	for _, j := range gangs {
-		if j.Phase == jobs.Open && j.AllocatedTasks != 0 && j.AllocatedTasks != len(j.Tasks) {
-			return fmt.Errorf("got %d of %d tasks of gang %s, want all or none", j.AllocatedTasks, len(j.Tasks), j.Spec.ID)
+		if j.Phase == jobs.Open && j.AllocatedTasks != 0 && j.AllocatedTasks != j.Tasks.Len() {
+			return fmt.Errorf("got %d of %d tasks of gang %s, want all or none", j.AllocatedTasks, j.Tasks.Len(), j.Spec.ID)
 		}
 		if z := allocatedByZone(c, j); j.Spec.OneZone && len(z) > 1 {
 			return fmt.Errorf("gang %s is allocated in zones %v, want one zone", j.Spec.ID, z)
--- a/internal/placement/harness_test.go
+++ b/internal/placement/harness_test.go
@@ -161,8 +161,8 @@
 	c.now = c.now.Add(time.Second)
 	c.commits.Flush()
 	c.jobs.Cancel(j, func() {})
-	for i := range j.Tasks {
-		c.jobs.MarkNotRunning(&j.Tasks[i], nil)
+	for i := range j.Tasks.Len() {
+		c.jobs.MarkNotRunning(j.Tasks.At(i), nil)
 	}
 	c.commits.Flush()
 }
@@ -215,7 +215,7 @@
 	}
 	backlog := c.submitAs("borrower", api.BestEffort, 16*machines+20)
 	for i := range 16*machines - leftFree {
-		c.Place(&backlog.Tasks[i], c.machines.Workers[machineID((i+leftFree)/16)])
+		c.Place(backlog.Tasks.At(i), c.machines.Workers[machineID((i+leftFree)/16)])
 	}
 	c.commits.Flush()
 	for _, w := range c.machines.Sorted() {
@@ -248,7 +248,7 @@
 	}
 	first := c.submitAs("red", api.Standard, holding)
 	for i := range holding {
-		c.Place(&first.Tasks[i], c.machines.Sorted()[i])
+		c.Place(first.Tasks.At(i), c.machines.Sorted()[i])
 	}
 	c.commits.Flush()
 	for _, w := range c.machines.Sorted() {
@@ -263,7 +263,7 @@
 	c = newTestCluster(0)
 	c.addMachine(1, "east", true)
 	first, other = c.submitAs("red", api.Standard, 1), c.submitAs("red", api.Standard, 1)
-	first.Tasks[0].RetryAt = c.now.Add(time.Hour)
+	first.Tasks.At(0).RetryAt = c.now.Add(time.Hour)
 	c.planner.ReserveFor(c.machines.Sorted()[0], first, c.now.Add(10*time.Second))
 	return c, first, other
 }
--- a/internal/placement/least_used_test.go
+++ b/internal/placement/least_used_test.go
@@ -48,8 +48,8 @@
 		j.Spec.Shape = api.Service
 		c.dispatchAll()
 		placed := 0
-		for i := range j.Tasks {
-			if j.Tasks[i].State != jobs.Waiting {
+		for i := range j.Tasks.Len() {
+			if j.Tasks.At(i).State != jobs.Waiting {
 				placed++
 			}
 		}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -89,8 +89,8 @@
 	p.Stats.Preempted++
 	victim.PreemptedAt = now
 	if victim.Job.IsGang() {
-		for i := range victim.Job.Tasks {
-			victim.Job.Tasks[i].PreemptedAt = now
+		for _, t := range victim.Job.Tasks.All() {
+			t.PreemptedAt = now
 		}
 		p.actions.StopGang(victim.Job)
 		return
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -10,12 +10,12 @@
 // TestReservation checks that no other job is placed on a machine that is reserved for a job until that job
 // is placed, the reservation expires, or the reservation is released.
 func TestReservation(t *testing.T) {
-	allocated := func(j *jobs.Job) bool { return j.Tasks[0].State.Allocated() }
+	allocated := func(j *jobs.Job) bool { return j.Tasks.At(0).State.Allocated() }
 	c, first, other := newReservedCluster()
 	if c.planner.Dispatch(); allocated(other) || !c.planner.IsReserved(c.machines.Sorted()[0]) {
 		t.Error("another job is placed on the reserved machine, or the reservation was removed")
 	}
-	first.Tasks[0].RetryAt = 0
+	first.Tasks.At(0).RetryAt = 0
 	if c.planner.Dispatch(); !allocated(first) {
 		t.Error("the job with the reservation is not placed")
 	}
--- a/internal/rebalancer/input.go
+++ b/internal/rebalancer/input.go
@@ -184,7 +184,7 @@
 		return 0, false
 	}
 	// A move between on-demand machines of one zone does not reduce the headroom for services.
-	from := r.workers.Workers[j.Tasks[t.ID.Index].MachineID]
+	from := r.workers.Workers[j.Tasks.At(t.ID.Index).MachineID]
 	if (from == nil || from.Spot || from.Zone != w.Zone) && !r.planner.KeepsServiceHeadroom(j, w) {
 		return 0, false
 	}
--- a/internal/rebalancer/rebalancer.go
+++ b/internal/rebalancer/rebalancer.go
@@ -156,10 +156,10 @@
 // findTask returns a task of a live job, or nil if there is no such task.
 func (r *Rebalancer) findTask(id ident.TaskID) *jobs.Task {
 	j := r.jobs.Jobs[id.Job]
-	if j == nil || id.Index >= len(j.Tasks) {
+	if j == nil || id.Index >= j.Tasks.Len() {
 		return nil
 	}
-	return &j.Tasks[id.Index]
+	return j.Tasks.At(id.Index)
 }
 
 // PlanRound plans moves that are worth their cost, and starts them if Config.Execute is set.
--- a/internal/workers/absence_test.go
+++ b/internal/workers/absence_test.go
@@ -41,10 +41,10 @@
 func TestAbsentTaskCannotStart(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newHarness(t)
-		tasks := []*jobs.Task{h.task(), &h.job.Tasks[1]}
+		tasks := []*jobs.Task{h.task(), h.job.Tasks.At(1)}
 		for _, id := range []ident.JobID{"j-2", "j-3"} {
 			job := h.jobs.Add(&api.Spec{ID: id, Shape: api.Batch, Tasks: 1, VCPUs: 1, Image: "img", ImageGB: 1}, func() {}, nil)
-			tasks = append(tasks, &job.Tasks[0])
+			tasks = append(tasks, job.Tasks.At(0))
 		}
 		h.runUntilIdle()
 		checkAbsence(rt, newWorkerModel(h, ident.MakeFencingToken(term, 0)), tasks)
@@ -61,12 +61,12 @@
 		tasks := []*jobs.Task{}
 		for i := range 3 {
 			job := h.loadPlacedJob(t, ident.JobID(fmt.Sprintf("j-%d", i+1)), uint64(i+1))
-			for k := range job.Tasks {
-				tasks = append(tasks, &job.Tasks[k])
+			for k := range job.Tasks.Len() {
+				tasks = append(tasks, job.Tasks.At(k))
 				m.addEarlierCall(api.CommandRequest{
 					FencingToken: ident.MakeFencingToken(term-1, 0),
 					Incarnation:  1,
-					Commands:     []api.Command{newLaunchCommand(&job.Tasks[k])},
+					Commands:     []api.Command{newLaunchCommand(job.Tasks.At(k))},
 				})
 			}
 		}
@@ -84,8 +84,8 @@
 		t.Fatal(err)
 	}
 	job := h.jobs.Jobs[id]
-	for i := range job.Tasks {
-		h.tb.AddTask(h.worker, &job.Tasks[i])
+	for i := range job.Tasks.Len() {
+		h.tb.AddTask(h.worker, job.Tasks.At(i))
 	}
 	return job
 }
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -86,8 +86,8 @@
 
 // StopAllocated stops all allocated tasks of a job.
 func (tb *Table) StopAllocated(j *jobs.Job, gracePeriod time.Duration) {
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State.Allocated() {
+	for t := range j.Tasks.Created() {
+		if t.State.Allocated() {
 			tb.StopTask(tb.Workers[t.MachineID], t, gracePeriod)
 		}
 	}
--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -52,7 +52,7 @@
 	stray := api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: 1}, Attempt: 9, Status: api.Running}
 	h.respond(0, h.taskReport(api.Running, ""), stray)
 	h.runUntilIdle()
-	task := &h.job.Tasks[1]
+	task := h.job.Tasks.At(1)
 	h.jobs.Place(task, "h", 1, func() { h.tb.Launch(h.worker, task) })
 	h.runUntilIdle()
 	return task
--- a/internal/workers/failures_test.go
+++ b/internal/workers/failures_test.go
@@ -20,9 +20,9 @@
 		j := h.jobs.Add(&api.Spec{ID: ident.JobID(id), Shape: api.Batch, Tasks: 1, VCPUs: 1}, func() {}, nil)
 		h.runUntilIdle()
 		j.Suspect = suspect
-		h.jobs.Place(&j.Tasks[0], "h", 1, func() {})
+		h.jobs.Place(j.Tasks.At(0), "h", 1, func() {})
 		h.runUntilIdle()
-		failed := api.TaskReport{TaskID: j.Tasks[0].TaskID(), Attempt: 1, Status: api.Ended, Cause: api.CauseError}
+		failed := api.TaskReport{TaskID: j.Tasks.At(0).TaskID(), Attempt: 1, Status: api.Ended, Cause: api.CauseError}
 		h.heartbeat(1, failed)
 		h.runUntilIdle()
 		return j
@@ -47,10 +47,10 @@
 		if h.worker.Faulty() {
 			t.Errorf("machine is faulty after failures of %d healthy jobs, want not faulty before %d", i, faultyThreshold)
 		}
-		h.jobs.Place(&j.Tasks[0], "other", 1, func() {})
+		h.jobs.Place(j.Tasks.At(0), "other", 1, func() {})
 		h.runUntilIdle()
 		h.now = h.now.Add(time.Second)
-		h.jobs.UpdateStatus(&j.Tasks[0], api.Running)
+		h.jobs.UpdateStatus(j.Tasks.At(0), api.Running)
 		h.jobs.RecordUnexplainedFailure(j)
 		h.now = h.now.Add(11 * time.Second)
 		h.jobs.MarkProvenHealthy()
--- a/internal/workers/harness_test.go
+++ b/internal/workers/harness_test.go
@@ -114,7 +114,7 @@
 	return h
 }
 
-func (h *harness) task() *jobs.Task { return &h.job.Tasks[0] }
+func (h *harness) task() *jobs.Task { return h.job.Tasks.At(0) }
 
 // runUntilIdle runs transactions and timers until none are left.
 func (h *harness) runUntilIdle() {
--- a/internal/workers/heartbeat_test.go
+++ b/internal/workers/heartbeat_test.go
@@ -81,23 +81,23 @@
 	h.answers[0](CommandResult{})
 	j := h.jobs.Add(&api.Spec{ID: "j-7", Shape: api.Gang, Tasks: 4, VCPUs: 1}, func() {}, nil)
 	h.runUntilIdle()
-	for i := range j.Tasks {
-		h.jobs.Place(&j.Tasks[i], "h", 1, func() {})
+	for i := range j.Tasks.Len() {
+		h.jobs.Place(j.Tasks.At(i), "h", 1, func() {})
 	}
 	h.runUntilIdle()
-	running := api.TaskReport{TaskID: j.Tasks[1].TaskID(), Attempt: 1, Status: api.Running}
+	running := api.TaskReport{TaskID: j.Tasks.At(1).TaskID(), Attempt: 1, Status: api.Running}
 	h.heartbeat(1, running)
 	completed := func(task *jobs.Task) api.TaskReport {
 		return api.TaskReport{TaskID: task.TaskID(), Attempt: 1, Status: api.Ended, Cause: api.CauseDone}
 	}
-	done := completed(&j.Tasks[0])
+	done := completed(j.Tasks.At(0))
 	h.heartbeat(1, done, running)
-	if j.Phase != jobs.Done || j.AllocatedTasks != 2 || j.Tasks[2].State != jobs.Stopping {
+	if j.Phase != jobs.Done || j.AllocatedTasks != 2 || j.Tasks.At(2).State != jobs.Stopping {
 		t.Fatalf("job is %v, %d tasks allocated, task 2 is %v; want %v, 2, %v",
-			j.Phase, j.AllocatedTasks, j.Tasks[2].State, jobs.Done, jobs.Stopping)
+			j.Phase, j.AllocatedTasks, j.Tasks.At(2).State, jobs.Done, jobs.Stopping)
 	}
 	h.runUntilIdle() // sends the kill commands, which stay in flight until answered below
-	h.heartbeat(1, done, completed(&j.Tasks[3]))
+	h.heartbeat(1, done, completed(j.Tasks.At(3)))
 	for range 3 { // three seconds, long enough for the rate-limited log writes
 		h.now = h.now.Add(time.Second)
 		h.runUntilIdle()
--- a/internal/workers/reconcile_test.go
+++ b/internal/workers/reconcile_test.go
@@ -38,7 +38,7 @@
 		if err := h.jobs.Load("live/j-9", json.RawMessage(record), 4); err != nil {
 			t.Fatal(err)
 		}
-		before, same := &h.jobs.Jobs["j-9"].Tasks[0], &h.jobs.Jobs["j-9"].Tasks[1]
+		before, same := h.jobs.Jobs["j-9"].Tasks.At(0), h.jobs.Jobs["j-9"].Tasks.At(1)
 		h.tb.AddTask(h.worker, before)
 		h.tb.AddTask(h.worker, same)
 		token := ident.MakeFencingToken(term-1, 0)
