Admission: accepted jobs take at most a quarter of a node's memory

Nothing bounded the memory of accepted work. Each controller may have to hold all of it, as the leader or its successor.

Change: the leader estimates what its live jobs take, and answers 503 with Retry-After to a submission beyond a quarter of memory_mb: PROTOCOL has it retried, and an accepted job must run. Repeated submissions of accepted jobs are answered as before. Without memory_mb there is no bound.

Tests: submissions up to the bound and beyond, a repetition, and a submission after a cancellation; the estimate is within a factor of two of the heap for 100 arrays of 100,000 tasks.

--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -15,8 +15,13 @@
 	"opaldale/internal/workers"
 )
 
-// maxBacklog is the number of pending writes above which submissions are refused.
-const maxBacklog = 400
+const (
+	// maxBacklog is the number of pending writes above which submissions are refused.
+	maxBacklog = 400
+	// maxJobsMemoryShare is the share of a node's memory that accepted jobs may take.
+	maxJobsMemoryShare = 0.25
+	bytesPerMB         = 1 << 20
+)
 
 // submit accepts a job. The request is idempotent: the response for a job that exists is its current status.
 func (l *leaderTerm) submit(spec *api.Spec, reply func(Response)) {
@@ -37,6 +42,10 @@
 		l.controller.refuse(reply, earlierVersionRuns)
 		return
 	}
+	if !l.hasMemoryFor(spec) {
+		l.controller.refuse(reply, tooMuchWork)
+		return
+	}
 	if l.committer.StoreUnavailable() || l.committer.Backlog() > maxBacklog {
 		l.controller.refuse(reply, storeUnavailable)
 		return
@@ -44,6 +53,12 @@
 	l.addJob(spec, l.replies.withTimeout(reply))
 }
 
+// hasMemoryFor reports whether the node's memory leaves room for a new job. Each controller may have to hold all accepted jobs.
+func (l *leaderTerm) hasMemoryFor(spec *api.Spec) bool {
+	limit := maxJobsMemoryShare * l.controller.settings.Cluster.Resources.MemoryMB * bytesPerMB
+	return limit == 0 || float64(l.jobs.MemoryBytes()+jobs.NewJobBytes(spec)) <= limit
+}
+
 // addJob creates a job, and acknowledges it once its record is durable.
 func (l *leaderTerm) addJob(spec *api.Spec, reply func(Response)) {
 	var j *jobs.Job
--- a/internal/controller/response.go
+++ b/internal/controller/response.go
@@ -65,6 +65,7 @@
 	storeUnavailable     refusal = "state service unavailable"
 	storeTimedOut        refusal = "state service is slow"
 	tooManyPolls         refusal = "too many polls at present"
+	tooMuchWork          refusal = "too much accepted work at present"
 	unreadableJob        refusal = "unreadable job"
 	earlierVersionRuns   refusal = "some nodes still run an earlier version"
 	earlierVersionMayRun refusal = "some nodes may run an earlier version"
--- a/internal/controller/waiting_arrays_test.go
+++ b/internal/controller/waiting_arrays_test.go
@@ -78,6 +78,8 @@
 		c.leader.planner.Dispatch()
 		if used := int64(heapBytes()) - int64(before); used > maxWaitingBytes {
 			t.Errorf("%s: got %d MB in use, want at most %d", name, used>>20, maxWaitingBytes>>20)
+		} else if estimate := int64(c.leader.jobs.MemoryBytes()); estimate < used/2 || estimate > 2*used {
+			t.Errorf("%s: got an estimate of %d KB, want about the %d KB in use", name, estimate>>10, used>>10)
 		}
 		runtime.KeepAlive(c)
 	}
@@ -102,6 +104,37 @@
 	check("leader that takes the work over", before, c)
 }
 
+// TestSubmissionsBeyondMemory: a submission for which the node's memory leaves no room is refused for now. It is accepted once
+// other jobs have ended, and a repetition of an accepted one is answered all the time.
+func TestSubmissionsBeyondMemory(t *testing.T) {
+	c, _ := newTestLeader(ident.FormatPacked)
+	c.settings.Cluster.Resources.MemoryMB = 1
+	submit := func(i int) (status int) {
+		c.leader.submit(waitingArray(i), func(r Response) { status = r.Status })
+		c.AfterEvent()
+		return status
+	}
+	accepted := 0
+	for submit(accepted) == http.StatusCreated {
+		accepted++
+	}
+	if accepted == 0 || accepted == waitingArrays || c.leader.jobs.MemoryBytes() > maxJobsMemoryShare*bytesPerMB {
+		t.Fatalf("got %d arrays accepted, which take %d bytes, want some within %v of 1 MB",
+			accepted, c.leader.jobs.MemoryBytes(), maxJobsMemoryShare)
+	}
+	if got := submit(accepted); got != http.StatusServiceUnavailable {
+		t.Errorf("submission beyond the memory: got status %d, want %d", got, http.StatusServiceUnavailable)
+	}
+	if got := submit(0); got != http.StatusOK {
+		t.Errorf("repeated submission: got status %d, want %d", got, http.StatusOK)
+	}
+	c.leader.cancel(waitingArray(0).ID, func(Response) {})
+	c.AfterEvent()
+	if got := submit(accepted); got != http.StatusCreated {
+		t.Errorf("submission after a cancellation: got status %d, want %d", got, http.StatusCreated)
+	}
+}
+
 // BenchmarkWaitingArrays measures how long a new leader takes to load the waiting arrays, and the memory that it holds then.
 func BenchmarkWaitingArrays(b *testing.B) {
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
--- a/internal/jobs/task_list.go
+++ b/internal/jobs/task_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"unsafe"
 
 	"opaldale/internal/ident"
 )
@@ -16,10 +17,20 @@
 	count  int
 	since  ident.MonotonicTime // StateSince of tasks that are not created yet
 	chunks [][]Task            // of tasksPerChunk tasks each, but the last one; nil: not created
+	size   int                 // number of created tasks
 }
 
 func newTaskList(j *Job, count int, since ident.MonotonicTime) TaskList {
-	return TaskList{job: j, count: count, since: since, chunks: make([][]Task, (count+tasksPerChunk-1)/tasksPerChunk)}
+	return TaskList{job: j, count: count, since: since, chunks: make([][]Task, chunkCount(count))}
+}
+
+// chunkCount returns the number of chunks for a number of tasks.
+func chunkCount(tasks int) int { return (tasks + tasksPerChunk - 1) / tasksPerChunk }
+
+// taskListBytes returns the memory of a list for a number of tasks, some of which have been created, without that of the texts
+// in the tasks.
+func taskListBytes(tasks, created int) int {
+	return chunkCount(tasks)*int(unsafe.Sizeof([]Task{})) + created*int(unsafe.Sizeof(Task{}))
 }
 
 // Len returns the number of tasks of the job, created or not.
@@ -44,6 +55,7 @@
 		chunk[i] = Task{Job: l.job, Index: first + i, StateSince: l.since}
 	}
 	l.chunks[number] = chunk
+	l.size += len(chunk)
 }
 
 // All returns the tasks in order of their numbers, and creates them.
