Test beds: random troubles on real sockets, unknown fields, odd gangs

Change: loopback.Troubles runs three real controllers on sockets under these troubles, with broken links and killed controllers, judged by the workers' records; 45 s of it are a test, "study sockets" runs longer and writes the record. In the simulator three of ten jobs carry unknown fields that resemble known ones, and users submit gangs that no zones allow. TestMovesUnderFaults takes its seeds by flags, by default those as before.

--- a/cmd/study/main.go
+++ b/cmd/study/main.go
@@ -1,4 +1,4 @@
-// Command study runs the cluster simulator with many seeds and prints a table of the outcomes, or a digest of each run.
+// Command study runs the cluster simulator, or real controllers on sockets, with many seeds and prints the outcomes.
 package main
 
 import (
@@ -11,11 +11,11 @@
 func main() {
 	root := &cobra.Command{
 		Use:           "study",
-		Short:         "Measure the scheduler in simulated time, over many seeds",
+		Short:         "Measure the scheduler over many seeds, in simulated time or on sockets",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(linksCommand(), floodCommand(), movesCommand(), replayCommand())
+	root.AddCommand(linksCommand(), floodCommand(), movesCommand(), replayCommand(), socketsCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "study:", err)
 		os.Exit(2)
--- a/internal/loopback/cluster.go
+++ b/internal/loopback/cluster.go
@@ -38,6 +38,7 @@
 	Recorder *Recorder
 
 	provider *provider
+	delayer  *delayer
 	services []*http.Server
 	ports    []reservedPort // of the nodes
 	client   *http.Client
@@ -54,6 +55,8 @@
 	Nodes int
 	// ZoneCapacity is the maximum number of machines per zone, for spot and on-demand machines separately. 0 means 8.
 	ZoneCapacity int
+	// Seed seeds the delays of messages, which SetDelays sets.
+	Seed uint64
 	// Tune modifies the settings of each node before the node starts. It must not be nil.
 	Tune func(*settings.Settings)
 }
@@ -81,7 +84,7 @@
 		jobs:     map[ident.JobID]Workload{},
 		client:   &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
-	c.provider = newProvider(c, o.ZoneCapacity)
+	c.provider, c.delayer = newProvider(c, o.ZoneCapacity), newDelayer(o.Seed)
 	kv := newStore()
 	kv.onChange = c.Recorder.recordChange
 	storeAddr, err := c.serve(Store, kv.handler())
@@ -182,6 +185,9 @@
 	return nil
 }
 
+// SetDelays replaces the delays of messages between controllers and workers. At first there are none.
+func (c *Cluster) SetDelays(delays Delays) { c.delayer.set(delays) }
+
 // partyAt returns the party that serves an address: a node, Store, Cloud, or the zone of a machine.
 func (c *Cluster) partyAt(addr string) string {
 	c.mu.Lock()
--- a/internal/loopback/recorder.go
+++ b/internal/loopback/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"time"
@@ -30,13 +31,35 @@
 	startCount   int
 	commandCount int
 	moves        map[ident.JobID]int // number of moves of running tasks in the stored record of each job
+	began        time.Time
+	out          io.Writer // receives a line for each event; nil: none does
+}
+
+// logf writes an event to the record. The caller must hold r.mu.
+func (r *Recorder) logf(format string, args ...any) {
+	if r.out != nil {
+		fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+// Log writes a line to the record.
+func (r *Recorder) Log(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.logf(format, args...)
 }
 
 func newRecorder() *Recorder {
-	return &Recorder{leaders: map[ident.Term]string{}, completed: map[ident.TaskID]bool{}, moves: map[ident.JobID]int{}}
+	return &Recorder{
+		leaders:   map[ident.Term]string{},
+		completed: map[ident.TaskID]bool{},
+		moves:     map[ident.JobID]int{},
+		began:     time.Now(),
+	}
 }
 
 func (r *Recorder) reportViolation(format string, args ...any) {
+	r.logf("VIOLATION: "+format, args...)
 	r.violations = append(r.violations, fmt.Sprintf(format, args...))
 }
 
@@ -50,6 +73,7 @@
 		return
 	}
 	r.commandCount++
+	r.logf("commands of %s with token %d are executed", node, token)
 	if other, ok := r.leaders[token.Term()]; ok && other != node {
 		r.reportViolation("%s and %s both sent commands in term %d", other, node, token.Term())
 	}
@@ -62,6 +86,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.startCount++
+	r.logf("%s starts %s", machine, task)
 	for _, other := range r.executions {
 		if other.task == task && other.end.IsZero() && other.machine != machine && mayStillRun(other.machine) {
 			r.reportViolation("task %s started on %s while it was running on %s", task, machine, other.machine)
@@ -78,6 +103,7 @@
 	defer r.mu.Unlock()
 	if x.end.IsZero() {
 		x.end = time.Now()
+		r.logf("%s ends %s, completed: %v", x.machine, x.task, done)
 	}
 	if done {
 		r.completed[x.task] = true
--- a/internal/loopback/worker.go
+++ b/internal/loopback/worker.go
@@ -27,6 +27,8 @@
 	addr    string
 	client  *http.Client
 	stop    context.CancelFunc
+	// slowLink reports whether Delays.SlowLink applies to the machine.
+	slowLink bool
 
 	mu             sync.Mutex
 	incarnation    ident.Incarnation
@@ -65,6 +67,7 @@
 		leaseRenewedAt: time.Now(),
 		tasks:          map[taskKey]*task{},
 		heartbeatNow:   make(chan struct{}, 1),
+		slowLink:       id[len(id)-1]%2 == 0,
 	}
 	// All machines of a zone are one party.
 	w.client = &http.Client{Transport: &http.Transport{DialContext: c.Network.Dialer(zone, c.partyAt)}}
@@ -169,17 +172,24 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(w.cluster.delayer.command(w.slowLink)) // also if the caller has given up: the command is on its way
+	status, answer := w.executeCall(w.cluster.Network.dialedFrom(r.RemoteAddr, w.addr), c)
+	time.Sleep(w.cluster.delayer.link(w.slowLink))
+	writeJSON(rw, status, answer)
+}
+
+// executeCall executes the commands of a call from a node, and returns the status and the body of the answer.
+func (w *worker) executeCall(node string, c api.CommandRequest) (status int, answer *api.Heartbeat) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checkLease()
 	if w.terminated || c.Incarnation != w.incarnation || c.FencingToken < w.token {
-		writeJSON(rw, http.StatusConflict, w.buildHeartbeat())
-		return
+		return http.StatusConflict, w.buildHeartbeat()
 	}
-	w.cluster.Recorder.recordCommand(w.cluster.Network.dialedFrom(r.RemoteAddr, w.addr), c.FencingToken)
+	w.cluster.Recorder.recordCommand(node, c.FencingToken)
 	w.token = c.FencingToken
 	w.execute(c.Commands)
-	writeJSON(rw, http.StatusOK, w.buildHeartbeat())
+	return http.StatusOK, w.buildHeartbeat()
 }
 
 // execute executes commands. The caller must hold w.mu.
@@ -282,6 +292,15 @@
 	}
 }
 
+// sendCopy sends a heartbeat that was sent before once more. The answer is lost.
+func (w *worker) sendCopy(addr string, body []byte) {
+	client := http.Client{Transport: w.client.Transport, Timeout: heartbeatTimeout}
+	resp, err := client.Post("http://"+addr+"/checkin", "application/json", bytes.NewReader(body))
+	if err == nil {
+		resp.Body.Close()
+	}
+}
+
 // sendHeartbeat sends a heartbeat and executes the commands in the response. It returns false if there is no valid response.
 func (w *worker) sendHeartbeat(ctx context.Context, addr string) bool {
 	sentAt := time.Now()
@@ -289,6 +308,10 @@
 	if err != nil {
 		return false
 	}
+	if late := w.cluster.delayer.heartbeatCopy(); late > 0 {
+		time.AfterFunc(late, func() { w.sendCopy(addr, body) })
+	}
+	sleep(ctx, w.cluster.delayer.link(w.slowLink))
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/checkin", bytes.NewReader(body))
--- a/internal/simulator/api_client.go
+++ b/internal/simulator/api_client.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"opaldale/internal/api"
 	"opaldale/internal/controller"
 	"opaldale/internal/ident"
 	"opaldale/internal/transport"
@@ -89,7 +88,7 @@
 // submitTo submits a job like submit, but sends the first attempt to the given node.
 func (sim *Simulation) submitTo(j *userJob, until ident.MonotonicTime, n *node) {
 	requestedAt := sim.now
-	sim.request(apiRequest{usersParty, n, transport.SubmitJob, "", api.JSON(j.spec), requestTimeout},
+	sim.request(apiRequest{usersParty, n, transport.SubmitJob, "", j.submission(), requestTimeout},
 		func(r *controller.Response) {
 			if r != nil && isAccepted(r) {
 				if !j.accepted {
--- a/internal/simulator/edge_case_requests.go
+++ b/internal/simulator/edge_case_requests.go
@@ -36,8 +36,13 @@
 		ImageGB:  1,
 		RuntimeS: 5,
 	}
-	switch sim.rng.IntN(5) {
+	switch sim.rng.IntN(6) {
 	case 0:
+		if odd(uint64(sim.lastJobNumber)) {
+			s.Shape, s.Tasks, s.Spread, s.OneZone = api.Gang, 4, true, true
+			sim.sendInvalidJob(n, api.JSON(s), "a gang that no zones allow", isRejected)
+			break
+		}
 		s.VCPUs = 9
 		sim.sendInvalidJob(n, api.JSON(s), "a job that fits no machine", isRejected)
 	case 1:
@@ -49,6 +54,9 @@
 		sim.cancelDoneJob(n)
 	case 4:
 		sim.resubmitChanged(n)
+	case 5:
+		s.Shape, s.Tasks, s.Spread, s.OneZone = api.Gang, 2+sim.rng.IntN(6), true, true
+		sim.sendInvalidJob(n, api.JSON(s), "a gang that no zones allow", isRejected)
 	}
 	sim.schedule(time.Duration(100+sim.rng.IntN(400))*time.Millisecond, func() { sim.sendEdgeCaseRequests(until) })
 }
--- a/internal/simulator/liveness_test.go
+++ b/internal/simulator/liveness_test.go
@@ -50,19 +50,26 @@
 	}
 }
 
-// TestSoakTeamAtItsLimit: a job whose team is at its limit gets the time for which it had to wait, and must be done by then.
-func TestSoakTeamAtItsLimit(t *testing.T) {
+// TestTeamAtItsLimit: a job whose team is at its limit gets the time for which it had to wait, and must be done by then.
+func TestTeamAtItsLimit(t *testing.T) {
 	t.Parallel()
-	sim := newSoak(72880)
-	sim.delayCommandsOfPreemptedWork(func(service *userJob) { sim.cancelWhenAccepted(service, nil) })
-	sim.Run()
-	requireClean(t, sim)
-	longest := time.Duration(0)
-	for _, j := range sim.jobs {
-		longest = max(longest, j.limitedByTeam)
-	}
-	if longest == 0 {
-		t.Error("no job had to wait for its team's limit, want one")
+	for _, taskDuration := range []time.Duration{20 * time.Second, time.Hour} {
+		sim := New(Config{Seed: 1, NoArrivals: true, ActiveDuration: time.Minute,
+			Teams: []settings.Team{{Name: "red", CPUs: 2, CPUsMax: 2}, {Name: "blue", CPUsMax: 1}, {Name: "grey", CPUsMax: 1}}})
+		submit := func(shape api.Shape, tasks int) *userJob {
+			return sim.submitJob(func(s *api.Spec) { s.Team, s.Shape, s.Tasks, s.VCPUs = "red", shape, tasks, 1 }, taskDuration)
+		}
+		submit(api.Service, 1)
+		array := submit(api.Batch, 25) // one task after the other
+		sim.Run()
+		if len(sim.Violations) > 0 || array.limitedByTeam == 0 {
+			t.Errorf("tasks of %v: got violations %q and a wait of %v, want none and a wait",
+				taskDuration, sim.Violations, array.limitedByTeam)
+		}
+		if done := len(sim.Unfinished) == 0; done != (taskDuration < time.Minute) {
+			t.Errorf("tasks of %v: got unfinished %q, want the array done only if its tasks are short",
+				taskDuration, sim.Unfinished)
+		}
 	}
 }
 
--- a/internal/simulator/rebalancing_test.go
+++ b/internal/simulator/rebalancing_test.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -34,12 +35,21 @@
 	t.Migration.Cluster, t.Migration.Zone, t.Migration.Team, t.Migration.MinGainFactor = 20, 20, 20, 1
 }
 
+// Flags of TestMovesUnderFaults.
+var (
+	movesFirst = flag.Uint64("moves.first", 0, "first seed of TestMovesUnderFaults")
+	movesSeeds = flag.Uint64("moves.seeds", 24, "number of seeds of TestMovesUnderFaults")
+)
+
+// minMovesPerSeed is the least mean number of moves with which TestMovesUnderFaults is valid.
+const minMovesPerSeed = 2.5
+
 // TestMovesUnderFaults runs moves during random faults, with some seeds several at once, while jobs arrive and are cancelled:
 // every invariant holds, no job is moved a third time, and all work ends.
 func TestMovesUnderFaults(t *testing.T) {
 	t.Parallel()
 	moves := 0
-	for seed := range uint64(24) {
+	for seed := *movesFirst; seed < *movesFirst+*movesSeeds; seed++ {
 		cfg := rebalancingConfig(seed)
 		cfg.ZoneCapacity = 4 // with less, arrays may wait for the capacity that is reserved for services
 		cfg.Faults, cfg.ConcurrentFaults, cfg.LinkMonitoring, cfg.NoArrivals = true, seed%2 == 1, seed%4 > 1, false
@@ -59,8 +69,8 @@
 		moves += sim.Moves
 	}
 	t.Logf("%d moves", moves)
-	if moves < 60 {
-		t.Errorf("got %d moves over all seeds, want at least 60", moves)
+	if want := minMovesPerSeed * float64(*movesSeeds); float64(moves) < want {
+		t.Errorf("got %d moves over all seeds, want at least %v", moves, want)
 	}
 }
 
--- a/internal/simulator/user_job.go
+++ b/internal/simulator/user_job.go
@@ -32,6 +32,19 @@
 	lastStatusReplyAt   ident.MonotonicTime // when a status query last got a reply with status 200
 }
 
+// unknownFields are fields that the protocol doesn't know, by the last digit of the ID of the job that is submitted with them.
+// Their names differ from known ones only in the case of letters.
+var unknownFields = map[byte]string{'0': `"Pieces":1`, '3': `"VCPUS":0.5,"Site":"nowhere"`, '7': `"Standby":{"pieces":0}`}
+
+// submission returns the body of the job's submission.
+func (j *userJob) submission() []byte {
+	body := api.JSON(j.spec)
+	if fields := unknownFields[j.spec.ID[len(j.spec.ID)-1]]; fields != "" {
+		body = append(body[:len(body)-1], ","+fields+"}"...)
+	}
+	return body
+}
+
 // durationOf returns the run time of the task with index i.
 func (j *userJob) durationOf(i int) time.Duration {
 	return j.duration + time.Duration(i)*j.durationStep
