One function each for stopping a job's tasks and for a machine's capacity

Found on rereading: leaderTerm.stopJob was workers.Table.StopAllocated with no grace period, a loop that the list of tasks had just changed in both places; the resources of an empty machine were computed in workers, fleet and now the simulator, and come from workers.CapacityOf; each caller of decodetest.UnknownFields passed reflect.DeepEqual, which it now calls itself; a Clip in loopback had no use.

--- a/internal/api/parse_test.go
+++ b/internal/api/parse_test.go
@@ -20,9 +20,8 @@
 // TestUnknownFieldsInRequests guards against a submission of six tasks of which two run: an unknown field, "Pieces" beside
 // "pieces", replaced the known one.
 func TestUnknownFieldsInRequests(t *testing.T) {
-	decodetest.UnknownFields(t, JSON(filledSpec()), ParseSpec, func(a, b *Spec) bool { return reflect.DeepEqual(a, b) })
-	decodetest.UnknownFields(t, JSON(golden.Filled[Heartbeat](0)), ParseHeartbeat,
-		func(a, b *Heartbeat) bool { return reflect.DeepEqual(a, b) })
+	decodetest.UnknownFields(t, JSON(filledSpec()), ParseSpec)
+	decodetest.UnknownFields(t, JSON(golden.Filled[Heartbeat](0)), ParseHeartbeat)
 }
 
 // TestFieldGivenTwice: a submission that gives a field twice is rejected by the name of the field, in a heartbeat the last value
--- a/internal/cloud/golden_test.go
+++ b/internal/cloud/golden_test.go
@@ -79,7 +79,7 @@
 			continue // the body is ignored
 		}
 		parse := func(body []byte) (Response, error) { return decodeSuccess(testCase.op, body) }
-		decodetest.UnknownFields(t, []byte(testCase.body), parse, func(a, b Response) bool { return reflect.DeepEqual(a, b) })
+		decodetest.UnknownFields(t, []byte(testCase.body), parse)
 	}
 	names := map[Outcome]string{NoResponse: "lost", OK: "ok", NoCapacity: "no capacity", Unavailable: "refused", Invalid: "bad"}
 	var b strings.Builder
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -204,6 +204,6 @@
 	reply = l.replies.withTimeout(reply)
 	l.jobs.Cancel(j, func() { reply(ackResponse(j.View())) })
 	if j.Phase == jobs.Cancelled {
-		l.stopJob(j)
+		l.workers.StopAllocated(j, 0)
 	}
 }
--- a/internal/controller/recovery.go
+++ b/internal/controller/recovery.go
@@ -92,7 +92,7 @@
 			l.fleet.RecordArrival(j.Spec, j.SubmittedAt)
 		}
 		if j.Phase == jobs.Cancelled {
-			l.stopJob(j)
+			l.workers.StopAllocated(j, 0)
 		}
 		l.gangs.Adopt(j)
 	}
--- a/internal/controller/task_actions.go
+++ b/internal/controller/task_actions.go
@@ -109,15 +109,6 @@
 	l.workers.StopTask(w, t, gracePeriod)
 }
 
-// stopJob stops all tasks of a job at once.
-func (l *leaderTerm) stopJob(j *jobs.Job) {
-	for t := range j.Tasks.Created() {
-		if t.State.Allocated() {
-			l.workers.StopTask(l.workers.Workers[t.MachineID], t, 0)
-		}
-	}
-}
-
 // drainBeforeReclaim stops the tasks of a machine that will be reclaimed, each at the time that drainTask chooses.
 func (l *leaderTerm) drainBeforeReclaim(w *workers.Worker) {
 	now := l.env.Now()
--- a/internal/decodetest/decodetest.go
+++ b/internal/decodetest/decodetest.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"strconv"
 	"testing"
 	"unicode"
@@ -18,26 +19,26 @@
 var unknownValues = []string{`0`, `2`, `-1.5e300`, `null`, `true`, `"x"`, `"\ud800"`, `[]`, `{}`, `{"id":"j-1","pieces":2}`,
 	`[1,{"a":1,"a":[2]}]`}
 
-// AddUnknownFields returns a JSON text with fields added to its objects, before, between and after those it has. The names of
+// addUnknownFields returns a JSON text with fields added to its objects, before, between and after those it has. The names of
 // the fields differ from each name in the text, most only in the case of letters. The text must have all fields of its message,
 // and no objects with arbitrary names, such as the encodings of maps.
-func AddUnknownFields(t *rapid.T, text []byte) []byte {
+func addUnknownFields(t *rapid.T, text []byte) []byte {
 	a := &fieldAdder{t: t, names: namesIn(t, text), decoder: newDecoder(text)}
 	a.copyValue()
 	return a.out.Bytes()
 }
 
-// UnknownFields checks that unknown fields in a message, given in JSON, don't change what parse returns for it, as seen by equal.
-func UnknownFields[Message any](t testing.TB, text []byte, parse func([]byte) (Message, error), equal func(a, b Message) bool) {
+// UnknownFields checks that unknown fields in a message, given in JSON, don't change what parse returns for it.
+func UnknownFields[Message any](t testing.TB, text []byte, parse func([]byte) (Message, error)) {
 	t.Helper()
 	want, err := parse(text)
 	if err != nil {
 		t.Fatalf("parsing %s: got error %v, want none", text, err)
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		extended := AddUnknownFields(t, text)
+		extended := addUnknownFields(t, text)
 		got, err := parse(extended)
-		if err != nil || !equal(got, want) {
+		if err != nil || !reflect.DeepEqual(got, want) {
 			t.Fatalf("parsing %s: got %+v, %v, want %+v as without unknown fields", extended, got, err, want)
 		}
 	})
--- a/internal/fleet/bin.go
+++ b/internal/fleet/bin.go
@@ -46,7 +46,7 @@
 
 // newBin returns a bin with one empty machine.
 func newBin(machineType *cloud.MachineType, p pool) *bin {
-	return &bin{machineType: machineType, pool: p, tier: p.tier(), machines: 1, free: machineTypeResources(machineType)}
+	return &bin{machineType: machineType, pool: p, tier: p.tier(), machines: 1, free: workers.CapacityOf(machineType)}
 }
 
 // tasksPerMachine returns how many tasks of a job fit onto each machine of the bin.
@@ -84,11 +84,6 @@
 	return part
 }
 
-// machineTypeResources returns the resources of an empty machine of a type.
-func machineTypeResources(machineType *cloud.MachineType) jobs.Resources {
-	return jobs.Resources{VCPUs: machineType.VCPUs, GPUs: machineType.GPUs, MemoryGB: machineType.MemoryGB}
-}
-
 // floorResources rounds each amount down to a multiple of a quantum.
 func floorResources(r jobs.Resources, quantum float64) jobs.Resources {
 	return jobs.Resources{
--- a/internal/fleet/capacity_measurement.go
+++ b/internal/fleet/capacity_measurement.go
@@ -47,7 +47,7 @@
 		return
 	}
 	p := poolOf(w)
-	free := machineTypeResources(w.Type)
+	free := workers.CapacityOf(w.Type)
 	switch w.State {
 	case workers.Booting:
 		if r.now.Sub(w.CreatedAt) > lateBootFactor*bootTime(w) {
@@ -94,7 +94,7 @@
 			machineType: machineType,
 			pool:        p,
 			tier:        p.tier(),
-			free:        machineTypeResources(machineType),
+			free:        workers.CapacityOf(machineType),
 			machines:    state.pending,
 		})
 		cpus := float64(state.pending) * machineType.VCPUs
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -57,7 +57,7 @@
 		t.Errorf("%s: JSON round trip: got %+v, want %+v", title, decoded, message)
 		return
 	}
-	decodetest.UnknownFields(t, text, decodeAs[T], func(a, b T) bool { return reflect.DeepEqual(a, b) })
+	decodetest.UnknownFields(t, text, decodeAs[T])
 }
 
 func decodeAs[T any](text []byte) (T, error) {
--- a/internal/jobs/unknown_fields_test.go
+++ b/internal/jobs/unknown_fields_test.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"reflect"
 	"testing"
 
 	"opaldale/internal/api"
@@ -27,5 +26,5 @@
 		err := decode.JSON(text, &parsed)
 		return parsed, err
 	}
-	decodetest.UnknownFields(t, api.JSON(record), parse, func(a, b Record) bool { return reflect.DeepEqual(a, b) })
+	decodetest.UnknownFields(t, api.JSON(record), parse)
 }
--- a/internal/kvstore/golden_test.go
+++ b/internal/kvstore/golden_test.go
@@ -64,7 +64,7 @@
 			t.Errorf("response %s was decoded as %+v, want %+v", body, got, want)
 		}
 		parse := func(body []byte) (Response, error) { return decodeResponse(http.StatusOK, body), nil }
-		decodetest.UnknownFields(t, body, parse, func(a, b Response) bool { return reflect.DeepEqual(a, b) })
+		decodetest.UnknownFields(t, body, parse)
 	}
 	golden.RoundTrip(t, &d, "key", golden.Filled[KeyValue](0))
 	golden.RoundTrip(t, &d, "change seen", golden.Filled[WatchEvent](0))
--- a/internal/loopback/troubles.go
+++ b/internal/loopback/troubles.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -134,7 +133,6 @@
 	c.Recorder.mu.Lock()
 	defer c.Recorder.mu.Unlock()
 	o.Commands = c.Recorder.commandCount
-	o.Violations = slices.Clip(o.Violations)
 }
 
 // breakLinks breaks and heals random directed links, one at a time, until a point in time. It returns how many it broke.
--- a/internal/simulator/worker_tasks.go
+++ b/internal/simulator/worker_tasks.go
@@ -6,6 +6,7 @@
 	"opaldale/internal/api"
 	"opaldale/internal/ident"
 	"opaldale/internal/jobs"
+	"opaldale/internal/workers"
 )
 
 // task is one attempt of a task on a worker.
@@ -228,7 +229,6 @@
 
 // fits reports whether a task of a job fits beside the tasks that have not ended.
 func (w *worker) fits(spec *api.Spec) bool {
-	machineType := &w.sim.cloud.machineTypes[0]
-	capacity := jobs.Resources{VCPUs: machineType.VCPUs, GPUs: machineType.GPUs, MemoryGB: machineType.MemoryGB}
+	capacity := workers.CapacityOf(&w.sim.cloud.machineTypes[0])
 	return capacity.Sub(w.used()).Covers(jobs.ResourcesOf(spec))
 }
--- a/internal/workers/reservation.go
+++ b/internal/workers/reservation.go
@@ -40,7 +40,7 @@
 	if w.Type == nil {
 		return jobs.Resources{}
 	}
-	return capacityOf(w.Type).Sub(w.Usage.allocated())
+	return CapacityOf(w.Type).Sub(w.Usage.allocated())
 }
 
 // Free returns the resources that are neither allocated to tasks nor reserved.
--- a/internal/workers/usage.go
+++ b/internal/workers/usage.go
@@ -70,8 +70,8 @@
 	return n
 }
 
-// capacityOf returns the total resources of a machine of the given type.
-func capacityOf(t *cloud.MachineType) jobs.Resources {
+// CapacityOf returns the total resources of a machine of the given type.
+func CapacityOf(t *cloud.MachineType) jobs.Resources {
 	return jobs.Resources{VCPUs: t.VCPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 }
 
@@ -90,7 +90,7 @@
 
 // FitsEmpty reports whether a task of the job fits on an empty machine of the given type.
 func FitsEmpty(machineType *cloud.MachineType, s *api.Spec) bool {
-	return capacityOf(machineType).Covers(jobs.ResourcesOf(s))
+	return CapacityOf(machineType).Covers(jobs.ResourcesOf(s))
 }
 
 // HasCapacityFor reports whether the machine has the needed resources free, that is, neither allocated nor
