Log and count unknown attempts and rejected commands; tokens of failed tasks

A leader that found a task on a machine where nobody had placed it killed it without a line in the default log, and the token of a command stood at level debug only, so that the records of a task on two machines could not be decided from the leader's side.

New at level warn: "machine runs unknown attempt" (once for each attempt and machine, with the worker's token, the leader's term and the task's newest placement) and "worker rejected commands as outdated" (with both tokens and incarnations). "task failed" names attempt and token, "task lost" the token; no line for a healthy start. No behaviour changes.

--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -39,6 +39,7 @@
 	// Machines and their workers.
 	MachinesProvisioned, MachinesTerminated, MachinesFenced uint64
 	TasksLost, CommandFences, StaleHeartbeats               uint64
+	CommandsRejected, UnknownAttempts                       uint64
 
 	// Writes to the store.
 	Txns, Puts, TxnRetries, TxnsRejected uint64
@@ -99,6 +100,8 @@
 	stats.MachinesFenced = l.fleet.Fenced
 	stats.TasksLost = l.workers.LostTasks
 	stats.CommandFences = l.workers.FencedCommands
+	stats.CommandsRejected = l.workers.RejectedCalls
+	stats.UnknownAttempts = l.workers.UnknownAttempts
 	stats.StaleHeartbeats = l.workers.StaleHeartbeats
 	stats.Txns = l.committer.Txns
 	stats.Puts = l.committer.Puts
--- a/internal/controller/task_actions.go
+++ b/internal/controller/task_actions.go
@@ -153,7 +153,8 @@
 func (l *leaderTerm) onTaskFailed(t *jobs.Task, machine *workers.Worker, cause api.Cause) {
 	now := l.env.Now()
 	if cause == api.CauseError {
-		slog.Info("task failed", "task", t.TaskID().String(), "machine", string(machine.ID))
+		slog.Info("task failed", "task", t.TaskID().String(), "machine", string(machine.ID), "attempt", uint64(t.Attempt),
+			"token", uint64(l.workers.FencingToken(machine)))
 		l.recordTaskError(t, machine, now)
 		return
 	}
--- a/internal/workers/attempt.go
+++ b/internal/workers/attempt.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"maps"
 	"slices"
 
 	"opaldale/internal/api"
@@ -52,6 +53,45 @@
 	w.unknownAttempts[attempt.task] = attempt.attempt
 }
 
+// recordNewUnknownAttempts logs and counts the unknown attempts of a machine that previous, those in the heartbeat
+// before, does not contain.
+func (tb *Table) recordNewUnknownAttempts(w *Worker, heartbeat *api.Heartbeat, previous map[ident.TaskID]ident.Attempt) {
+	for _, report := range heartbeat.Tasks {
+		attempt, unknown := w.unknownAttempts[report.TaskID]
+		if !unknown || attempt != report.Attempt || previous[report.TaskID] == attempt {
+			continue
+		}
+		tb.UnknownAttempts++
+		logUnknownAttempt(w, tb.cfg.Term, heartbeat, report, tb.placementOf(report.TaskID))
+	}
+}
+
+// placement is where a task was placed last.
+type placement struct {
+	attempt ident.Attempt // 0: the task was never placed, or its job is unknown
+	machine ident.MachineID
+}
+
+// placementOf returns the latest placement of a task that this leader knows.
+func (tb *Table) placementOf(task ident.TaskID) placement {
+	j := tb.jobs.Jobs[task.Job]
+	if j == nil || task.Index >= j.Tasks.Len() {
+		return placement{}
+	}
+	t := j.Tasks.At(task.Index)
+	return placement{t.Attempt, t.MachineID}
+}
+
+// takeUnknownAttempts removes the unknown attempts of a machine and returns them, nil if there were none.
+func (tb *Table) takeUnknownAttempts(w *Worker) map[ident.TaskID]ident.Attempt {
+	if len(w.unknownAttempts) == 0 {
+		return nil
+	}
+	taken := maps.Clone(w.unknownAttempts)
+	tb.clearUnknownAttempts(w)
+	return taken
+}
+
 // clearUnknownAttempts removes the unknown attempts of a machine.
 func (tb *Table) clearUnknownAttempts(w *Worker) {
 	for task := range w.unknownAttempts {
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -40,6 +40,9 @@
 	return r.Heartbeat != nil && r.Heartbeat.MachineID == id
 }
 
+// rejected reports whether the worker has rejected the commands as outdated and said what it knows.
+func (r CommandResult) rejected() bool { return r.Status == http.StatusConflict && r.Heartbeat != nil }
+
 func newLaunchCommand(t *jobs.Task) api.Command {
 	return api.Command{Verb: api.Launch, TaskID: t.TaskID(), Attempt: t.Attempt}
 }
@@ -133,7 +136,7 @@
 		return
 	}
 	call := CommandCall{Addr: w.Addr, Zone: w.Zone, Body: api.CommandRequest{
-		FencingToken: tb.fencingToken(w),
+		FencingToken: tb.FencingToken(w),
 		Incarnation:  max(w.order.incarnation, 1),
 		Commands:     commands,
 	}}
@@ -141,6 +144,10 @@
 	logCallSent(w, number, call.Body)
 	tb.port.Worker(call, func(result CommandResult) {
 		logCallEnded(w, number, result)
+		if result.rejected() && len(call.Body.Commands) > 0 {
+			tb.RejectedCalls++
+			logCallRejected(w, number, call.Body, result.Heartbeat)
+		}
 		tb.handleCommandResult(w, result)
 	})
 }
--- a/internal/workers/command_log.go
+++ b/internal/workers/command_log.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"opaldale/internal/api"
+	"opaldale/internal/ident"
 )
 
 // commandList is a list of commands in the log. It is formatted only if its line is logged.
@@ -31,3 +32,21 @@
 	slog.Debug("command call ended", "machine", string(w.ID), "call", number, "status", result.Status,
 		"not_sent", result.NotSent)
 }
+
+// logCallRejected logs a call with commands that the worker rejected as outdated.
+func logCallRejected(w *Worker, number uint64, request api.CommandRequest, heartbeat *api.Heartbeat) {
+	slog.Warn("worker rejected commands as outdated", "machine", string(w.ID), "call", number,
+		"token", uint64(request.FencingToken), "worker_token", uint64(heartbeat.FencingToken),
+		"incarnation", uint64(request.Incarnation), "worker_incarnation", uint64(heartbeat.Incarnation),
+		"commands", commandList(request.Commands))
+}
+
+// logUnknownAttempt logs an attempt that a machine runs and that the leader has not placed there, or considers gone.
+func logUnknownAttempt(
+	w *Worker, term ident.Term, heartbeat *api.Heartbeat, report api.TaskReport, newest placement,
+) {
+	slog.Warn("machine runs unknown attempt", "machine", string(w.ID), "task", report.TaskID.String(),
+		"attempt", uint64(report.Attempt), "status", string(report.Status), "term", uint64(term),
+		"token", uint64(heartbeat.FencingToken), "incarnation", uint64(heartbeat.Incarnation),
+		"newest_attempt", uint64(newest.attempt), "newest_machine", string(newest.machine))
+}
--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// TestRejectedCallsAreCounted checks that a call that the worker rejects as outdated counts if it has commands.
+func TestRejectedCallsAreCounted(t *testing.T) {
+	h := newHarness(t)
+	reject := func(call int) {
+		h.sequence++
+		h.answers[call](CommandResult{Status: 409, Heartbeat: newHeartbeat(1, h.sequence, ident.MakeFencingToken(term, 0))})
+	}
+	reject(0)
+	h.tb.Probe(h.worker)
+	reject(1)
+	if h.tb.RejectedCalls != 1 {
+		t.Errorf("after a rejected launch and a rejected probe: counted %d, want 1", h.tb.RejectedCalls)
+	}
+}
+
 // placeSecondTask answers the launch of the first task with a response that lists an unknown attempt, which the table
 // kills in a second call, and places the second task while that call is in flight.
 func (h *harness) placeSecondTask() *jobs.Task {
--- a/internal/workers/fencing.go
+++ b/internal/workers/fencing.go
@@ -25,11 +25,11 @@
 	f.count = uint32(token-ident.MakeFencingToken(term, 0)) + 1
 }
 
-// fencingToken returns the current fencing token for commands to a worker.
-func (tb *Table) fencingToken(w *Worker) ident.FencingToken { return w.fencing.token(tb.cfg.Term) }
+// FencingToken returns the newest fencing token of this term for commands to a worker.
+func (tb *Table) FencingToken(w *Worker) ident.FencingToken { return w.fencing.token(tb.cfg.Term) }
 
 // hasCurrentToken reports whether a heartbeat carries the newest token issued to its worker. If it does,
 // the worker can no longer execute commands sent with an earlier token.
 func (tb *Table) hasCurrentToken(w *Worker, heartbeat *api.Heartbeat) bool {
-	return heartbeat.FencingToken == tb.fencingToken(w)
+	return heartbeat.FencingToken == tb.FencingToken(w)
 }
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -70,17 +70,20 @@
 	w.order.sequence = heartbeat.SequenceNumber
 	tb.updateReachability(w, heartbeat, now)
 	tb.updateReclaimNotice(w, heartbeat.ReclaimNoticeS, now)
-	tb.clearUnknownAttempts(w)
+	previous := tb.takeUnknownAttempts(w)
 	for _, report := range heartbeat.Tasks {
 		tb.applyTaskReport(w, report)
 	}
+	if len(w.unknownAttempts) > 0 {
+		tb.recordNewUnknownAttempts(w, heartbeat, previous)
+	}
 	return heartbeatApplied
 }
 
 // checkFencingToken logs a reported fencing token that is newer than any token issued to the worker, and
 // raises the worker's token above it. This cannot happen within a term unless there is a bug.
 func (tb *Table) checkFencingToken(w *Worker, token ident.FencingToken) {
-	if token <= tb.fencingToken(w) {
+	if token <= tb.FencingToken(w) {
 		return
 	}
 	slog.Error("fencing token newer than any issued", "machine", string(w.ID), "token", uint64(token))
--- a/internal/workers/lease.go
+++ b/internal/workers/lease.go
@@ -51,7 +51,7 @@
 // markTaskLost records that a task no longer runs on its machine although its worker reported no end.
 func (tb *Table) markTaskLost(w *Worker, t *jobs.Task, reason Reason) {
 	slog.Info("task lost", "task", t.TaskID().String(), "attempt", uint64(t.Attempt), "machine", string(w.ID),
-		"reason", string(reason))
+		"reason", string(reason), "token", uint64(tb.FencingToken(w)))
 	tb.LostTasks++
 	tb.jobs.MarkNotRunning(t, nil)
 }
@@ -64,7 +64,7 @@
 	if w == nil || w.State == Terminated {
 		return nil
 	}
-	if heartbeat.FencingToken > tb.fencingToken(w) || heartbeat.Incarnation < w.order.incarnation {
+	if heartbeat.FencingToken > tb.FencingToken(w) || heartbeat.Incarnation < w.order.incarnation {
 		// A worker that has seen a successor's token discards the response, so its lease would not be
 		// renewed, but it would keep sending its heartbeats here until the lease expires.
 		return nil
@@ -85,7 +85,7 @@
 		return nil
 	}
 	w.lease.renew(tb.port.Now())
-	return &api.HeartbeatResponse{FencingToken: tb.fencingToken(w), Commands: commands}
+	return &api.HeartbeatResponse{FencingToken: tb.FencingToken(w), Commands: commands}
 }
 
 // mayRenewLease reports whether the worker's lease may be renewed. The lease must not be renewed while a
--- a/internal/workers/reconcile_test.go
+++ b/internal/workers/reconcile_test.go
@@ -25,6 +25,25 @@
 	}
 }
 
+// TestUnknownAttemptIsCountedOnce checks that an attempt that a machine runs and nobody has placed there counts once, however
+// many heartbeats list it.
+func TestUnknownAttemptIsCountedOnce(t *testing.T) {
+	h := newHarness(t)
+	known := h.taskReport(api.Running, "")
+	stray := api.TaskReport{TaskID: ident.TaskID{Job: "j-1", Index: 1}, Attempt: 3, Status: api.Running}
+	for range 3 {
+		h.heartbeat(0, known, stray)
+	}
+	if h.tb.UnknownAttempts != 1 {
+		t.Errorf("after three heartbeats with an unknown attempt: counted %d, want 1", h.tb.UnknownAttempts)
+	}
+	stray.Attempt++
+	h.heartbeat(0, known, stray)
+	if h.tb.UnknownAttempts != 2 {
+		t.Errorf("after a heartbeat with another unknown attempt: counted %d, want 2", h.tb.UnknownAttempts)
+	}
+}
+
 // TestPlacementsOfEarlierTerm checks that a leader does not launch tasks that an earlier term placed. The
 // earlier term may have allocated their resources or their team's quota to other tasks, and only the
 // placement of those may have become durable. A task placed in an earlier incarnation than the heartbeat's is
--- a/internal/workers/table.go
+++ b/internal/workers/table.go
@@ -80,6 +80,8 @@
 
 	LostTasks       uint64 // tasks that were lost with their machine, worker or lease; no end was reported
 	FencedCommands  uint64 // command calls without a response, after which the fencing token was raised
+	RejectedCalls   uint64 // command calls that a worker rejected as outdated
+	UnknownAttempts uint64 // attempts that a machine runs and that this leader has not placed there, or considers gone
 	StaleHeartbeats uint64 // heartbeats that were not newer than the newest one received
 }
 
