--- a/cmd/study/sockets.go
+++ b/cmd/study/sockets.go
@@ -24,9 +24,9 @@
 		Args:  cobra.NoArgs,
 		Short: "Run real controllers on loopback sockets under random troubles, in real time",
 		Long: "Sockets starts three controllers, workers, a store and a cloud in this process, connected by sockets.\n" +
-			"Commands are late, links slow or broken, controllers are killed. It prints a line for each run: the seed and\n" +
-			"the outcome. The times of events depend on the machine, so a seed doesn't reproduce a run; the record shows\n" +
-			"the order of events.",
+			"Commands are late or arrive again, links are slow or broken, controllers are killed. It prints a line for each\n" +
+			"run: the seed and the outcome. The times of events depend on the machine, so a seed doesn't reproduce a run;\n" +
+			"the record shows the order of events.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if runs < 1 || duration <= 0 {
 				return fmt.Errorf("--runs and --for must be positive, got %d and %v", runs, duration)
@@ -68,9 +68,9 @@
 		return err
 	}
 	if _, err := fmt.Fprintf(out, "seed %d: %d jobs, %d done, %d cancelled, %d starts, %d command calls, %d late, "+
-		"%d links broken, %d controllers killed, %d violations\n", troubles.Seed, outcome.Jobs, outcome.Done, outcome.Cancelled,
-		outcome.Starts, outcome.Commands, outcome.LateCommands, outcome.LinksBroken, outcome.ControllersKilled,
-		len(outcome.Violations)); err != nil {
+		"%d copied, %d links broken, %d controllers killed, %d violations\n", troubles.Seed, outcome.Jobs, outcome.Done,
+		outcome.Cancelled, outcome.Starts, outcome.Commands, outcome.LateCommands, outcome.CopiedCommands, outcome.LinksBroken,
+		outcome.ControllersKilled, len(outcome.Violations)); err != nil {
 		return err
 	}
 	if len(outcome.Violations) > 0 {
--- a/internal/loopback/delays.go
+++ b/internal/loopback/delays.go
@@ -16,14 +16,18 @@
 	// of heartbeats of which a copy arrives again up to MaxHoldUp later.
 	LateCommands, LateHeartbeats float64
 	MaxHoldUp                    time.Duration
+	// CopiedCommands is the share of executed command calls of which a copy arrives again up to MaxCopyDelay later.
+	CopiedCommands float64
+	MaxCopyDelay   time.Duration
 }
 
 // delayer draws the delays of messages. Its methods may be called concurrently.
 type delayer struct {
-	mu           sync.Mutex
-	rng          *rand.Rand
-	delays       Delays
-	lateCommands int // number of command calls held up
+	mu             sync.Mutex
+	rng            *rand.Rand
+	delays         Delays
+	lateCommands   int // number of command calls held up
+	copiedCommands int // number of command calls of which a copy was or will be delivered
 }
 
 func newDelayer(seed uint64) *delayer { return &delayer{rng: rand.New(rand.NewPCG(seed, 2))} }
@@ -42,6 +46,13 @@
 	return d.lateCommands
 }
 
+// copiedCommandCount returns the number of command calls of which a copy was or will be delivered.
+func (d *delayer) copiedCommandCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.copiedCommands
+}
+
 // link returns the delay of a message on the link of a machine.
 func (d *delayer) link(slow bool) time.Duration {
 	d.mu.Lock()
@@ -64,6 +75,17 @@
 	return delay
 }
 
+// commandCopy returns when a copy of an executed command call arrives, or 0 for none.
+func (d *delayer) commandCopy() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.delays.CopiedCommands == 0 || d.rng.Float64() >= d.delays.CopiedCommands {
+		return 0
+	}
+	d.copiedCommands++
+	return d.upTo(d.delays.MaxCopyDelay)
+}
+
 // heartbeatCopy returns when a copy of a heartbeat arrives, or 0 for none.
 func (d *delayer) heartbeatCopy() time.Duration {
 	d.mu.Lock()
--- a/internal/loopback/recorder.go
+++ b/internal/loopback/recorder.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"opaldale/internal/api"
 	"opaldale/internal/ident"
 	"opaldale/internal/kvstore"
 	"opaldale/internal/migration"
@@ -80,6 +81,14 @@
 	r.leaders[token.Term()] = node
 }
 
+// recordRestart reports that a copy of a launch command that was executed before starts an attempt that was cleared.
+func (r *Recorder) recordRestart(command api.Command, machine ident.MachineID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reportViolation("task %s attempt %d is started again on %s by a copy of an executed call", command.TaskID, command.Attempt,
+		machine)
+}
+
 // recordStart records the start of a task. It reports a violation if the task already runs on another machine, unless that
 // machine is terminated or its lease has expired, as its worker may not yet have stopped the task.
 func (r *Recorder) recordStart(task ident.TaskID, machine ident.MachineID, mayStillRun func(ident.MachineID) bool) *execution {
--- a/internal/loopback/troubles.go
+++ b/internal/loopback/troubles.go
@@ -13,8 +13,9 @@
 	"opaldale/internal/settings"
 )
 
-// Troubles describes a run of real controllers under random troubles: late commands, slow links of some machines, late copies of
-// heartbeats, directed links that break, controllers that are killed. Users submit arrays and urgent services and cancel some.
+// Troubles describes a run of real controllers under random troubles: late commands, copies of executed commands, slow links of
+// some machines, late copies of heartbeats, directed links that break, controllers that are killed. Users submit arrays and
+// urgent services and cancel some.
 type Troubles struct {
 	Seed uint64
 	// Duration is how long there are troubles. The run goes on until all jobs have ended.
@@ -34,12 +35,20 @@
 )
 
 // troubleDelays are the delays during the troubles. Commands may be held up for less than the lease.
-var troubleDelays = Delays{SlowLink: 300 * time.Millisecond, LateCommands: 0.15, LateHeartbeats: 0.05, MaxHoldUp: 6 * time.Second}
+var troubleDelays = Delays{
+	SlowLink:       300 * time.Millisecond,
+	LateCommands:   0.15,
+	LateHeartbeats: 0.05,
+	MaxHoldUp:      6 * time.Second,
+	CopiedCommands: 0.4,
+	MaxCopyDelay:   20 * time.Second,
+}
 
 // TroublesOutcome is the outcome of a run.
 type TroublesOutcome struct {
 	Jobs, Done, Cancelled          int
 	Starts, Commands, LateCommands int
+	CopiedCommands                 int
 	LinksBroken, ControllersKilled int
 	Violations                     []string
 }
@@ -129,6 +138,7 @@
 		}
 	}
 	o.Jobs, o.Starts, o.LateCommands = len(users), c.StartCount(), c.delayer.lateCommandCount()
+	o.CopiedCommands = c.delayer.copiedCommandCount()
 	o.Violations = append(o.Violations, c.Violations()...)
 	c.Recorder.mu.Lock()
 	defer c.Recorder.mu.Unlock()
--- a/internal/loopback/worker.go
+++ b/internal/loopback/worker.go
@@ -174,16 +174,45 @@
 	}
 	time.Sleep(w.cluster.delayer.command(w.slowLink)) // also if the caller has given up: the command is on its way
 	status, answer := w.executeCall(w.cluster.Network.dialedFrom(r.RemoteAddr, w.addr), c)
+	if status == http.StatusOK {
+		w.copyCall(c)
+	}
 	time.Sleep(w.cluster.delayer.link(w.slowLink))
 	writeJSON(rw, status, answer)
 }
 
+// copyCall delivers a copy of an executed call later, if there is such a trouble. The answer is lost.
+func (w *worker) copyCall(c api.CommandRequest) {
+	if late := w.cluster.delayer.commandCopy(); late > 0 {
+		time.AfterFunc(late, func() { w.executeCopy(c) })
+	}
+}
+
+// executeCopy executes a copy of a call that was executed before. It must not start an attempt: the worker has held each attempt
+// that the call launches, so one that it does not hold was cleared.
+func (w *worker) executeCopy(c api.CommandRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkLease()
+	w.sequence++ // of the lost answer
+	if !w.accepts(c) {
+		return
+	}
+	for _, command := range c.Commands {
+		if command.Verb == api.Launch && w.tasks[taskKey{command.TaskID, command.Attempt}] == nil {
+			w.cluster.Recorder.recordRestart(command, w.id)
+		}
+	}
+	w.token = c.FencingToken
+	w.execute(c.Commands)
+}
+
 // executeCall executes the commands of a call from a node, and returns the status and the body of the answer.
 func (w *worker) executeCall(node string, c api.CommandRequest) (status int, answer *api.Heartbeat) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.checkLease()
-	if w.terminated || c.Incarnation != w.incarnation || c.FencingToken < w.token {
+	if !w.accepts(c) {
 		return http.StatusConflict, w.buildHeartbeat()
 	}
 	w.cluster.Recorder.recordCommand(node, c.FencingToken)
@@ -192,6 +221,11 @@
 	return http.StatusOK, w.buildHeartbeat()
 }
 
+// accepts reports whether the worker would execute a call. The caller must hold w.mu.
+func (w *worker) accepts(c api.CommandRequest) bool {
+	return !w.terminated && c.Incarnation == w.incarnation && c.FencingToken >= w.token
+}
+
 // execute executes commands. The caller must hold w.mu.
 func (w *worker) execute(commands []api.Command) {
 	for _, command := range commands {
--- a/internal/simulator/node_env.go
+++ b/internal/simulator/node_env.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"net/http"
 	"time"
 
 	"opaldale/internal/cloud"
@@ -144,6 +145,9 @@
 			sim.delayCall(target, c.Body, func() {
 				target.whenResponsive(func() {
 					target.handleCommands(c.Body, func(a workers.CommandResult) {
+						if a.Status == http.StatusOK {
+							sim.copyCall(target, c.Body)
+						}
 						sim.delayCommand(func() { reply(a) })
 					})
 				})
--- a/internal/simulator/simulation.go
+++ b/internal/simulator/simulation.go
@@ -35,6 +35,7 @@
 	callsInFlight map[commandCallKey]bool // calls with commands to workers
 	networkFaults
 	activeFaults
+	callCopier callCopier
 	linkMonitor
 
 	// Violations lists the violated invariants. Unfinished lists the work that had not ended by the end of the
@@ -75,6 +76,7 @@
 			sentTransactions: map[string]bool{},
 		},
 		activeFaults: activeFaults{eventCounts: map[eventName]int{}},
+		callCopier:   newCallCopier(cfg.Seed),
 	}
 	sim.store = newStore(sim)
 	sim.cloud = newProvider(sim)
--- a/internal/workers/absence_test.go
+++ b/internal/workers/absence_test.go
@@ -34,10 +34,10 @@
 	return drawWhere(t, "call", m.calls, condition)
 }
 
-// TestAbsentTaskCannotStart guards against a task running twice: in any order in which calls and heartbeats are
-// executed, delayed and lost, an attempt that the table considers gone neither runs on its machine nor can
-// be started there by an earlier command, and at most one call to the worker is in flight. Nor is the worker's lease
-// renewed while an earlier command could start a task whose job was cancelled longer ago than the leader's grace period.
+// TestAbsentTaskCannotStart guards against a task running twice: in any order in which calls and heartbeats are executed,
+// delayed, lost and repeated, an attempt that the table considers gone neither runs on its machine nor can be started there by
+// an earlier command or a copy of one, and at most one call to the worker is in flight. Nor is the worker's lease renewed while
+// an earlier command could start a task whose job was cancelled longer ago than the leader's grace period.
 func TestAbsentTaskCannotStart(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		h := newHarness(t)
@@ -117,9 +117,12 @@
 		},
 		"do not send call": func(t *rapid.T) {
 			c := m.drawCall(t, func(c *modelCall) bool { return !c.executed && !c.ended })
-			c.executed = true
+			c.executed, c.notSent = true, true
 			m.endCall(c, CommandResult{NotSent: true})
 		},
+		"execute copy of call": func(t *rapid.T) {
+			m.executeCopy(m.drawCall(t, func(c *modelCall) bool { return c.executed && !c.notSent }))
+		},
 	}
 }
 
--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -124,3 +124,62 @@
 		t.Errorf("with permission again: commands %q, task is %v; want %q, %v", got, task.State, "launch ", jobs.Assigned)
 	}
 }
+
+// TestCopyOfAnsweredLaunchStartsNothing guards against a task running twice: its launch was carried out and answered, its attempt
+// failed and was cleared, and a copy of the launch arrived once the task had been placed elsewhere.
+func TestCopyOfAnsweredLaunchStartsNothing(t *testing.T) {
+	for _, scenario := range copiedLaunchScenarios {
+		t.Run(scenario.name, func(t *testing.T) {
+			h := newHarness(t)
+			m := newWorkerModel(h, ident.MakeFencingToken(term, 0))
+			attempt := attemptOf(h.task())
+			m.answerCalls()
+			m.tasks[attempt] = api.Ended
+			scenario.clear(m)
+			if _, held := m.tasks[attempt]; held {
+				t.Fatal("the worker still holds the ended attempt, want it cleared")
+			}
+			for i, c := range m.calls {
+				m.executeCopy(c)
+				if status, held := m.tasks[attempt]; held {
+					t.Errorf("after a copy of call %d, the cleared attempt is %s on the worker, want it absent", i, status)
+				}
+			}
+		})
+	}
+}
+
+// copiedLaunchScenarios clear the ended attempt of the harness's task in different ways.
+var copiedLaunchScenarios = []struct {
+	name  string
+	clear func(m *workerModel)
+}{
+	{"cleared by a call", func(m *workerModel) {
+		m.exchangeHeartbeat()
+		m.h.runUntilIdle()
+		m.answerCalls()
+	}},
+	{"cleared by a call that launches another task", func(m *workerModel) {
+		m.exchangeHeartbeat()
+		other := m.h.job.Tasks.At(1)
+		m.h.jobs.Place(other, "h", 1, func() { m.h.tb.Launch(m.h.worker, other) })
+		m.h.runUntilIdle()
+		m.answerCalls()
+	}},
+	{"cleared by the response to a heartbeat", func(m *workerModel) {
+		m.exchangeHeartbeat()
+		m.h.runUntilIdle()
+		m.syncCalls()
+		m.endCall(m.calls[len(m.calls)-1], CommandResult{NotSent: true})
+		m.exchangeHeartbeat()
+	}},
+	{"cleared by a call after the cancellation of its job", func(m *workerModel) {
+		m.h.jobs.Cancel(m.h.job, func() {})
+		m.h.tb.StopAllocated(m.h.job, 0)
+		m.h.runUntilIdle()
+		m.answerCalls()
+		m.exchangeHeartbeat()
+		m.h.runUntilIdle()
+		m.answerCalls()
+	}},
+}
--- a/internal/workers/worker_model_test.go
+++ b/internal/workers/worker_model_test.go
@@ -47,6 +47,7 @@
 	request  api.CommandRequest
 	done     func(CommandResult)
 	executed bool          // executed, rejected or never sent
+	notSent  bool          // never sent
 	result   CommandResult // result of the execution
 	ended    bool          // the table knows the result
 }
@@ -147,6 +148,16 @@
 	c.result.Heartbeat = m.report()
 }
 
+// executeCopy executes a copy of a call that was executed or rejected before. Its answer is lost.
+func (m *workerModel) executeCopy(c *modelCall) {
+	m.checkLease()
+	if m.accepts(c.request) {
+		m.token = c.request.FencingToken
+		m.execute(c.request.Commands)
+	}
+	m.sequence++
+}
+
 // endCall passes the result of a call to the table.
 func (m *workerModel) endCall(c *modelCall, result CommandResult) {
 	c.ended = true
@@ -198,8 +209,8 @@
 	clear(m.tasks)
 }
 
-// pendingLaunch returns a description of a command that the worker has not executed but would, and that would start an
-// attempt; "" if there is none.
+// pendingLaunch returns a description of a command that the worker would execute, for the first time or as a copy, and that would
+// start an attempt; "" if there is none.
 func (m *workerModel) pendingLaunch(attempt taskAttempt) string {
 	if _, known := m.tasks[attempt]; known {
 		return ""
@@ -210,9 +221,13 @@
 		})
 	}
 	for i, c := range m.calls {
-		if !c.executed && m.accepts(c.request) && launches(c.request.Commands) {
-			return fmt.Sprintf("call %d", i)
+		if c.notSent || !m.accepts(c.request) || !launches(c.request.Commands) {
+			continue
 		}
+		if c.executed {
+			return fmt.Sprintf("a copy of call %d", i)
+		}
+		return fmt.Sprintf("call %d", i)
 	}
 	if m.acceptsResponse() && launches(m.response.Commands) {
 		return "the response to a heartbeat"
@@ -259,3 +274,23 @@
 		t.Fatalf("%s attempt %d can be started by %s, but the table considers it gone", attempt.task, attempt.attempt, pending)
 	}
 }
+
+// answerCalls executes and answers all calls of the table, and those that follow from their answers.
+func (m *workerModel) answerCalls() {
+	m.syncCalls()
+	for i := 0; i < len(m.calls); i++ {
+		if c := m.calls[i]; !c.ended {
+			m.executeCall(c)
+			m.endCall(c, c.result)
+			m.h.runUntilIdle()
+			m.syncCalls()
+		}
+	}
+}
+
+// exchangeHeartbeat sends a heartbeat to the table, and the worker executes the response.
+func (m *workerModel) exchangeHeartbeat() {
+	response := m.h.tb.HandleHeartbeat(m.report())
+	m.response = &modelResponse{response, m.incarnation, m.h.now}
+	m.receiveResponse()
+}
