Workers: an attempt is cleared with a higher token than the call that launched it

Cause: after "clear" an attempt is unknown to its worker, and a call is executed as long as its token and session match. The clear went out under the token of the launch, so a late copy of the launch, answered long ago, started the attempt again. The proofs that a task is gone counted only calls that had not ended. Class: a right that had not lapsed, taken as spent.

The invariant is now: an attempt is gone only if no message with a launch of it, answered or not, can act. While the worker holds the ended attempt a copy has no effect, so the clear is the one place to guard. fencing keeps the attempts that calls with the current token launch; a call or response that clears one of them carries a raised token, so that the worker clears and outdates the copies in one step. Attempts launched with an earlier token, by another term or by a response need no raise. A response leaves such a clear out while a call is in flight, which would be refused. When the 20 bits of a machine's counter are used up, the term ends (before, the counter would have wrapped).

--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -157,6 +157,7 @@
 		LeaderGrace:       c.renewalGrace,
 		Catalog:           l.catalog.Type,
 		OnLaterTerm:       func() { c.election.StepDown(laterTermSeen) },
+		OnTokensExhausted: func() { c.election.StepDown(tokensExhausted) },
 		OnCapacityChanged: l.requestDispatch,
 		OnTaskFailed:      l.onTaskFailed,
 		OnTaskCompleted: func(t *jobs.Task, w *workers.Worker) {
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -37,6 +37,7 @@
 	machinesReachPeersOnly election.StepDownReason = "machines reachable only through peers"
 	noHeartbeatSource      election.StepDownReason = "no messages from peers while machines are unreachable"
 	laterTermSeen          election.StepDownReason = "a worker reported a later term"
+	tokensExhausted        election.StepDownReason = "fencing tokens of the term used up"
 )
 
 // resign ends the term. This node does not campaign again for resignationPause.
--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -38,7 +38,7 @@
 
 	// Machines and their workers.
 	MachinesProvisioned, MachinesTerminated, MachinesFenced uint64
-	TasksLost, CommandFences, StaleHeartbeats               uint64
+	TasksLost, CommandFences, ClearFences, StaleHeartbeats  uint64
 	CommandsRejected, UnknownAttempts                       uint64
 
 	// Writes to the store.
@@ -100,6 +100,7 @@
 	stats.MachinesFenced = l.fleet.Fenced
 	stats.TasksLost = l.workers.LostTasks
 	stats.CommandFences = l.workers.FencedCommands
+	stats.ClearFences = l.workers.ClearFences
 	stats.CommandsRejected = l.workers.RejectedCalls
 	stats.UnknownAttempts = l.workers.UnknownAttempts
 	stats.StaleHeartbeats = l.workers.StaleHeartbeats
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -46,14 +46,18 @@
 	NewestFormatLevel = FormatPacked
 )
 
-// tokenCounterBits is the number of low bits of a FencingToken that hold the counter. The higher bits hold
-// the term.
-const tokenCounterBits = 20
+const (
+	// tokenCounterBits is the number of low bits of a FencingToken that hold the counter. The higher bits hold
+	// the term.
+	tokenCounterBits = 20
+	// MaxTokenCounter is the highest counter of the tokens of a term.
+	MaxTokenCounter = 1<<tokenCounterBits - 1
+)
 
 // MakeFencingToken returns a fencing token for the leader of a term. counter orders the tokens for one
 // worker within the term; only its low tokenCounterBits bits are used.
 func MakeFencingToken(term Term, counter uint32) FencingToken {
-	return FencingToken(uint64(term)<<tokenCounterBits | uint64(counter)&(1<<tokenCounterBits-1))
+	return FencingToken(uint64(term)<<tokenCounterBits | uint64(counter)&MaxTokenCounter)
 }
 
 // Term returns the term of the leader that issued the token.
--- a/internal/server/node_metrics.go
+++ b/internal/server/node_metrics.go
@@ -66,6 +66,8 @@
 		func(s *controller.Stats) float64 { return float64(s.TasksLost) }},
 	{newCounter("command_fences", "Fencing tokens raised because a command got no response."),
 		func(s *controller.Stats) float64 { return float64(s.CommandFences) }},
+	{newCounter("clear_fences", "Fencing tokens raised before an ended task was cleared from its machine."),
+		func(s *controller.Stats) float64 { return float64(s.ClearFences) }},
 	{newCounter("commands_rejected", "Command calls that a worker rejected as outdated."),
 		func(s *controller.Stats) float64 { return float64(s.CommandsRejected) }},
 	{newCounter("unknown_attempts", "Tasks found running on a machine on which the leader has not placed them."),
--- a/internal/workers/attempt.go
+++ b/internal/workers/attempt.go
@@ -19,10 +19,11 @@
 
 func attemptIn(report api.TaskReport) taskAttempt { return taskAttempt{report.TaskID, report.Attempt} }
 
+// targetOf returns the attempt that a command addresses.
+func targetOf(command api.Command) taskAttempt { return taskAttempt{command.TaskID, command.Attempt} }
+
 // isTargetOf reports whether a command addresses the attempt.
-func (a taskAttempt) isTargetOf(command api.Command) bool {
-	return command.TaskID == a.task && command.Attempt == a.attempt
-}
+func (a taskAttempt) isTargetOf(command api.Command) bool { return targetOf(command) == a }
 
 // reportsAttempt reports whether a heartbeat lists an attempt.
 func reportsAttempt(heartbeat *api.Heartbeat, attempt taskAttempt) bool {
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -135,6 +135,11 @@
 	if !started {
 		return
 	}
+	tb.raiseTokenForClears(w, commands)
+	if tb.closed {
+		return // the term has no higher token
+	}
+	w.fencing.recordLaunches(commands)
 	call := CommandCall{Addr: w.Addr, Zone: w.Zone, Body: api.CommandRequest{
 		FencingToken: tb.FencingToken(w),
 		Incarnation:  max(w.order.incarnation, 1),
@@ -182,10 +187,10 @@
 // new token, it can no longer execute the commands of that call. Until a heartbeat carries the new
 // token, no more commands are sent to the worker.
 func (tb *Table) fenceOff(w *Worker) {
-	w.fencing.raise()
 	w.reachability.commandUnanswered()
 	w.commands.discard()
 	tb.FencedCommands++
+	tb.raiseToken(w)
 }
 
 // applyCommandResponse applies the heartbeat in the response to a command call, and queues kill commands
--- a/internal/workers/command_queue.go
+++ b/internal/workers/command_queue.go
@@ -59,6 +59,9 @@
 // endCall records that the call in flight has ended.
 func (q *commandQueue) endCall() { q.inFlight, q.state = nil, callIdle }
 
+// callInFlight reports whether a call has started and has not ended.
+func (q *commandQueue) callInFlight() bool { return q.state == callInFlight }
+
 // idle reports whether no call is in flight or scheduled.
 func (q *commandQueue) idle() bool { return q.state == callIdle }
 
--- a/internal/workers/harness_test.go
+++ b/internal/workers/harness_test.go
@@ -95,6 +95,7 @@
 		LeaderGrace:       leaderGrace,
 		Catalog:           func(string) *cloud.MachineType { return &machineType },
 		OnLaterTerm:       func() { t.Error("a worker reported a later term, want none") },
+		OnTokensExhausted: func() { t.Error("the fencing tokens of the term are used up, want some left") },
 		OnCapacityChanged: func() {},
 		OnTaskFailed:      func(*jobs.Task, *Worker, api.Cause) {},
 		Persist:           func(w *Worker) { w.Persisted = true },
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -87,7 +87,9 @@
 		return
 	}
 	slog.Error("fencing token newer than any issued", "machine", string(w.ID), "token", uint64(token))
-	w.fencing.raiseAbove(token, tb.cfg.Term)
+	if !w.fencing.raiseAbove(token, tb.cfg.Term) {
+		tb.cfg.OnTokensExhausted()
+	}
 }
 
 // updateAddress sets a worker's address if it has changed, and looks up the machine type if the catalog
@@ -106,6 +108,7 @@
 func (tb *Table) beginIncarnation(w *Worker, incarnation ident.Incarnation, now ident.MonotonicTime) {
 	w.order.raiseIncarnation(incarnation)
 	w.commands.discard()
+	w.fencing.forgetLaunches()
 	w.imageCache.clear()
 	tb.clearUnknownAttempts(w)
 	// The lease of a new incarnation runs from its start, which is not later than now, even if none of
--- a/internal/workers/lease.go
+++ b/internal/workers/lease.go
@@ -84,6 +84,10 @@
 		tb.Probe(w)
 		return nil
 	}
+	tb.raiseTokenForClears(w, commands)
+	if tb.closed {
+		return nil // the term has no higher token
+	}
 	w.lease.renew(tb.port.Now())
 	return &api.HeartbeatResponse{FencingToken: tb.FencingToken(w), Commands: commands}
 }
--- a/internal/workers/reconcile.go
+++ b/internal/workers/reconcile.go
@@ -62,7 +62,7 @@
 	case w.commands.targets(attempt):
 		return api.Command{}, false
 	case report.Status == api.Ended:
-		return newClearCommand(attempt), t == nil && !w.endsNotDurable[attempt]
+		return newClearCommand(attempt), t == nil && !w.endsNotDurable[attempt] && w.mayClearByResponse(attempt)
 	case t == nil:
 		return newKillCommand(attempt, 0), true
 	case stopping:
--- a/internal/workers/table.go
+++ b/internal/workers/table.go
@@ -46,6 +46,9 @@
 	Catalog func(model string) *cloud.MachineType
 	// OnLaterTerm is called when a worker has seen a later term. The callback ends the leadership.
 	OnLaterTerm func()
+	// OnTokensExhausted is called when a worker's fencing token can't be raised any more in this term. The callback
+	// ends the leadership.
+	OnTokensExhausted func()
 	// OnCapacityChanged is called when the free capacity or the set of allocated tasks has changed.
 	OnCapacityChanged func()
 	// OnTaskFailed is called for a task that ended without completing.
@@ -80,6 +83,7 @@
 
 	LostTasks       uint64 // tasks that were lost with their machine, worker or lease; no end was reported
 	FencedCommands  uint64 // command calls without a response, after which the fencing token was raised
+	ClearFences     uint64 // raises of a fencing token before an attempt was cleared
 	RejectedCalls   uint64 // command calls that a worker rejected as outdated
 	UnknownAttempts uint64 // attempts that a machine runs and that this leader has not placed there, or considers gone
 	StaleHeartbeats uint64 // heartbeats that were not newer than the newest one received
--- a/internal/workerstest/workerstest.go
+++ b/internal/workerstest/workerstest.go
@@ -20,6 +20,7 @@
 		LeaseDuration:     30 * time.Second,
 		Catalog:           func(string) *cloud.MachineType { return &machineType },
 		OnLaterTerm:       func() {},
+		OnTokensExhausted: func() {},
 		OnCapacityChanged: func() {},
 		OnTaskFailed:      func(*jobs.Task, *workers.Worker, api.Cause) {},
 		Persist:           func(w *workers.Worker) { w.Persisted = true },
