Workers: test that a copied call with one harmful command starts nothing

The call launched two tasks, of which one has been cleared since; the same call cleared an earlier attempt.

--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"fmt"
 	"testing"
 
 	"opaldale/internal/api"
@@ -183,3 +184,40 @@
 		m.answerCalls()
 	}},
 }
+
+// TestCopyOfBatchStartsNoClearedAttempt guards against a copied call of which only one command has become harmful: it launched two
+// tasks, of which one has been cleared, or it cleared one attempt and launched the next one, which has been cleared as well.
+func TestCopyOfBatchStartsNoClearedAttempt(t *testing.T) {
+	h := newHarness(t)
+	m := newWorkerModel(h, ident.MakeFencingToken(term, 0))
+	m.answerCalls()
+	first, second := h.task(), h.job.Tasks.At(1)
+	place := func(tasks ...*jobs.Task) {
+		for _, task := range tasks {
+			h.jobs.Place(task, "h", 1, func() { h.tb.Launch(h.worker, task) })
+		}
+	}
+	end := func(task *jobs.Task) {
+		m.tasks[attemptOf(task)] = api.Ended
+		m.exchangeHeartbeat()
+		h.runUntilIdle()
+		m.answerCalls()
+	}
+	m.tasks[attemptOf(first)] = api.Ended
+	m.exchangeHeartbeat()
+	place(first, second) // in one call with the clear of the first attempt
+	h.runUntilIdle()
+	m.answerCalls()
+	batch := m.calls[len(m.calls)-1]
+	if len(batch.request.Commands) != 3 {
+		t.Fatalf("got a call with %v, want a clear and two launches", commandList(batch.request.Commands))
+	}
+	end(first)
+	want := fmt.Sprint(m.attempts())
+	for range 2 {
+		m.executeCopy(batch)
+		if got := fmt.Sprint(m.attempts()); got != want || m.tasks[attemptOf(second)] != api.Running {
+			t.Errorf("after a copy of the call with both launches: attempts %s, want %s, the second task running", got, want)
+		}
+	}
+}
