--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -185,8 +185,8 @@
 	}},
 }
 
-// TestCopyOfBatchStartsNoClearedAttempt guards against a copied call of which only one command has become harmful: it launched two
-// tasks, of which one has been cleared, or it cleared one attempt and launched the next one, which has been cleared as well.
+// TestCopyOfBatchStartsNoClearedAttempt guards against a copied call of which only one command has become harmful: it cleared an
+// attempt and launched two tasks, of which one has been cleared as well.
 func TestCopyOfBatchStartsNoClearedAttempt(t *testing.T) {
 	h := newHarness(t)
 	m := newWorkerModel(h, ident.MakeFencingToken(term, 0))
