--- a/internal/workers/fencing.go
+++ b/internal/workers/fencing.go
@@ -32,7 +32,7 @@
 	return true
 }
 
-// forgetLaunches records that the worker rejects all calls sent so far: their token or their incarnation is outdated.
+// forgetLaunches is called when the token or the incarnation of the worker has become newer than that of all calls sent so far.
 func (f *fencing) forgetLaunches() { f.launched = f.launched[:0] }
 
 // raiseAbove sets the token to one more than the given token of the same term.
