Answers: a job's durable state comes from the transaction that wrote it

Cause, by trace on a scratch copy (the log had no line that showed it): polls that arrive while the transaction is in flight wait. When it is answered, the callback of the submission runs before that of the cancellation and asks for the view: the header is no longer in flight, so no write seems to be under way, and the durable phase is still "open". The view counts as settled and says "queued"; microseconds later the phase is recorded.

What counts as durable was thus set by whichever callback ran, not by what was written. Two more ways to the same failure were found: a repeated cancellation, whose header is queued again when the answer comes, and a header that the log's compaction had queued, which stores the cancellation before the write that confirms it (packed format being enabled).

Change: a document tells its owner when it is sent (OnSent), and what was sent is recorded as durable once the transaction is applied, before any callback runs. DurablePhase and SubmissionDurable are set there alone, and those who wait for a view are asked again after the next write (AfterNextWrite) instead of being on one of two lists. WhenViewSettled is now the only way to a job's view; submission, repeat, poll and cancellation all use it. New log line: "job record durable" (debug).

--- a/internal/commit/document.go
+++ b/internal/commit/document.go
@@ -56,6 +56,10 @@
 	Render func() json.RawMessage
 	// ExtraMutations returns further mutations for the same transaction. It may be nil.
 	ExtraMutations func() []kvstore.Mutation
+	// OnSent is called when the document is put into a transaction, after Render. It returns a function that is
+	// called if that transaction is applied, before all callbacks of the transaction, so that each of them finds the
+	// owner's record of the stored content up to date. OnSent may be nil.
+	OnSent func() (onApplied func())
 	// MustNotExist lists keys that must not exist when the document is first put.
 	MustNotExist []string
 	// OnExists is called if a key of MustNotExist exists. The document is then neither put nor queued
@@ -71,6 +75,8 @@
 	rejections        int        // consecutive rejections of a transaction with this document alone
 	pendingCallbacks  []func()   // to call when the current content is durable
 	inFlightCallbacks []func()   // to call when the in-flight transaction is applied
+	onApplied         func()     // result of OnSent for the in-flight transaction; may be nil
+	nextWrite         []func()   // see AfterNextWrite
 }
 
 // OutcomeUnknown reports whether it is unknown if a write of this document was applied: a transaction with the
@@ -79,6 +85,10 @@
 	return d.state == inFlight || d.state == inFlightDirty || d.uncertain
 }
 
+// AfterNextWrite calls f once, after the next transaction that writes the document is applied, whatever content it
+// has. The document must be queued or in flight. f is not called if the document is dropped; see OnExists.
+func (d *Document) AfterNextWrite(f func()) { d.nextWrite = append(d.nextWrite, f) }
+
 // Idle reports whether the document is neither queued nor in an in-flight transaction.
 func (d *Document) Idle() bool { return d.state == clean }
 
@@ -121,9 +131,23 @@
 	d.inFlightCallbacks, d.pendingCallbacks = d.pendingCallbacks, nil
 	d.renderedLSN = lsn
 	d.queuedAs = notQueued
+	if d.OnSent != nil {
+		d.onApplied = d.OnSent()
+	}
 	d.transition(sent)
 }
 
+// takeApplied records that the in-flight transaction was applied, and returns the callbacks to call.
+func (d *Document) takeApplied() (callbacks []func()) {
+	if d.onApplied != nil {
+		d.onApplied()
+	}
+	callbacks = append(d.inFlightCallbacks, d.nextWrite...)
+	d.onApplied, d.inFlightCallbacks, d.nextWrite = nil, nil, nil
+	d.transition(committed)
+	return callbacks
+}
+
 // markUnsent returns a document of an abandoned transaction to the dirty state, so that it can be sent in another
 // one. uncertain is set if the abandoned transaction may still be applied. The caller adds the document to the
 // queue.
@@ -138,7 +162,7 @@
 // discard drops the document's changes, after a transaction that was not applied because one of the document's
 // MustNotExist keys exists.
 func (d *Document) discard() {
-	d.inFlightCallbacks, d.pendingCallbacks = nil, nil
+	d.inFlightCallbacks, d.pendingCallbacks, d.nextWrite = nil, nil, nil
 	d.transition(discarded)
 	if d.OnExists != nil {
 		d.OnExists()
--- a/internal/commit/txn.go
+++ b/internal/commit/txn.go
@@ -93,9 +93,7 @@
 		}
 		c.log.slots.releaseCovered(d)
 		d.MustNotExist, d.uncertain, d.rejections = nil, false, 0
-		callbacks = append(callbacks, d.inFlightCallbacks...)
-		d.inFlightCallbacks = nil
-		d.transition(committed)
+		callbacks = append(callbacks, d.takeApplied()...)
 		if d.state == dirty {
 			c.enqueue(d)
 		}
--- a/internal/controller/job_requests.go
+++ b/internal/controller/job_requests.go
@@ -64,13 +64,7 @@
 	var j *jobs.Job
 	onDurable := func() {
 		l.fleet.RecordArrival(spec, l.env.Now())
-		if j.Phase != jobs.Open {
-			// The job was cancelled before its record became durable.
-			l.replyWhenDurable(j, reply, ackResponse)
-			return
-		}
-		created := jsonResponse(http.StatusCreated, api.StatusResponse{ID: spec.ID, Status: api.StatusQueued})
-		reply(l.limitToLeaderLease(created))
+		l.replyWhenDurable(j, reply, createdResponse)
 	}
 	onConflict := func() { l.replyArchived(spec.ID, reply, ackResponse, unavailable(tryAgain)) }
 	j = l.jobs.Add(spec, onDurable, onConflict)
@@ -145,8 +139,8 @@
 	if !j.ViewSettled() {
 		reply = l.replies.withTimeout(reply)
 	}
-	j.WhenViewSettled(func() {
-		r := render(j.View())
+	j.WhenViewSettled(func(view api.JobView) {
+		r := render(view)
 		if j.DurablePhase == jobs.Open {
 			r = l.limitToLeaderLease(r)
 		}
@@ -198,11 +192,11 @@
 
 func (l *leaderTerm) cancelLive(j *jobs.Job, reply func(Response)) {
 	if j.DurablePhase != jobs.Open {
-		reply(ackResponse(j.View()))
+		l.replyWhenDurable(j, reply, ackResponse)
 		return
 	}
 	reply = l.replies.withTimeout(reply)
-	l.jobs.Cancel(j, func() { reply(ackResponse(j.View())) })
+	l.jobs.Cancel(j, func() { l.replyWhenDurable(j, reply, ackResponse) })
 	if j.Phase == jobs.Cancelled {
 		l.workers.StopAllocated(j, 0)
 	}
--- a/internal/controller/response.go
+++ b/internal/controller/response.go
@@ -50,6 +50,14 @@
 	return jsonResponse(http.StatusOK, api.StatusResponse{ID: v.ID, Status: v.Status})
 }
 
+// createdResponse returns the response to the submission that created a job. The job may have been cancelled since.
+func createdResponse(v api.JobView) Response {
+	if v.Status != api.StatusQueued {
+		return ackResponse(v)
+	}
+	return jsonResponse(http.StatusCreated, api.StatusResponse{ID: v.ID, Status: v.Status})
+}
+
 func noSuchJob() Response { return errorResponse(http.StatusNotFound, "no such job") }
 
 // failoverRetryAfterS is the Retry-After of refusals, in seconds.
--- a/internal/gang/gang_test.go
+++ b/internal/gang/gang_test.go
@@ -207,7 +207,9 @@
 	}
 	h.reportAll(api.Gathering)
 	h.wantState("gathering")
-	if v := h.job.View(); v.Running != 0 || v.Status != "queued" {
+	var v api.JobView
+	h.job.WhenViewSettled(func(view api.JobView) { v = view })
+	if v.Running != 0 || v.Status != "queued" {
 		t.Errorf("tasks that wait for the others: got view %+v, want 0 running and status queued", v)
 	}
 	h.reportAll(api.Running)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -68,10 +68,8 @@
 
 // callbacks holds the functions to call once a certain change of a job is durable.
 type callbacks struct {
-	submitted    []func() // when the submission is durable
-	phaseDurable []func() // when the end of phase Open is durable
-	completed    []func() // when a job in phase Done is archived; for the tasks that completed last
-	converted    []func() // when the conversion to the packed log is durable
+	completed []func() // when a job in phase Done is archived; for the tasks that completed last
+	converted []func() // when the conversion to the packed log is durable
 }
 
 // callAll empties a list of functions and calls each of them.
--- a/internal/jobs/main_test.go
+++ b/internal/jobs/main_test.go
@@ -7,4 +7,7 @@
 	"opaldale/internal/propertytest"
 )
 
-func TestMain(m *testing.M) { os.Exit(propertytest.Main(m)) }
+// propertyChecks is the number of cases per property. TestAnswersNotOlderThanStore has many steps that must meet.
+const propertyChecks = 3000
+
+func TestMain(m *testing.M) { os.Exit(propertytest.MainWithChecks(m, propertyChecks)) }
--- a/internal/jobs/storage.go
+++ b/internal/jobs/storage.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 
 	"opaldale/internal/api"
 	"opaldale/internal/commit"
@@ -48,6 +49,7 @@
 	j.Tasks = newTaskList(j, j.Spec.Tasks, tb.now())
 	j.storage.header = &commit.Document{Key: LiveKey(j.Spec.ID)}
 	j.storage.header.Render = func() json.RawMessage { return tb.renderHeader(j) }
+	j.storage.header.OnSent = j.recordDurableOnceApplied
 	if tb.packedLog {
 		j.storage.format = inLog
 		return
@@ -105,8 +107,13 @@
 	return &s
 }
 
-// markPhaseDurable records that the job's current phase is durable, and calls the callbacks for that.
-func (j *Job) markPhaseDurable() {
-	j.DurablePhase = j.Phase
-	callAll(&j.callbacks.phaseDurable)
+// recordDurableOnceApplied is called when the header is sent. The function that it returns records that the store holds the
+// job in its present phase. Every transaction that creates the job or stores its end writes the header, or deletes it
+// together with putting the archive record, and no other code sets the two fields of a job that was not loaded.
+func (j *Job) recordDurableOnceApplied() (onApplied func()) {
+	phase := j.Phase
+	return func() {
+		j.SubmissionDurable, j.DurablePhase = true, phase
+		slog.Debug("job record durable", "job", string(j.Spec.ID), "phase", phase.String())
+	}
 }
--- a/internal/jobs/table.go
+++ b/internal/jobs/table.go
@@ -93,19 +93,15 @@
 		delete(tb.Jobs, s.ID)
 		onDuplicate()
 	}
-	j.callbacks.submitted = append(j.callbacks.submitted, onDurable)
 	tb.Jobs[s.ID] = j
-	tb.commits.MarkDirty(header, func() { tb.markSubmissionDurable(j) })
+	tb.commits.MarkDirty(header, func() {
+		tb.addToIndexes(j)
+		onDurable()
+		tb.OnWaiting(j)
+	})
 	return j
 }
 
-func (tb *Table) markSubmissionDurable(j *Job) {
-	j.SubmissionDurable = true
-	tb.addToIndexes(j)
-	callAll(&j.callbacks.submitted)
-	tb.OnWaiting(j)
-}
-
 // addToIndexes adds an open job to the indexes Teams and Waiting.
 func (tb *Table) addToIndexes(j *Job) {
 	if j.Phase != Open {
--- a/internal/jobs/table_test.go
+++ b/internal/jobs/table_test.go
@@ -149,7 +149,7 @@
 			t.Errorf("OnArchived was called for %s, want j-1 and only after over/j-1 is stored", id)
 		}
 	}
-	tb.Cancel(j, func() { status = j.View().Status })
+	tb.Cancel(j, func() { status = j.view().Status })
 	store.FlushAndRun(c)
 	if status != "cancelled" || store.Entries["over/j-1"].Revision != 0 || store.Entries["live/j-1"].Revision == 0 {
 		t.Fatalf("after the cancellation: status %q, keys %v; want status cancelled, key live/j-1 and not over/j-1",
@@ -196,7 +196,7 @@
 	tb, c := newTestTable(store)
 	var j *Job
 	status := api.Status("")
-	readStatus := func() { status = j.View().Status }
+	readStatus := func(view api.JobView) { status = view.Status }
 	j = tb.Add(&api.Spec{ID: "j-1", Shape: api.Batch, Tasks: 1, VCPUs: 1}, func() {}, nil)
 	c.Flush()
 	if j.WhenViewSettled(readStatus); j.ViewSettled() || status != "" {
--- a/internal/jobs/transitions.go
+++ b/internal/jobs/transitions.go
@@ -137,19 +137,13 @@
 	if j.Phase == Open {
 		tb.closeJob(j, Cancelled)
 	}
-	phaseDurable := func() {
-		if j.DurablePhase == Open {
-			j.markPhaseDurable()
-		}
-		onDurable()
-	}
 	tb.archiveIfDone(j)
 	if tb.packedLog && j.storage.format != inLog && j.SubmissionDurable && !j.storage.archived {
 		// A header written from now on has no tasks, so the log must have them first.
-		tb.convertJob(j, phaseDurable)
+		tb.convertJob(j, onDurable)
 		return
 	}
-	tb.commits.MarkDirty(j.storage.header, phaseDurable)
+	tb.commits.MarkDirty(j.storage.header, onDurable)
 }
 
 // archiveIfDone archives a job that has ended and has no allocated tasks. A single transaction deletes the
@@ -163,19 +157,14 @@
 	j.storage.header.ExtraMutations = func() []kvstore.Mutation {
 		return []kvstore.Mutation{{Put: ArchiveKey(j.Spec.ID), Value: api.JSON(record)}}
 	}
-	// If the submission is not durable yet, acknowledge it only when the archive record is durable.
-	submitted := j.callbacks.submitted
-	j.callbacks.submitted = nil
-	tb.commits.MarkDirty(j.storage.header, func() { tb.finishArchiving(j, record, submitted) })
+	tb.commits.MarkDirty(j.storage.header, func() { tb.finishArchiving(j, record) })
 }
 
 // finishArchiving removes a job whose archive record is durable, and calls the callbacks that wait for it.
-func (tb *Table) finishArchiving(j *Job, record ArchivedJob, submitted []func()) {
+func (tb *Table) finishArchiving(j *Job, record ArchivedJob) {
 	tb.RememberArchived(j.Spec.ID, record)
 	delete(tb.Jobs, j.Spec.ID)
 	tb.OnArchived(j.Spec.ID)
-	j.markPhaseDurable()
-	callAll(&submitted)
 	callAll(&j.callbacks.completed)
 	callAll(&j.callbacks.converted)
 	for t := range j.Tasks.Created() {
--- a/internal/jobs/view.go
+++ b/internal/jobs/view.go
@@ -8,8 +8,9 @@
 	"opaldale/internal/ident"
 )
 
-// View returns the job as shown to users. It shows the end of the job only once the end is durable.
-func (j *Job) View() api.JobView {
+// view returns the job as shown to users. It shows the end of the job only once the end is durable. WhenViewSettled is
+// the only caller, because the view may be older than the store's record at other times.
+func (j *Job) view() api.JobView {
 	v := api.JobView{ID: j.Spec.ID, Status: api.StatusQueued, Done: j.CompletedTasks, Running: j.RunningTasks}
 	switch {
 	case j.DurablePhase == Done:
@@ -28,18 +29,16 @@
 	return j.SubmissionDurable && (j.Phase == j.DurablePhase || !j.storage.header.OutcomeUnknown())
 }
 
-// WhenViewSettled calls a function once the view is settled. It calls the function immediately unless the
+// WhenViewSettled passes the view to a function once it is settled. It calls the function immediately unless the
 // job's submission or end is being written: another node may already read the new state from the store
-// while this one still shows the old one, and a user must not see an older state after a newer one.
-func (j *Job) WhenViewSettled(f func()) {
-	switch {
-	case !j.SubmissionDurable:
-		j.callbacks.submitted = append(j.callbacks.submitted, func() { j.WhenViewSettled(f) })
-	case !j.ViewSettled():
-		j.callbacks.phaseDurable = append(j.callbacks.phaseDurable, f)
-	default:
-		f()
+// while this one still shows the old one, and a user must not see an older state after a newer one. The function is
+// never called if the job turns out to exist in the archive; see Add.
+func (j *Job) WhenViewSettled(f func(api.JobView)) {
+	if j.ViewSettled() {
+		f(j.view())
+		return
 	}
+	j.storage.header.AfterNextWrite(func() { j.WhenViewSettled(f) })
 }
 
 // ArchivedJob is the stored record of an archived job.
--- a/internal/simulator/concurrent_faults_test.go
+++ b/internal/simulator/concurrent_faults_test.go
@@ -94,6 +94,14 @@
 		expectedEvents:    map[eventName]int{replyDroppedEvent: 10, nodesProbedEvent: 100},
 		detectedMutations: []Mutation{CacheStatusReplies},
 	},
+	{
+		name:          "transactions slow, jobs cancelled before they are accepted",
+		guardsAgainst: "a leader replying with the state before a transaction whose result another node has told",
+		inject:        cancelDuringSlowTransactions,
+		expectedEvents: map[eventName]int{transactionSlowEvent: 100, cancelledBeforeAcceptedEvent: 20,
+			finalStatusBeforeAcceptedEvent: 10, nodesProbedEvent: 500},
+		detectedMutations: []Mutation{CacheStatusReplies},
+	},
 	{
 		name:              "overload over slow links",
 		guardsAgainst:     "starvation of large jobs and of teams without a guarantee",
--- a/internal/simulator/events.go
+++ b/internal/simulator/events.go
@@ -47,6 +47,7 @@
 	storeOutageEvent                   eventName = "store outage"
 	storeSlowEvent                     eventName = "slow store"
 	transactionCopiedEvent             eventName = "transaction copied"
+	transactionSlowEvent               eventName = "slow transaction"
 	userRequestCopiedEvent             eventName = "user's request copied"
 	submissionChangedEvent             eventName = "submission repeated with another body"
 )
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -26,6 +26,7 @@
 	delayedHeartbeats  faultWindow // duplicates of heartbeats arrive up to two lease durations later
 	heldHeartbeats     faultWindow // duplicates of heartbeats arrive when the next leader is elected
 	slowStore          faultWindow // messages to and from the store take up to half a second longer
+	slowTransactions   faultWindow // transactions are executed at once and get their reply more than a second later
 	slowLinks          faultWindow // messages between nodes take up to half a second longer
 	delayedCommands    faultWindow // commands to workers and their replies take seconds longer
 	fastBoots          faultWindow // machines boot within two seconds
@@ -80,6 +81,20 @@
 	sim.schedule(sim.callDelay(w, request), deliver)
 }
 
+// slowTransactionDelay is how late the reply to a transaction is during slowTransactions. It is longer than a follower waits
+// for the leader's answer to a status query, and shorter than a leader waits for the store.
+const slowTransactionDelay = 1200 * time.Millisecond
+
+// delayTransactionReply passes the response of an executed transaction to reply, after the delay that an active fault adds.
+func (sim *Simulation) delayTransactionReply(response kvstore.Response, reply func(kvstore.Response)) {
+	if !sim.faultOccurs(sim.slowTransactions) {
+		reply(response)
+		return
+	}
+	sim.countEvent(transactionSlowEvent)
+	sim.schedule(slowTransactionDelay, func() { reply(response) })
+}
+
 // interceptTransaction executes a transaction without a reply, either at once or late, if such a fault occurs. It returns
 // false if none does.
 func (s *store) interceptTransaction(r kvstore.Request) bool {
--- a/internal/simulator/store.go
+++ b/internal/simulator/store.go
@@ -135,7 +135,7 @@
 		reply(s.list(r))
 	case kvstore.Txn:
 		if !s.interceptTransaction(r) {
-			reply(s.transact(r))
+			s.sim.delayTransactionReply(s.transact(r), reply)
 		}
 	case kvstore.GrantLease:
 		reply(s.grantLease(r))
