Commands: a queued launch of a task that was stopped is not sent

Cause: the launch waits in the machine's command queue for the call before it. Stopping the task queues a kill behind it, and before the next call only the leader's permission to launch is checked, not the task.

Change: before each call, queued launches are dropped whose task is no longer assigned to the machine in that attempt. That holds for whatever stopped the task.

Tests: TestQueuedLaunchOfStoppedTaskIsNotSent fails on the code before, with the call that the case shows.

--- a/internal/simulator/invariants.go
+++ b/internal/simulator/invariants.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// checkLaunchesSent checks that a call to a worker launches no task of a job whose user was told that it is cancelled.
+func (sim *Simulation) checkLaunchesSent(from *node, request api.CommandRequest) {
+	for _, command := range request.Commands {
+		j := sim.jobs[command.TaskID.Job]
+		if command.Verb == api.Launch && j != nil && j.cancelConfirmedAt > 0 {
+			sim.reportViolation("ran_cancelled: %s sends a launch of %s after its cancellation was confirmed", from.name,
+				command.TaskID)
+		}
+	}
+}
+
 // checkQuota checks that the team of a starting task stays within its CPU limit.
 func (sim *Simulation) checkQuota(j *userJob, t *task, used *usage) {
 	limit := sim.cpuLimit(j.spec.Team)
--- a/internal/simulator/node_env.go
+++ b/internal/simulator/node_env.go
@@ -140,6 +140,7 @@
 		sim.schedule(0, func() { respond(workers.CommandResult{}) })
 		return
 	}
+	sim.checkLaunchesSent(e.node, c.Body)
 	if sim.mutates(DropStopCommands) {
 		c.Body.Commands = withoutStops(c.Body.Commands)
 	}
--- a/internal/simulator/rebalancing_test.go
+++ b/internal/simulator/rebalancing_test.go
@@ -50,23 +50,11 @@
 	t.Parallel()
 	moves := 0
 	for seed := *movesFirst; seed < *movesFirst+*movesSeeds; seed++ {
-		cfg := rebalancingConfig(seed)
-		cfg.ZoneCapacity = 4 // with less, arrays may wait for the capacity that is reserved for services
-		cfg.Faults, cfg.ConcurrentFaults, cfg.LinkMonitoring, cfg.NoArrivals = true, seed%2 == 1, seed%4 > 1, false
-		if seed%3 > 0 {
-			cfg.Tune = tuneForFrequentMoves
-		}
-		cfg.ActiveDuration, cfg.QuiescentDuration = 200*time.Second, 450*time.Second // long tasks may restart near the end
-		if cfg.SlowMachines = int(seed % 2); cfg.SlowMachines > 0 {
-			cfg.QuiescentDuration = 20 * time.Minute // long tasks may complete on the slow machine
-		}
-		sim := New(cfg)
-		sim.fragmentFleet(4)
-		sim.submitWideTasks(wideTasksAt, 180)
-		sim.submitShortTasks(30, 150)
-		sim.Run()
-		requireClean(t, sim)
-		moves += sim.Moves
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			sim := runMovesUnderFaults(seed)
+			requireClean(t, sim)
+			moves += sim.Moves
+		})
 	}
 	t.Logf("%d moves", moves)
 	if want := minMovesPerSeed * float64(*movesSeeds); float64(moves) < want {
@@ -74,6 +62,26 @@
 	}
 }
 
+// runMovesUnderFaults runs one seed of TestMovesUnderFaults.
+func runMovesUnderFaults(seed uint64) *Simulation {
+	cfg := rebalancingConfig(seed)
+	cfg.ZoneCapacity = 4 // with less, arrays may wait for the capacity that is reserved for services
+	cfg.Faults, cfg.ConcurrentFaults, cfg.LinkMonitoring, cfg.NoArrivals = true, seed%2 == 1, seed%4 > 1, false
+	if seed%3 > 0 {
+		cfg.Tune = tuneForFrequentMoves
+	}
+	cfg.ActiveDuration, cfg.QuiescentDuration = 200*time.Second, 450*time.Second // long tasks may restart near the end
+	if cfg.SlowMachines = int(seed % 2); cfg.SlowMachines > 0 {
+		cfg.QuiescentDuration = 20 * time.Minute // long tasks may complete on the slow machine
+	}
+	sim := New(cfg)
+	sim.fragmentFleet(4)
+	sim.submitWideTasks(wideTasksAt, 180)
+	sim.submitShortTasks(30, 150)
+	sim.Run()
+	return sim
+}
+
 const (
 	// convergenceTime is the time from the start of a flood until the load must be balanced.
 	convergenceTime = time.Minute
--- a/internal/workers/command.go
+++ b/internal/workers/command.go
@@ -121,16 +121,12 @@
 	return true
 }
 
-// sendQueued starts a call with the queued commands, unless a call is in flight or none is needed. A launch command may
-// have waited for the call before it; if it may not be sent any more, the response to a later heartbeat launches the
-// task, if this node still leads then.
+// sendQueued starts a call with the queued commands, unless a call is in flight or none is needed.
 func (tb *Table) sendQueued(w *Worker) {
 	if tb.closed || w.State == Terminated {
 		return
 	}
-	if api.ContainsLaunch(w.commands.queued) && !tb.cfg.MayLaunch() {
-		w.commands.discardLaunches()
-	}
+	tb.discardOutdatedLaunches(w)
 	commands, started := w.commands.startCall()
 	if !started {
 		return
@@ -157,6 +153,23 @@
 	})
 }
 
+// discardOutdatedLaunches drops the queued launch commands that must not be sent any more: they may have waited for the call
+// before them. If this node may not launch tasks, the response to a later heartbeat launches them, if it may again by
+// then. A task that was stopped meanwhile must not be started at all: its user may have been told that it never will be.
+func (tb *Table) discardOutdatedLaunches(w *Worker) {
+	if !api.ContainsLaunch(w.commands.queued) {
+		return
+	}
+	mayLaunch := tb.cfg.MayLaunch()
+	w.commands.discardLaunches(func(launch api.Command) bool { return mayLaunch && w.isAssigned(targetOf(launch)) })
+}
+
+// isAssigned reports whether an attempt is placed on the machine and was not stopped.
+func (w *Worker) isAssigned(attempt taskAttempt) bool {
+	t := w.Tasks[attempt.task]
+	return t != nil && t.Attempt == attempt.attempt && t.State == jobs.Assigned
+}
+
 func (tb *Table) handleCommandResult(w *Worker, result CommandResult) {
 	if tb.closed {
 		return
--- a/internal/workers/command_queue.go
+++ b/internal/workers/command_queue.go
@@ -68,9 +68,11 @@
 // discard drops the queued commands.
 func (q *commandQueue) discard() { q.queued = nil }
 
-// discardLaunches drops the queued launch commands.
-func (q *commandQueue) discardLaunches() {
-	q.queued = slices.DeleteFunc(q.queued, func(command api.Command) bool { return command.Verb == api.Launch })
+// discardLaunches drops the queued launch commands that don't satisfy a condition.
+func (q *commandQueue) discardLaunches(keep func(api.Command) bool) {
+	q.queued = slices.DeleteFunc(q.queued, func(command api.Command) bool {
+		return command.Verb == api.Launch && !keep(command)
+	})
 }
 
 // targets reports whether any queued or in-flight command addresses an attempt.
--- a/internal/workers/command_test.go
+++ b/internal/workers/command_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// TestQueuedLaunchOfStoppedTaskIsNotSent guards against a start after a confirmed cancellation: a launch command waits for the
+// end of another call, and the task is stopped meanwhile. The kill command is sent, as a response to a heartbeat may have
+// launched the task.
+func TestQueuedLaunchOfStoppedTaskIsNotSent(t *testing.T) {
+	h := newHarness(t)
+	task := h.placeSecondTask()
+	h.jobs.Cancel(h.job, func() {})
+	h.tb.StopAllocated(h.job, 0)
+	h.runUntilIdle()
+	h.respond(1, h.taskReport(api.Running, ""))
+	h.runUntilIdle()
+	if len(h.sent) != 3 || verbs(&api.HeartbeatResponse{Commands: h.sent[2].Commands}) != "kill kill " {
+		t.Fatalf("after the call before it: got calls %+v, want a third one with two kills", h.sent)
+	}
+	h.respond(2, h.taskReport(api.Ended, api.CauseStopped))
+	h.heartbeat(0, h.taskReport(api.Ended, api.CauseStopped))
+	if task.State != jobs.Waiting {
+		t.Errorf("after a heartbeat without the task: task is %v, want %v", task.State, jobs.Waiting)
+	}
+}
+
 // TestCopyOfAnsweredLaunchStartsNothing guards against a task running twice: its launch was carried out and answered, its attempt
 // failed and was cleared, and a copy of the launch arrived once the task had been placed elsewhere.
 func TestCopyOfAnsweredLaunchStartsNothing(t *testing.T) {
