--- a/internal/simulator/copied_commands_test.go
+++ b/internal/simulator/copied_commands_test.go
@@ -183,11 +183,8 @@
 				s := c.copiedLaunch
 				sim := s.run(Config{Seed: seed, LinkMonitoring: c.linkMonitoring})
 				requireClean(t, sim)
-				for _, event := range append([]eventName{launchOfClearedAttemptCopiedEvent}, c.expectedEvents...) {
-					if sim.eventCounts[event] == 0 {
-						t.Errorf("seed %d: event %q did not occur; all events: %v", seed, event, sim.eventCounts)
-					}
-				}
+				requireEvents(t, sim, launchOfClearedAttemptCopiedEvent)
+				requireEvents(t, sim, c.expectedEvents...)
 			}
 		})
 	}
--- a/internal/simulator/moves_test.go
+++ b/internal/simulator/moves_test.go
@@ -374,11 +374,8 @@
 					if !f.stopsOtherTasks {
 						checkStopCounts(t, sim)
 					}
-					for _, event := range append([]eventName{moveStateEvent(state.String())}, f.expectedEvents...) {
-						if sim.eventCounts[event] == 0 {
-							t.Errorf("seed %d: event %q: got 0, want at least 1; all events: %v", seed, event, sim.eventCounts)
-						}
-					}
+					requireEvents(t, sim, moveStateEvent(state.String()))
+					requireEvents(t, sim, f.expectedEvents...)
 				}
 			})
 		}
--- a/internal/simulator/request_copies_test.go
+++ b/internal/simulator/request_copies_test.go
@@ -27,11 +27,7 @@
 		})
 		sim.Run()
 		requireClean(t, sim)
-		for _, event := range []eventName{transactionCopiedEvent, leaseRequestCopiedEvent, cloudRequestCopiedEvent,
-			frameCopiedEvent, userRequestCopiedEvent, copiedCallRejectedEvent} {
-			if sim.eventCounts[event] == 0 {
-				t.Errorf("seed %d: event %q did not occur; all events: %v", seed, event, sim.eventCounts)
-			}
-		}
+		requireEvents(t, sim, transactionCopiedEvent, leaseRequestCopiedEvent, cloudRequestCopiedEvent, frameCopiedEvent,
+			userRequestCopiedEvent, copiedCallRejectedEvent)
 	}
 }
--- a/internal/simulator/scenario_helpers_test.go
+++ b/internal/simulator/scenario_helpers_test.go
@@ -195,3 +195,13 @@
 			sim.OversizedTransactions)
 	}
 }
+
+// requireEvents checks that each of the events took place at least once.
+func requireEvents(t *testing.T, sim *Simulation, events ...eventName) {
+	t.Helper()
+	for _, event := range events {
+		if sim.eventCounts[event] == 0 {
+			t.Errorf("seed %d: event %q: got 0, want at least 1; all events: %v", sim.cfg.Seed, event, sim.eventCounts)
+		}
+	}
+}
--- a/internal/workers/fencing.go
+++ b/internal/workers/fencing.go
@@ -35,10 +35,9 @@
 // forgetLaunches is called when the token or the incarnation of the worker has become newer than that of all calls sent so far.
 func (f *fencing) forgetLaunches() { f.launched = f.launched[:0] }
 
-// raiseAbove sets the token to one more than the given token of the same term.
-func (f *fencing) raiseAbove(token ident.FencingToken, term ident.Term) bool {
+// adopt sets the token to a given one of the same term.
+func (f *fencing) adopt(token ident.FencingToken, term ident.Term) {
 	f.count = uint32(token - ident.MakeFencingToken(term, 0))
-	return f.raise()
 }
 
 // recordLaunches records the launch commands of a call with the current token.
--- a/internal/workers/heartbeat.go
+++ b/internal/workers/heartbeat.go
@@ -87,9 +87,8 @@
 		return
 	}
 	slog.Error("fencing token newer than any issued", "machine", string(w.ID), "token", uint64(token))
-	if !w.fencing.raiseAbove(token, tb.cfg.Term) {
-		tb.cfg.OnTokensExhausted()
-	}
+	w.fencing.adopt(token, tb.cfg.Term)
+	tb.raiseToken(w)
 }
 
 // updateAddress sets a worker's address if it has changed, and looks up the machine type if the catalog
